--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Commands of landingmast. `make demo` and `make test` are all that a newcomer needs.
+
+GO ?= go
+BIN := bin
+
+.PHONY: all build demo test check generate generated-up-to-date bench clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# Runs small copies of both deployments on loopback, with traffic and checks.
+demo: build
+	$(BIN)/landingmast-lab demo
+
+test: build
+	$(GO) test -race ./...
+
+check: generated-up-to-date
+	@unformatted=$$($(GO) tool gofumpt -l cmd design internal); \
+	if [ -n "$$unformatted" ]; then echo "not formatted (remedy: make format):"; echo "$$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./cmd/... ./internal/...
+
+format:
+	$(GO) tool gofumpt -w cmd design internal
+
+generate:
+	$(GO) tool goa gen github.com/landingmast/landingmast/design
+
+# Generates into a copy of the tree and compares it with what is committed.
+generated-up-to-date:
+	@copy=$$(mktemp -d) && trap 'rm -rf "$$copy"' EXIT && \
+	cp -r go.mod go.sum design "$$copy" && cp -r gen "$$copy/gen.committed" && mkdir "$$copy/internal" && \
+	cd "$$copy" && $(GO) tool goa gen github.com/landingmast/landingmast/design >/dev/null && \
+	diff -r gen gen.committed >/dev/null || { echo "gen/ differs from design/ (remedy: make generate)"; exit 1; }
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/dataplane/gate.go
@@ -0,0 +1,170 @@
+package dataplane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/admission"
+	"github.com/landingmast/landingmast/internal/core/limiter"
+	"github.com/landingmast/landingmast/internal/core/outcome"
+	"github.com/landingmast/landingmast/internal/telemetry"
+)
+
+// gate drives the limiter and the admission controller of the target beside the
+// node: calls wait on channels, a timer ticks while any waits.
+type gate struct {
+	levels     int
+	now        func() time.Duration
+	metrics    *telemetry.Metrics
+	mutex      sync.Mutex
+	limiter    *limiter.Limiter
+	controller *admission.Controller
+	nextID     uint64
+	waiting    map[uint64]chan limiter.Action
+	running    map[uint64]context.CancelCauseFunc
+	ticking    bool
+}
+
+const gateTick = 5 * time.Millisecond
+
+func newGate(levels int, now func() time.Duration, metrics *telemetry.Metrics) *gate {
+	return &gate{
+		levels: levels, now: now, metrics: metrics, limiter: limiter.New(limiter.DefaultConfig(levels)),
+		controller: admission.NewController(admission.DefaultConfig(levels)),
+		waiting:    map[uint64]chan limiter.Action{}, running: map[uint64]context.CancelCauseFunc{},
+	}
+}
+
+// ticket is the right to a slot of the target, or the refusal of one.
+type ticket struct {
+	id      uint64
+	action  limiter.Action
+	cursor  admission.Rank
+	entered time.Duration
+}
+
+func (t ticket) admitted() bool { return t.action.Kind == limiter.Admit }
+
+// enter waits for a slot. cancel is called when the call is preempted.
+func (g *gate) enter(ctx context.Context, call limiter.Call, rank admission.Rank, cancel context.CancelCauseFunc) ticket {
+	g.mutex.Lock()
+	now := g.now()
+	g.nextID++
+	call.ID = g.nextID
+	if !g.controller.Admit(now, rank) {
+		action := limiter.Action{
+			Kind: limiter.Refuse, ID: call.ID, Reason: outcome.ReasonOverloadCursor, Limit: g.limiter.Limit(),
+			Active: g.limiter.Active(), Queued: g.limiter.Queued(),
+		}
+		cursor := g.controller.Cursor()
+		g.mutex.Unlock()
+		return ticket{id: call.ID, action: action, cursor: cursor}
+	}
+	decided := make(chan limiter.Action, 1)
+	g.waiting[call.ID] = decided
+	g.running[call.ID] = cancel
+	g.apply(now, g.limiter.Arrive(now, call))
+	cursor := g.controller.Cursor()
+	g.mutex.Unlock()
+
+	select {
+	case action := <-decided:
+		return ticket{id: call.ID, action: action, cursor: cursor, entered: g.now()}
+	case <-ctx.Done():
+		return g.withdraw(call.ID, decided, cursor)
+	}
+}
+
+// withdraw takes back a call whose caller went away while it waited.
+func (g *gate) withdraw(id uint64, decided chan limiter.Action, cursor admission.Rank) ticket {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	select {
+	case action := <-decided:
+		if action.Kind == limiter.Admit {
+			g.apply(now, g.limiter.Finish(now, id, 0, false, false))
+		}
+	default:
+		g.limiter.Withdraw(id)
+	}
+	delete(g.waiting, id)
+	delete(g.running, id)
+	return ticket{id: id, action: limiter.Action{Kind: limiter.Refuse, ID: id, Reason: outcome.ReasonCancelled}, cursor: cursor}
+}
+
+// leave gives the slot back. own is the target's own time; healthy tells that
+// it may be learned from, shed that the target refused the call.
+func (g *gate) leave(id uint64, own time.Duration, healthy, shed bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	delete(g.running, id)
+	g.apply(now, g.limiter.Finish(now, id, own, healthy, shed))
+}
+
+func (g *gate) drain() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	g.apply(now, g.limiter.Drain(now))
+}
+
+func (g *gate) draining() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.limiter.Draining()
+}
+
+func (g *gate) state() (limit, active, queued int, draining bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.limiter.Limit(), g.limiter.Active(), g.limiter.Queued(), g.limiter.Draining()
+}
+
+// apply carries out the limiter's actions. The mutex is held.
+func (g *gate) apply(now time.Duration, actions []limiter.Action) {
+	for _, action := range actions {
+		switch action.Kind {
+		case limiter.Preempt:
+			if cancel := g.running[action.ID]; cancel != nil {
+				cancel(errPreempted)
+			}
+		case limiter.Admit, limiter.Refuse:
+			g.note(now, action)
+			if decided := g.waiting[action.ID]; decided != nil {
+				decided <- action
+				delete(g.waiting, action.ID)
+			}
+		}
+	}
+	if g.limiter.Queued() > 0 && !g.ticking {
+		g.ticking = true
+		time.AfterFunc(gateTick, g.tick)
+	}
+	g.metrics.Limit.Set(float64(g.limiter.Limit()))
+	g.metrics.Active.Set(float64(g.limiter.Active()))
+	g.metrics.Queued.Set(float64(g.limiter.Queued()))
+	g.metrics.Cursor.Set(float64(g.controller.Cursor()))
+}
+
+func (g *gate) note(now time.Duration, action limiter.Action) {
+	if action.Kind == limiter.Admit {
+		g.controller.Waited(now, action.Wait)
+		g.metrics.QueueWait.Observe(action.Wait.Seconds())
+		return
+	}
+	delete(g.running, action.ID)
+	if action.Reason == outcome.ReasonQueueFull || action.Reason == outcome.ReasonQueueTimeout {
+		g.controller.Overfull(now)
+	}
+}
+
+func (g *gate) tick() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.ticking = false
+	now := g.now()
+	g.apply(now, g.limiter.Tick(now))
+}
--- /dev/null
+++ b/internal/dataplane/plane.go
@@ -0,0 +1,204 @@
+// Package dataplane forwards calls: from outside callers (entry), from the
+// target beside the node (egress) and from other nodes to that target
+// (ingress). It asks the pure packages below internal/core what to do and
+// carries it out over net/http.
+package dataplane
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/bundle"
+	"github.com/landingmast/landingmast/internal/core/claim"
+	"github.com/landingmast/landingmast/internal/core/outcome"
+	"github.com/landingmast/landingmast/internal/explain"
+	"github.com/landingmast/landingmast/internal/telemetry"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// Side is the part that the node plays in a call.
+type Side string
+
+// The sides.
+const (
+	SideEntry   Side = "entry"
+	SideEgress  Side = "egress"
+	SideIngress Side = "ingress"
+)
+
+// Claims grants the right to run at-most-once requests. Its methods are called
+// from the goroutines of the requests.
+type Claims interface {
+	// Lookup tells where a key stands at this node without claiming it.
+	Lookup(key string) (claim.Phase, *claim.Answer)
+	// Begin claims the key; it may talk to the voters of the service.
+	Begin(ctx context.Context, key string) Claimed
+	// NotStarted returns the right, because the call was provably not handed over.
+	NotStarted(key string)
+	// Lose notes that how the call ended is not known.
+	Lose(key string)
+	// Complete keeps the answer; nil when it was too large.
+	Complete(key string, answer *claim.Answer)
+}
+
+// Claimed is the result of Claims.Begin.
+type Claimed struct {
+	Run      bool          // this call holds the right to run the key
+	Kept     *claim.Answer // answer of the run that there was
+	Executor string        // other node that holds the right
+	Outcome  outcome.Outcome
+	Reason   outcome.Reason
+	Numbers  []explain.Number
+}
+
+// Options are what a plane is made of.
+type Options struct {
+	Node        string
+	Zone        string
+	Target      string // IP:port of the back end; empty for an entry
+	Connections int    // most connections to the target
+	Metrics     *telemetry.Metrics
+	Recorder    *explain.Recorder
+	Peers       *http.Transport // mutual TLS to other nodes
+	Claims      Claims          // nil for an entry
+}
+
+// Plane is the data plane of one node.
+type Plane struct {
+	node     string
+	zone     string
+	target   string
+	started  time.Time
+	metrics  *telemetry.Metrics
+	recorder *explain.Recorder
+	peers    *http.Transport
+	local    *http.Transport
+	claims   Claims
+	bundle   atomic.Pointer[bundle.Bundle]
+	service  atomic.Pointer[string]
+	calls    *callTable
+	router   *router
+	gate     atomic.Pointer[gate]
+	resends  *resendTable
+	closing  atomic.Bool
+}
+
+// New makes a plane; it serves once SetBundle was called.
+func New(options Options) *Plane {
+	plane := &Plane{
+		node: options.Node, zone: options.Zone, target: options.Target, started: time.Now(), metrics: options.Metrics,
+		recorder: options.Recorder, peers: options.Peers, claims: options.Claims, calls: newCallTable(), resends: newResendTable(),
+	}
+	plane.router = newRouter(options.Node, options.Zone)
+	plane.service.Store(new(string))
+	if options.Target != "" {
+		plane.local = localTransport(options.Connections)
+	}
+	return plane
+}
+
+func localTransport(connections int) *http.Transport {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &http.Transport{
+		DialContext: dialer.DialContext, MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
+		IdleConnTimeout: time.Minute, DisableCompression: true, ReadBufferSize: 8 << 10, WriteBufferSize: 8 << 10,
+	}
+}
+
+// PeerTransport makes the transport to other nodes, on top of a TLS dialer. It
+// keeps the number of connections to one peer bounded.
+func PeerTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		DialTLSContext: dial, MaxIdleConnsPerHost: maxPeerConnections, MaxConnsPerHost: maxPeerConnections,
+		IdleConnTimeout: time.Minute, DisableCompression: true, ReadBufferSize: 8 << 10, WriteBufferSize: 8 << 10,
+	}
+}
+
+const maxPeerConnections = 64
+
+// now is the monotonic time since the start of the plane; the core's clock.
+func (p *Plane) now() time.Duration { return time.Since(p.started) }
+
+// SetBundle puts a bundle in force. leaving are nodes that the machine list
+// calls leaving.
+func (p *Plane) SetBundle(installed *bundle.Bundle, leaving map[string]bool) {
+	_, service := installed.Node(p.node)
+	p.service.Store(&service)
+	if current := p.gate.Load(); p.target != "" && (current == nil || current.levels != len(installed.Levels)) {
+		p.setGate(current, newGate(len(installed.Levels), p.now, p.metrics))
+	}
+	p.router.update(p.now(), installed, leaving)
+	p.bundle.Store(installed)
+}
+
+func (p *Plane) setGate(old, gate *gate) {
+	if old != nil && old.draining() {
+		gate.drain()
+	}
+	p.gate.Store(gate)
+}
+
+// Drain refuses new work from now on; what is in flight goes on.
+func (p *Plane) Drain() {
+	if gate := p.gate.Load(); gate != nil {
+		gate.drain()
+	}
+}
+
+// CloseConnections has every answer from now on ask to close its connection.
+func (p *Plane) CloseConnections() { p.closing.Store(true) }
+
+// begin counts a call as in flight; the function that it gives ends that.
+func (p *Plane) begin(w http.ResponseWriter) func() {
+	p.calls.enter()
+	if p.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	return p.calls.leave
+}
+
+// InFlight gives the calls that the node is serving, on all sides.
+func (p *Plane) InFlight() int { return p.calls.inFlight() }
+
+// GateState gives the numbers of the gate: limit, calls at the target and waiting.
+func (p *Plane) GateState() (limit, active, queued int, draining bool) {
+	gate := p.gate.Load()
+	if gate == nil {
+		return 0, 0, 0, false
+	}
+	return gate.state()
+}
+
+// Routes gives the targets as routing sees them, by service.
+func (p *Plane) Routes() map[string][]RouteState { return p.router.states(p.now()) }
+
+// Close ends idle connections.
+func (p *Plane) Close() {
+	p.peers.CloseIdleConnections()
+	if p.local != nil {
+		p.local.CloseIdleConnections()
+	}
+}
+
+func newID() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
+func (p *Plane) record(call *callContext, action explain.Action, reason, service, peer string, numbers ...explain.Number) {
+	p.recorder.Add(call.requestID, explain.Decision{
+		CallID: call.callID, Depth: call.depth, At: time.Now(), Action: action, Reason: reason, Service: service,
+		Class: call.class, Level: call.levelName, Peer: peer, Numbers: numbers,
+	})
+}
+
+func number(name string, value float64) explain.Number {
+	return explain.Number{Name: name, Value: value}
+}
+
+func milliseconds(span time.Duration) float64 { return float64(span) / float64(time.Millisecond) }
+
+// isCall tells a call from a control message on the peer port.
+func isCall(r *http.Request) bool { return r.Header.Get(wire.HeaderCall) != "" }
--- /dev/null
+++ b/internal/lab/cluster/cluster.go
@@ -0,0 +1,422 @@
+// Package cluster runs a deployment on loopback as separate processes: the
+// stand-ins, a landingmastd beside every back end and the entries. It is the
+// harness of the demo, the fault runs and the bench.
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/config"
+	"github.com/landingmast/landingmast/internal/core/bundle"
+	"github.com/landingmast/landingmast/internal/lab/deployment"
+	"github.com/landingmast/landingmast/internal/lab/load"
+	"github.com/landingmast/landingmast/internal/lab/standin"
+	"github.com/landingmast/landingmast/internal/platform"
+	"github.com/landingmast/landingmast/internal/roll"
+	"github.com/landingmast/landingmast/internal/security"
+	"go.yaml.in/yaml/v3"
+)
+
+// Process is one node and the addresses of it and of the back end beside it.
+type Process struct {
+	Name    string
+	Service string
+	Admin   string
+	Peers   string
+	Callers string // of an entry
+	Target  string // of a node beside a target
+	command *exec.Cmd
+	file    string
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	Deployment   *deployment.Deployment
+	Directory    string
+	PlatformAddr string
+	Nodes        []*Process
+	SignerName   string
+	SignerKey    ed25519.PrivateKey
+	daemon       string // path of landingmastd
+	lab          string // path of landingmast-lab
+	standins     []*exec.Cmd
+	mutex        sync.Mutex
+	log          *os.File
+	bundle       *bundle.Bundle
+	address      map[string]string
+}
+
+// Options set a cluster.
+type Options struct {
+	Deployment *deployment.Deployment
+	Daemon     string // path of landingmastd
+	Lab        string // path of landingmast-lab
+	Directory  string // for keys, settings and logs
+	FirstPort  int
+}
+
+// Start writes keys and settings, starts every process and rolls version 1.
+func Start(ctx context.Context, options Options) (*Cluster, error) {
+	c := &Cluster{Deployment: options.Deployment, Directory: options.Directory, daemon: options.Daemon, lab: options.Lab, SignerName: "operator-1", address: map[string]string{}}
+	if err := os.MkdirAll(options.Directory, 0o700); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(options.Directory, "processes.log"))
+	if err != nil {
+		return nil, err
+	}
+	c.log = log
+	if err := c.prepare(load.NewPorts(options.FirstPort)); err != nil {
+		return nil, err
+	}
+	if err := c.startAll(ctx); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+// prepare lays out addresses and writes keys and settings.
+func (c *Cluster) prepare(ports *load.Ports) error {
+	c.PlatformAddr = ports.Next()
+	for index := range deployment.Entries {
+		c.Nodes = append(c.Nodes, &Process{Name: fmt.Sprintf("entry-%d", index+1), Callers: ports.Next()})
+	}
+	for _, service := range c.Deployment.Services {
+		for index := range service.Targets {
+			c.Nodes = append(c.Nodes, &Process{Name: fmt.Sprintf("%s-%d", service.Name, index+1), Service: service.Name, Target: ports.Next()})
+		}
+	}
+	for _, process := range c.Nodes {
+		process.Peers = ports.Next()
+		process.Admin = ports.Next()
+		c.address[process.Name] = process.Peers
+	}
+	c.bundle = c.Deployment.Bundle(1, func(name string) string { return c.address[name] })
+	return c.writeSettings(ports)
+}
+
+func (c *Cluster) writeSettings(ports *load.Ports) error {
+	authority, err := security.NewAuthority(c.Deployment.Mesh)
+	if err != nil {
+		return err
+	}
+	private, public, err := security.NewSigner()
+	if err != nil {
+		return err
+	}
+	if c.SignerKey, err = security.ReadSigner(private); err != nil {
+		return err
+	}
+	if err := c.write("authority.pem", authority.Certificate); err != nil {
+		return err
+	}
+	if err := c.write("signer.pem", private); err != nil {
+		return err
+	}
+	for _, process := range c.Nodes {
+		pair, err := security.NewNode(authority, process.Name)
+		if err != nil {
+			return err
+		}
+		if err := c.write(process.Name+".crt", pair.Certificate); err != nil {
+			return err
+		}
+		if err := c.write(process.Name+".key", pair.Key); err != nil {
+			return err
+		}
+		settings := c.settings(process, ports, public)
+		data, err := yaml.Marshal(settings)
+		if err != nil {
+			return err
+		}
+		process.file = c.path(process.Name + ".yaml")
+		if err := c.write(process.Name+".yaml", data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) path(name string) string { return filepath.Join(c.Directory, name) }
+
+func (c *Cluster) write(name string, data []byte) error {
+	return os.WriteFile(c.path(name), data, 0o600)
+}
+
+const seeds = 4
+
+func (c *Cluster) settings(process *Process, ports *load.Ports, public ed25519.PublicKey) *config.Settings {
+	node, _ := c.bundle.Node(process.Name)
+	settings := &config.Settings{
+		Node: process.Name, Mesh: c.Deployment.Mesh, Zone: node.Zone,
+		Listen:   config.Listen{Callers: process.Callers, Peers: process.Peers, Admin: process.Admin},
+		Platform: config.Platform{Address: c.PlatformAddr, Timeout: bundle.Duration(500 * time.Millisecond)},
+		TLS:      config.TLS{Certificate: c.path(process.Name + ".crt"), Key: c.path(process.Name + ".key"), Authorities: c.path("authority.pem")},
+		Signers:  []config.Signer{{Name: c.SignerName, PublicKey: base64.StdEncoding.EncodeToString(public)}},
+		Log:      config.Log{Level: "info", Format: "json"},
+	}
+	if process.Target != "" {
+		settings.Target = &config.Target{Address: process.Target, Connections: c.Deployment.Service(process.Service).Connections}
+		settings.Listen.Egress = ports.Next()
+	}
+	step := max(len(c.Nodes)/seeds, 1)
+	for index := 0; index < len(c.Nodes); index += step {
+		if c.Nodes[index] != process {
+			settings.Peers = append(settings.Peers, c.Nodes[index].Peers)
+		}
+	}
+	return settings
+}
+
+func (c *Cluster) startAll(ctx context.Context) error {
+	if err := c.startStandin("platform", "--listen", c.PlatformAddr); err != nil {
+		return err
+	}
+	if err := c.startBackends(); err != nil {
+		return err
+	}
+	if err := c.waitFor(ctx, "http://"+c.PlatformAddr+"/lab/counts"); err != nil {
+		return err
+	}
+	if _, err := c.Roll(ctx, c.bundle); err != nil {
+		return err
+	}
+	for _, process := range c.Nodes {
+		if err := c.StartNode(process); err != nil {
+			return err
+		}
+	}
+	return c.WaitReady(ctx)
+}
+
+// startBackends starts the back ends of a deployment in one process: they are
+// stand-ins, and their machines are not what is looked at.
+func (c *Cluster) startBackends() error {
+	arguments := []string{"--deployment", c.Deployment.Mesh}
+	for _, process := range c.Nodes {
+		if process.Target != "" {
+			settings, err := config.Load(process.file)
+			if err != nil {
+				return err
+			}
+			arguments = append(arguments, "--backend", fmt.Sprintf("%s=%s=%s", process.Name, process.Target, settings.Listen.Egress))
+		}
+	}
+	return c.startStandin("backends", arguments...)
+}
+
+func (c *Cluster) startStandin(command string, arguments ...string) error {
+	process := c.command(c.lab, append([]string{command}, arguments...)...)
+	c.standins = append(c.standins, process)
+	return process.Start()
+}
+
+func (c *Cluster) command(program string, arguments ...string) *exec.Cmd {
+	command := exec.Command(program, arguments...)
+	command.Stdout, command.Stderr = c.log, c.log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return command
+}
+
+// StartNode starts a node that does not run.
+func (c *Cluster) StartNode(process *Process) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	process.command = c.command(c.daemon, "--settings", process.file)
+	return process.command.Start()
+}
+
+// Signal sends a signal to a node.
+func (c *Cluster) Signal(process *Process, signal syscall.Signal) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return process.command.Process.Signal(signal)
+}
+
+// Wait waits for a node to end and gives its error, as exec.Cmd does.
+func (c *Cluster) Wait(process *Process) error { return process.command.Wait() }
+
+// Kill ends a node at once.
+func (c *Cluster) Kill(process *Process) {
+	_ = c.Signal(process, syscall.SIGKILL)
+	_ = c.Wait(process)
+}
+
+// Pid gives the process id of a node.
+func (c *Cluster) Pid(process *Process) int { return process.command.Process.Pid }
+
+// Node gives the node of that name.
+func (c *Cluster) Node(name string) *Process {
+	for _, process := range c.Nodes {
+		if process.Name == name {
+			return process
+		}
+	}
+	return nil
+}
+
+// Entries gives the addresses of the entries.
+func (c *Cluster) Entries() []string {
+	var entries []string
+	for _, process := range c.Nodes {
+		if process.Callers != "" {
+			entries = append(entries, process.Callers)
+		}
+	}
+	return entries
+}
+
+// WaitReady waits until every node takes work.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	for _, process := range c.Nodes {
+		if err := c.waitFor(ctx, "http://"+process.Admin+"/readyz"); err != nil {
+			return fmt.Errorf("node %s: %w", process.Name, err)
+		}
+	}
+	return nil
+}
+
+const startTimeout = 20 * time.Second
+
+func (c *Cluster) waitFor(ctx context.Context, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return err
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s did not become ready; see %s", url, c.log.Name())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// Bundle gives a copy of the deployment's bundle at a version.
+func (c *Cluster) Bundle(version int64) *bundle.Bundle {
+	return c.Deployment.Bundle(version, func(name string) string { return c.address[name] })
+}
+
+// Store gives access to the platform's stand-in, as an operator has it.
+func (c *Cluster) Store() platform.Store { return platform.NewConsul(c.PlatformAddr, time.Second) }
+
+// Roll signs a bundle and rolls it.
+func (c *Cluster) Roll(ctx context.Context, wanted *bundle.Bundle) (*platform.HistoryEntry, error) {
+	release, err := bundle.Sign(wanted, c.SignerName, c.SignerKey)
+	if err != nil {
+		return nil, err
+	}
+	return roll.Roll(ctx, c.Store(), release)
+}
+
+// SetFaults changes the faults of the platform's stand-in.
+func (c *Cluster) SetFaults(faults standin.Faults) error {
+	return c.put("/lab/faults", faults)
+}
+
+// SetMachine changes a machine in the platform's list.
+func (c *Cluster) SetMachine(node, state string) error {
+	return c.put("/lab/machines/"+node+"/"+state, struct{}{})
+}
+
+func (c *Cluster) put(path string, body any) error {
+	return putJSON("http://"+c.PlatformAddr+path, body)
+}
+
+func putJSON(url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// SetBehaviour changes how the back end beside a node behaves.
+func (c *Cluster) SetBehaviour(process *Process, behaviour standin.Behaviour) error {
+	return putJSON("http://"+process.Target+"/lab/behaviour", behaviour)
+}
+
+// Executions gives what the back ends really ran.
+func (c *Cluster) Executions() ([]standin.Execution, error) {
+	var all []standin.Execution
+	for _, process := range c.Nodes {
+		if process.Target == "" {
+			continue
+		}
+		var some []standin.Execution
+		if err := getJSON("http://"+process.Target+"/lab/executions", &some); err != nil {
+			return nil, err
+		}
+		all = append(all, some...)
+	}
+	return all, nil
+}
+
+func getJSON(url string, into any) error {
+	response, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
+}
+
+// Stop ends every process: nodes first, as planned; the stand-ins last.
+func (c *Cluster) Stop() {
+	for _, process := range c.Nodes {
+		if process.command != nil && process.command.Process != nil {
+			_ = process.command.Process.Signal(syscall.SIGCONT)
+			_ = process.command.Process.Signal(syscall.SIGTERM)
+		}
+	}
+	for _, process := range c.Nodes {
+		if process.command == nil || process.command.Process == nil {
+			continue
+		}
+		timer := time.AfterFunc(5*time.Second, func() { _ = process.command.Process.Kill() })
+		_ = process.command.Wait()
+		timer.Stop()
+	}
+	for _, process := range c.standins {
+		if process.Process != nil {
+			_ = process.Process.Kill()
+			_ = process.Wait()
+		}
+	}
+	_ = c.log.Close()
+}
--- /dev/null
+++ b/internal/lab/standin/platform.go
@@ -0,0 +1,333 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	platformserver "github.com/landingmast/landingmast/gen/http/platform/server"
+	api "github.com/landingmast/landingmast/gen/platform"
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+)
+
+// Faults are the ways in which the stand-in of the platform fails. They may be
+// changed while it runs, with PUT /lab/faults.
+type Faults struct {
+	Down        bool          `json:"down"`         // every connection is cut
+	Delay       time.Duration `json:"delay"`        // before every answer, ns
+	LoseAnswers bool          `json:"lose_answers"` // writes take effect, their answers are cut
+	RateLimit   float64       `json:"rate_limit"`   // requests a second; 0: none
+	MachineLag  time.Duration `json:"machine_lag"`  // age of the machine list, ns
+}
+
+type keyValue struct {
+	value   []byte
+	session string
+	modify  uint64
+	create  uint64
+}
+
+type session struct {
+	expires time.Time
+	ttl     time.Duration
+}
+
+type machineEvent struct {
+	at    time.Time
+	node  string
+	state string
+	index uint64
+}
+
+// Platform is a stand-in of the platform's key-value service and machine list.
+// It keeps everything in memory.
+type Platform struct {
+	mutex    sync.Mutex
+	index    uint64
+	keys     map[string]*keyValue
+	sessions map[string]*session
+	events   []machineEvent
+	changed  chan struct{}
+	faults   Faults
+	tokens   float64
+	refilled time.Time
+	reads    uint64
+	writes   uint64
+}
+
+var _ api.Service = (*Platform)(nil)
+
+// NewPlatform makes an empty platform.
+func NewPlatform() *Platform {
+	return &Platform{keys: map[string]*keyValue{}, sessions: map[string]*session{}, changed: make(chan struct{}), refilled: time.Now()}
+}
+
+// Handler serves the published protocol and the lab's own switches.
+func (p *Platform) Handler() http.Handler {
+	mux := goahttp.NewMuxer()
+	server := platformserver.New(api.NewEndpoints(p), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, nil, nil)
+	platformserver.Mount(mux, server)
+	outer := http.NewServeMux()
+	outer.HandleFunc("PUT /lab/faults", p.serveFaults)
+	outer.HandleFunc("PUT /lab/machines/{node}/{state}", p.serveMachine)
+	outer.HandleFunc("GET /lab/counts", p.serveCounts)
+	outer.Handle("/", p.inject(mux))
+	return outer
+}
+
+func (p *Platform) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(io.LimitReader(r.Body, 4096)).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFaults(faults)
+}
+
+// SetFaults changes the faults.
+func (p *Platform) SetFaults(faults Faults) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.faults = faults
+	p.tokens = faults.RateLimit
+}
+
+func (p *Platform) serveMachine(_ http.ResponseWriter, r *http.Request) {
+	p.SetMachine(r.PathValue("node"), r.PathValue("state"))
+}
+
+// SetMachine sets the state of a machine: live, leaving or gone.
+func (p *Platform) SetMachine(node, state string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.index++
+	p.events = append(p.events, machineEvent{at: time.Now(), node: node, state: state, index: p.index})
+}
+
+func (p *Platform) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]uint64{"reads": p.reads, "writes": p.writes})
+}
+
+// inject applies the faults to a request.
+func (p *Platform) inject(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		faults, limited := p.admit(r.Method)
+		if faults.Down {
+			panic(http.ErrAbortHandler)
+		}
+		if faults.Delay > 0 {
+			select {
+			case <-time.After(faults.Delay):
+			case <-r.Context().Done():
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if limited {
+			http.Error(w, `{"name":"limited","id":"1","message":"rate limit","temporary":true,"timeout":false,"fault":false}`, http.StatusTooManyRequests)
+			return
+		}
+		if faults.LoseAnswers && r.Method == http.MethodPut {
+			next.ServeHTTP(&discardWriter{header: http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (p *Platform) admit(method string) (faults Faults, limited bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if method == http.MethodPut {
+		p.writes++
+	} else {
+		p.reads++
+	}
+	if p.faults.RateLimit == 0 {
+		return p.faults, false
+	}
+	now := time.Now()
+	p.tokens = min(p.tokens+now.Sub(p.refilled).Seconds()*p.faults.RateLimit, p.faults.RateLimit)
+	p.refilled = now
+	if p.tokens < 1 {
+		return p.faults, true
+	}
+	p.tokens--
+	return p.faults, false
+}
+
+// discardWriter takes an answer that nobody will read.
+type discardWriter struct{ header http.Header }
+
+// Header implements http.ResponseWriter.
+func (d *discardWriter) Header() http.Header { return d.header }
+
+// Write implements http.ResponseWriter.
+func (d *discardWriter) Write(data []byte) (int, error) { return len(data), nil }
+
+// WriteHeader implements http.ResponseWriter.
+func (d *discardWriter) WriteHeader(int) {}
+
+// Get implements the service.
+func (p *Platform) Get(ctx context.Context, payload *api.GetPayload) (*api.GetResult, error) {
+	wait := time.Duration(0)
+	if payload.Wait != nil {
+		parsed, err := time.ParseDuration(*payload.Wait)
+		if err != nil {
+			return nil, api.MakeMalformed(err)
+		}
+		wait = parsed
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		p.mutex.Lock()
+		entry := p.keys[payload.Key]
+		changed := p.changed
+		result := p.result(payload.Key, entry)
+		p.mutex.Unlock()
+		waits := payload.Index != nil && wait > 0 && (entry == nil || entry.modify <= *payload.Index)
+		if !waits {
+			if entry == nil {
+				return nil, api.MakeMissing(goa.PermanentError("missing", "no such key"))
+			}
+			return result, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			wait = 0
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (p *Platform) result(key string, entry *keyValue) *api.GetResult {
+	result := &api.GetResult{Pairs: []*api.KeyValuePair{}, Index: strconv.FormatUint(p.index, 10)}
+	if entry != nil {
+		held := entry.session
+		result.Pairs = append(result.Pairs, &api.KeyValuePair{Key: key, Value: bytes.Clone(entry.value), Session: &held, ModifyIndex: entry.modify, CreateIndex: entry.create})
+	}
+	return result
+}
+
+// Put implements the service.
+func (p *Platform) Put(_ context.Context, payload *api.PutPayload, body io.ReadCloser) (bool, error) {
+	value, err := io.ReadAll(io.LimitReader(body, 1<<20))
+	if err != nil {
+		return false, api.MakeMalformed(err)
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.expireSessions()
+	entry := p.keys[payload.Key]
+	if payload.Cas != nil {
+		if (entry == nil && *payload.Cas != 0) || (entry != nil && entry.modify != *payload.Cas) {
+			return false, nil
+		}
+	}
+	held := ""
+	if payload.Acquire != nil {
+		if p.sessions[*payload.Acquire] == nil {
+			return false, api.MakeMissing(goa.PermanentError("missing", "no such session"))
+		}
+		if entry != nil && entry.session != "" && entry.session != *payload.Acquire {
+			return false, nil
+		}
+		held = *payload.Acquire
+	}
+	p.index++
+	if entry == nil {
+		entry = &keyValue{create: p.index}
+		p.keys[payload.Key] = entry
+	}
+	entry.value, entry.modify, entry.session = value, p.index, held
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return true, nil
+}
+
+// expireSessions ends the sessions whose time has passed. The mutex is held.
+func (p *Platform) expireSessions() {
+	now := time.Now()
+	for id, one := range p.sessions {
+		if now.After(one.expires) {
+			p.endSession(id)
+		}
+	}
+}
+
+func (p *Platform) endSession(id string) {
+	delete(p.sessions, id)
+	for _, entry := range p.keys {
+		if entry.session == id {
+			entry.session = ""
+		}
+	}
+}
+
+// CreateSession implements the service.
+func (p *Platform) CreateSession(_ context.Context, request *api.SessionRequest) (*api.SessionEntry, error) {
+	ttl, err := time.ParseDuration(request.TTL)
+	if err != nil {
+		return nil, api.MakeMalformed(err)
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.index++
+	id := "session-" + strconv.FormatUint(p.index, 10)
+	p.sessions[id] = &session{ttl: ttl, expires: time.Now().Add(ttl)}
+	return &api.SessionEntry{ID: id, TTL: &request.TTL}, nil
+}
+
+// RenewSession implements the service.
+func (p *Platform) RenewSession(_ context.Context, payload *api.RenewSessionPayload) ([]*api.SessionEntry, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.expireSessions()
+	one := p.sessions[payload.ID]
+	if one == nil {
+		return nil, api.MakeMissing(goa.PermanentError("missing", "no such session"))
+	}
+	one.expires = time.Now().Add(one.ttl)
+	return []*api.SessionEntry{{ID: payload.ID}}, nil
+}
+
+// DestroySession implements the service.
+func (p *Platform) DestroySession(_ context.Context, payload *api.DestroySessionPayload) (bool, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.endSession(payload.ID)
+	return true, nil
+}
+
+// CatalogNodes implements the service: the machine list as it was some time ago.
+func (p *Platform) CatalogNodes(context.Context) (*api.CatalogNodesResult, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	horizon := time.Now().Add(-p.faults.MachineLag)
+	states := map[string]string{}
+	result := &api.CatalogNodesResult{Nodes: []*api.CatalogNode{}}
+	index := uint64(1)
+	for _, event := range p.events {
+		if !event.at.After(horizon) {
+			states[event.node] = event.state
+			index = event.index
+		}
+	}
+	result.Index = strconv.FormatUint(index, 10)
+	for node, state := range states {
+		if state != "gone" {
+			result.Nodes = append(result.Nodes, &api.CatalogNode{Node: node, Address: "127.0.0.1", Meta: map[string]string{"state": state}})
+		}
+	}
+	return result, nil
+}
--- /dev/null
+++ b/internal/platform/consul.go
@@ -0,0 +1,160 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	httpclient "github.com/landingmast/landingmast/gen/http/platform/client"
+	api "github.com/landingmast/landingmast/gen/platform"
+	"github.com/landingmast/landingmast/internal/failure"
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+)
+
+// Consul speaks the published HTTP protocol through the client that goa made
+// from design/platform.go.
+type Consul struct {
+	client  *api.Client
+	timeout time.Duration
+}
+
+var _ Store = (*Consul)(nil)
+
+const watchWait = 5 * time.Second
+
+// NewConsul makes the adapter to the service at IP:port.
+func NewConsul(address string, timeout time.Duration) *Consul {
+	transport := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
+	raw := httpclient.NewClient("http", address, transport, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
+	return &Consul{
+		client:  api.NewClient(raw.Get(), raw.Put(), raw.CreateSession(), raw.RenewSession(), raw.DestroySession(), raw.CatalogNodes()),
+		timeout: timeout,
+	}
+}
+
+// Get implements Store.
+func (c *Consul) Get(ctx context.Context, key string) (Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return c.read(ctx, &api.GetPayload{Key: key})
+}
+
+// Watch implements Store.
+func (c *Consul) Watch(ctx context.Context, key string, index uint64) (Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+c.timeout)
+	defer cancel()
+	wait := watchWait.String()
+	return c.read(ctx, &api.GetPayload{Key: key, Index: &index, Wait: &wait})
+}
+
+func (c *Consul) read(ctx context.Context, payload *api.GetPayload) (Entry, error) {
+	result, err := c.client.Get(ctx, payload)
+	if err != nil {
+		if isNamed(err, "missing") {
+			return Entry{}, nil
+		}
+		return Entry{}, readError(err)
+	}
+	if len(result.Pairs) == 0 {
+		return Entry{}, nil
+	}
+	return Entry{Value: result.Pairs[0].Value, Index: result.Pairs[0].ModifyIndex}, nil
+}
+
+// CompareAndSwap implements Store.
+func (c *Consul) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (bool, error) {
+	return c.write(ctx, &api.PutPayload{Key: key, Cas: &index}, value)
+}
+
+// Acquire implements Store.
+func (c *Consul) Acquire(ctx context.Context, key string, value []byte, lease string) (bool, error) {
+	return c.write(ctx, &api.PutPayload{Key: key, Acquire: &lease}, value)
+}
+
+func (c *Consul) write(ctx context.Context, payload *api.PutPayload, value []byte) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	written, err := c.client.Put(ctx, payload, io.NopCloser(bytes.NewReader(value)))
+	if err != nil {
+		return false, writeError(err)
+	}
+	return written, nil
+}
+
+// CreateLease implements Store.
+func (c *Consul) CreateLease(ctx context.Context, seconds int) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	session, err := c.client.CreateSession(ctx, &api.SessionRequest{TTL: fmt.Sprintf("%ds", seconds)})
+	if err != nil {
+		return "", writeError(err)
+	}
+	return session.ID, nil
+}
+
+// RenewLease implements Store.
+func (c *Consul) RenewLease(ctx context.Context, lease string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if _, err := c.client.RenewSession(ctx, &api.RenewSessionPayload{ID: lease}); err != nil {
+		return readError(err)
+	}
+	return nil
+}
+
+// Machines implements Store.
+func (c *Consul) Machines(ctx context.Context) ([]Machine, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	result, err := c.client.CatalogNodes(ctx)
+	if err != nil {
+		return nil, 0, readError(err)
+	}
+	index, err := strconv.ParseUint(result.Index, 10, 64)
+	if err != nil {
+		return nil, 0, failure.Wrap(err, failure.Unavailable, "look at the platform's service", "machine list has an unusable index %q", result.Index)
+	}
+	machines := make([]Machine, 0, len(result.Nodes))
+	for _, node := range result.Nodes {
+		machines = append(machines, Machine{Node: node.Node, Leaving: node.Meta["state"] == "leaving"})
+	}
+	return machines, index, nil
+}
+
+func isNamed(err error, name string) bool {
+	var named *goa.ServiceError
+	return errors.As(err, &named) && named.Name == name
+}
+
+const (
+	outageRemedy = "nothing now: nodes go on with what they have; look at the platform's service if it lasts"
+	doubtRemedy  = "read the key again to see whether the change took effect"
+)
+
+func readError(err error) error {
+	switch {
+	case isNamed(err, "limited"):
+		return failure.Wrap(err, failure.Limited, "ask again later", "platform limits requests")
+	case isNamed(err, "missing"):
+		return failure.Wrap(err, failure.Missing, "create it again", "platform has no such key or session")
+	case isNamed(err, "malformed"):
+		return failure.Wrap(err, failure.BadInput, "report this", "platform refused the request")
+	default:
+		return failure.Wrap(err, failure.Unavailable, outageRemedy, "platform cannot be reached")
+	}
+}
+
+// writeError tells apart the refusals that came before any effect from answers
+// that were lost.
+func writeError(err error) error {
+	if isNamed(err, "limited") || isNamed(err, "malformed") || isNamed(err, "missing") {
+		return readError(err)
+	}
+	return failure.Wrap(err, failure.Uncertain, doubtRemedy, "answer of the platform was lost")
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,64 @@
+// Package platform is the port to the platform's key-value service and machine
+// list, with the adapter to Consul's published HTTP protocol.
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/bundle"
+)
+
+// Entry is one key with its value and the index that compare-and-swap takes.
+type Entry struct {
+	Value []byte
+	Index uint64 // 0: the key is absent
+}
+
+// Machine is one machine of the lagging machine list.
+type Machine struct {
+	Node    string
+	Leaving bool
+}
+
+// Store is what landingmast needs of the platform. Errors are of kind
+// Unavailable, Limited, Uncertain (the write may have taken effect) or BadInput.
+type Store interface {
+	// Get reads a key; an absent key has index 0.
+	Get(ctx context.Context, key string) (Entry, error)
+	// Watch waits until the key's index is higher than the given one, or for as
+	// long as the service lets it, and then reads the key.
+	Watch(ctx context.Context, key string, index uint64) (Entry, error)
+	// CompareAndSwap writes the key if its index still is the given one; false
+	// tells that another write came first.
+	CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (bool, error)
+	// Acquire takes a lease on the key with the value; false: another holds it.
+	Acquire(ctx context.Context, key string, value []byte, lease string) (bool, error)
+	// CreateLease makes a lease that lapses unless it is renewed.
+	CreateLease(ctx context.Context, seconds int) (string, error)
+	// RenewLease keeps a lease; an error of kind Missing tells that it lapsed.
+	RenewLease(ctx context.Context, lease string) error
+	// Machines reads the machine list and its index. It may lag.
+	Machines(ctx context.Context) ([]Machine, uint64, error)
+}
+
+// ReleaseKey is where the release in force of a mesh stands.
+func ReleaseKey(mesh string) string { return "landingmast/" + mesh + "/release" }
+
+// VotersKey is where the voter set of a service stands.
+func VotersKey(mesh, service string) string { return "landingmast/" + mesh + "/voters/" + service }
+
+// ReleaseRecord is what stands under ReleaseKey, as JSON.
+type ReleaseRecord struct {
+	Release *bundle.Release `json:"release"`
+	History []HistoryEntry  `json:"history"` // newest first
+}
+
+// HistoryEntry is one line of the history of a mesh's bundles.
+type HistoryEntry struct {
+	Version  int64     `json:"version"`
+	Signer   string    `json:"signer"`
+	RollID   string    `json:"roll_id"`
+	Digest   string    `json:"digest"`
+	RolledAt time.Time `json:"rolled_at"`
+}
--- /dev/null
+++ b/internal/wire/call.go
@@ -0,0 +1,87 @@
+package wire
+
+// Names of the headers between nodes. Callers cannot set them: entries and
+// egress ports strip every header with the prefix.
+const (
+	HeaderPrefix = "Landingmast-"
+	HeaderCall   = "Landingmast-Call"
+	HeaderResult = "Landingmast-Result"
+	TrailerEnd   = "Landingmast-End"
+)
+
+// Names of the headers towards callers and targets.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderOutcome   = "Landingmast-Outcome"
+	HeaderReason    = "Landingmast-Reason"
+	HeaderDeadline  = "X-Request-Deadline-Ms"
+)
+
+// Call is the context of one call from node to node.
+type Call struct {
+	Protocol   int    `avro:"protocol"`
+	RequestID  string `avro:"request_id"`
+	CallID     string `avro:"call_id"`
+	Service    string `avro:"service"`
+	Method     string `avro:"method"`
+	Class      string `avro:"class"`
+	Level      int    `avro:"level"`
+	Rank       int    `avro:"rank"`
+	Depth      int    `avro:"depth"`
+	Remaining  int64  `avro:"remaining_us"` // until the deadline, microseconds
+	Credits    int    `avro:"credits"`      // lent with this call
+	AtMostOnce bool   `avro:"at_most_once"`
+	Key        string `avro:"key"`
+	From       string `avro:"from"`
+}
+
+// Result is the head of the answer to a call.
+type Result struct {
+	Outcome       string `avro:"outcome"`
+	Reason        string `avro:"reason"`
+	Status        int    `avro:"status"`         // of the target's answer
+	ContentLength int64  `avro:"content_length"` // of the target's answer; -1 unknown
+	Cursor        int    `avro:"cursor"`         // highest rank admitted here; -1 unknown
+	PathCursor    int    `avro:"path_cursor"`    // lowest cursor met below, for this class; -1 unknown
+	Draining      bool   `avro:"draining"`
+	Executor      string `avro:"executor"`    // node to ask instead, for a key that is claimed there
+	RetryAfter    int64  `avro:"retry_after"` // milliseconds
+}
+
+// End closes the answer to a call.
+type End struct {
+	CallID  string `avro:"call_id"`
+	Unspent int    `avro:"unspent"` // retry credits given back
+	Length  int64  `avro:"length"`  // bytes of the body
+	Digest  int64  `avro:"digest"`  // xxhash64 of the body
+	Broken  bool   `avro:"broken"`  // the target's answer broke off
+}
+
+const (
+	callSchema = `{"type":"record","name":"Call","fields":[
+{"name":"protocol","type":"int","default":1},{"name":"request_id","type":"string"},{"name":"call_id","type":"string"},
+{"name":"service","type":"string"},{"name":"method","type":"string"},{"name":"class","type":"string"},
+{"name":"level","type":"int"},{"name":"rank","type":"int"},{"name":"depth","type":"int"},
+{"name":"remaining_us","type":"long"},{"name":"credits","type":"int","default":0},
+{"name":"at_most_once","type":"boolean","default":false},{"name":"key","type":"string","default":""},
+{"name":"from","type":"string","default":""}]}`
+	resultSchema = `{"type":"record","name":"Result","fields":[
+{"name":"outcome","type":"string"},{"name":"reason","type":"string"},{"name":"status","type":"int"},
+{"name":"content_length","type":"long"},{"name":"cursor","type":"int","default":-1},
+{"name":"path_cursor","type":"int","default":-1},
+{"name":"draining","type":"boolean","default":false},{"name":"executor","type":"string","default":""},
+{"name":"retry_after","type":"long","default":0}]}`
+	endSchema = `{"type":"record","name":"End","fields":[
+{"name":"call_id","type":"string"},{"name":"unspent","type":"int"},{"name":"length","type":"long"},
+{"name":"digest","type":"long"},{"name":"broken","type":"boolean","default":false}]}`
+)
+
+// maxHeaderMessage bounds the messages that travel in headers, in bytes.
+const maxHeaderMessage = 8 << 10
+
+// Codecs of the messages that travel with calls.
+var (
+	CallCodec   = NewCodec[Call](maxHeaderMessage, callSchema)
+	ResultCodec = NewCodec[Result](maxHeaderMessage, resultSchema)
+	EndCodec    = NewCodec[End](maxHeaderMessage, endSchema)
+)
--- /dev/null
+++ b/internal/wire/control.go
@@ -0,0 +1,128 @@
+package wire
+
+import (
+	"github.com/landingmast/landingmast/internal/core/bundle"
+	"github.com/landingmast/landingmast/internal/core/claim"
+)
+
+// Topic names one of the documents that are spread to every node.
+type Topic string
+
+// The topics.
+const (
+	TopicBundle   Topic = "bundle"   // the signed release
+	TopicMachines Topic = "machines" // the machines that the platform's list calls leaving
+)
+
+// Tell says which version of a topic the sender has; the answer says the same
+// of the receiver.
+type Tell struct {
+	From        string `avro:"from"`
+	Incarnation string `avro:"incarnation"`
+	Topic       Topic  `avro:"topic"`
+	Version     int64  `avro:"version"`
+}
+
+// Fetch asks for a topic's document, as a delta to the version if possible.
+type Fetch struct {
+	Topic Topic `avro:"topic"`
+	Have  int64 `avro:"have"`
+}
+
+// Machines is the part of the machine list that matters: who is leaving.
+type Machines struct {
+	Version int64    `avro:"version"`
+	Leaving []string `avro:"leaving"`
+}
+
+// Query asks for something by name: the status (empty) or the records of a request.
+type Query struct {
+	Name string `avro:"name"`
+}
+
+// JSON carries an admin document from peer to peer; its type is the admin API's.
+type JSON struct {
+	Body []byte `avro:"body"`
+}
+
+// Vote carries a claim request to a voter of a service.
+type Vote struct {
+	Service string        `avro:"service"`
+	Voter   string        `avro:"voter"` // incarnation that is meant
+	Request claim.Request `avro:"request"`
+}
+
+// SealRequest asks a voter to end its part in an epoch.
+type SealRequest struct {
+	Service string `avro:"service"`
+	Epoch   int64  `avro:"epoch"`
+	Voter   string `avro:"voter"`
+}
+
+// SealReply gives what the voter holds.
+type SealReply struct {
+	Refusal   string        `avro:"refusal"`
+	Installed bool          `avro:"installed"`
+	Entries   []claim.Entry `avro:"entries"`
+}
+
+// InstallRequest makes a voter active in an epoch, with the claims carried over.
+type InstallRequest struct {
+	Service string        `avro:"service"`
+	Epoch   int64         `avro:"epoch"`
+	Voter   string        `avro:"voter"`
+	Entries []claim.Entry `avro:"entries"`
+}
+
+// VoterSetNotice tells a node of a voter set; JSON of claim.VoterSet.
+type VoterSetNotice struct {
+	Body []byte `avro:"body"`
+}
+
+const (
+	ballotFields = `{"type":"record","name":"Ballot","fields":[{"name":"epoch","type":"long"},{"name":"round","type":"long"},{"name":"proposer","type":"string"}]}`
+	executor     = `{"type":"record","name":"Executor","fields":[{"name":"node","type":"string"},{"name":"incarnation","type":"string"}]}`
+	entryRecord  = `{"type":"record","name":"Entry","fields":[{"name":"key","type":"string"},{"name":"promised","type":` + ballotFields +
+		`},{"name":"accepted","type":"Ballot"},{"name":"executor","type":` + executor + `}]}`
+
+	tellSchema     = `{"type":"record","name":"Tell","fields":[{"name":"from","type":"string"},{"name":"incarnation","type":"string"},{"name":"topic","type":"string"},{"name":"version","type":"long"}]}`
+	fetchSchema    = `{"type":"record","name":"Fetch","fields":[{"name":"topic","type":"string"},{"name":"have","type":"long"}]}`
+	machinesSchema = `{"type":"record","name":"Machines","fields":[{"name":"version","type":"long"},{"name":"leaving","type":{"type":"array","items":"string"}}]}`
+	querySchema    = `{"type":"record","name":"Query","fields":[{"name":"name","type":"string","default":""}]}`
+	jsonSchema     = `{"type":"record","name":"JSON","fields":[{"name":"body","type":"bytes"}]}`
+	releaseSchema  = `{"type":"record","name":"Release","fields":[{"name":"mesh","type":"string"},{"name":"version","type":"long"},
+{"name":"roll_id","type":"string"},{"name":"signer","type":"string"},{"name":"digest","type":"bytes"},{"name":"signature","type":"bytes"},
+{"name":"base","type":"long","default":0},{"name":"sections","type":{"type":"array","items":{"type":"record","name":"Section","fields":[{"name":"name","type":"string"},{"name":"body","type":"bytes"}]}}},
+{"name":"removed","type":{"type":"array","items":"string"}}]}`
+	voteSchema = `{"type":"record","name":"Vote","fields":[{"name":"service","type":"string"},{"name":"voter","type":"string"},
+{"name":"request","type":{"type":"record","name":"Request","fields":[{"name":"prepare","type":"boolean"},{"name":"key","type":"string"},{"name":"ballot","type":` + ballotFields +
+		`},{"name":"executor","type":` + executor + `}]}}]}`
+	replySchema = `{"type":"record","name":"Reply","fields":[{"name":"refusal","type":"string"},{"name":"promised","type":` + ballotFields +
+		`},{"name":"accepted","type":"Ballot"},{"name":"executor","type":` + executor + `},{"name":"epoch","type":"long"}]}`
+	sealSchema      = `{"type":"record","name":"SealRequest","fields":[{"name":"service","type":"string"},{"name":"epoch","type":"long"},{"name":"voter","type":"string"}]}`
+	sealReplySchema = `{"type":"record","name":"SealReply","fields":[{"name":"refusal","type":"string"},{"name":"installed","type":"boolean"},{"name":"entries","type":{"type":"array","items":` + entryRecord + `}}]}`
+	installSchema   = `{"type":"record","name":"InstallRequest","fields":[{"name":"service","type":"string"},{"name":"epoch","type":"long"},{"name":"voter","type":"string"},{"name":"entries","type":{"type":"array","items":` + entryRecord + `}}]}`
+	noticeSchema    = `{"type":"record","name":"VoterSetNotice","fields":[{"name":"body","type":"bytes"}]}`
+)
+
+// Sizes that bound control messages, in bytes.
+const (
+	maxSmallMessage = 16 << 10
+	maxLargeMessage = 32 << 20
+)
+
+// Codecs of the control messages.
+var (
+	TellCodec      = NewCodec[Tell](maxSmallMessage, tellSchema)
+	FetchCodec     = NewCodec[Fetch](maxSmallMessage, fetchSchema)
+	MachinesCodec  = NewCodec[Machines](maxLargeMessage, machinesSchema)
+	QueryCodec     = NewCodec[Query](maxSmallMessage, querySchema)
+	JSONCodec      = NewCodec[JSON](maxLargeMessage, jsonSchema)
+	ReleaseCodec   = NewCodec[bundle.Release](maxLargeMessage, releaseSchema)
+	VoteCodec      = NewCodec[Vote](maxSmallMessage, voteSchema)
+	ReplyCodec     = NewCodec[claim.Reply](maxSmallMessage, replySchema)
+	SealCodec      = NewCodec[SealRequest](maxSmallMessage, sealSchema)
+	SealReplyCodec = NewCodec[SealReply](maxLargeMessage, sealReplySchema)
+	InstallCodec   = NewCodec[InstallRequest](maxLargeMessage, installSchema)
+	NoticeCodec    = NewCodec[VoterSetNotice](maxLargeMessage, noticeSchema)
+)
