Emulate deployments in virtual time and steer the cursor by the served rate

Cause: decisions under overload had never been measured. The emulator drives the same state machines as the daemon, so each mechanism can be switched off.

The limiter took a slower target for a queue, fell to its minimum and relearned its baseline with weight 0.02. Ruled out: cursor (off, same result). The cursor was lowered by 5% a window from the mean wait and overshot.

Change: emulator, experiment files, report with plots, operators' command line, gate and route moved into internal/core so that daemon and emulator share them.

--- /dev/null
+++ b/cmd/landingmast/main.go
@@ -0,0 +1,51 @@
+// Command landingmast is the operators' command line.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/landingmast/landingmast/internal/failure"
+	"github.com/landingmast/landingmast/internal/node"
+	"github.com/landingmast/landingmast/internal/operator"
+)
+
+// exitCodes by kind of error; docs/OPERATIONS.md lists them.
+var exitCodes = map[failure.Kind]int{
+	failure.Internal:    1,
+	failure.BadInput:    2,
+	failure.Conflict:    3,
+	failure.Unavailable: 4,
+	failure.Limited:     4,
+	failure.Uncertain:   5,
+	failure.Untrusted:   6,
+	failure.Missing:     7,
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(arguments []string, output, complaints io.Writer) int {
+	application := kingpin.New("landingmast", "Operators' command line of landingmast.")
+	application.Version(node.Version)
+	application.HelpFlag.Short('h')
+	commands := operator.Register(application, output)
+	chosen, err := application.Parse(arguments)
+	if err != nil {
+		fmt.Fprintf(complaints, "landingmast: %s (remedy: see landingmast --help)\n", err)
+		return exitCodes[failure.BadInput]
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	if err := commands[chosen](ctx); err != nil {
+		fmt.Fprintln(complaints, "landingmast:", err)
+		return exitCodes[failure.KindOf(err)]
+	}
+	return 0
+}
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -36,24 +36,29 @@
 	Levels int
 	// Window is the time between two adjustments.
 	Window time.Duration
-	// WaitTarget is the mean queue wait above which the target counts as overloaded.
+	// WaitTarget is the wait that a full queue is steered to: the queue may hold
+	// what is served in that time.
 	WaitTarget time.Duration
-	// Decrease is the share of admitted calls taken away by an overloaded window.
-	Decrease float64
+	// DrainTime is the time in which a longer queue is brought down.
+	DrainTime time.Duration
 }
 
 // DefaultConfig gives the values that docs/OVERLOAD.md was measured with.
 func DefaultConfig(levels int) Config {
-	return Config{Levels: levels, Window: 100 * time.Millisecond, WaitTarget: 20 * time.Millisecond, Decrease: 0.05}
+	return Config{Levels: levels, Window: 100 * time.Millisecond, WaitTarget: 50 * time.Millisecond, DrainTime: 400 * time.Millisecond}
 }
 
-// Controller learns the cursor of one target. It is not safe for concurrent use.
+// Controller learns the cursor of one target. Each window it compares what
+// arrived, rank by rank, with what was served: a queue longer than wanted moves
+// the cursor down to where the arrivals match the service less the part that
+// brings the queue down; a short queue moves it up in growing steps. It is not
+// safe for concurrent use.
 type Controller struct {
 	config    Config
 	cursor    Rank
 	arrivals  []int
-	waits     time.Duration
-	waited    int
+	served    int
+	queued    int
 	overfull  int
 	windowEnd time.Duration
 	step      int
@@ -78,11 +83,16 @@
 	return rank <= c.cursor
 }
 
-// Waited records how long an admitted call waited for its slot.
-func (c *Controller) Waited(now, wait time.Duration) {
+// Served counts a call that got its slot.
+func (c *Controller) Served(now time.Duration) {
 	c.advance(now)
-	c.waits += wait
-	c.waited++
+	c.served++
+}
+
+// Queued tells the length of the queue now.
+func (c *Controller) Queued(now time.Duration, length int) {
+	c.advance(now)
+	c.queued = length
 }
 
 // Overfull records a refusal by the queue itself.
@@ -91,6 +101,9 @@
 	c.overfull++
 }
 
+// maxIdleWindows bounds the work after a long time without calls.
+const maxIdleWindows = 16
+
 // advance closes the windows that have passed.
 func (c *Controller) advance(now time.Duration) {
 	if c.windowEnd == 0 {
@@ -102,45 +115,61 @@
 	}
 	c.adjust()
 	passed := (now - c.windowEnd) / c.config.Window
-	for range min(int(passed), 16) {
+	for range min(int(passed), maxIdleWindows) {
 		c.raise()
 	}
 	c.windowEnd = now + c.config.Window
 }
 
 func (c *Controller) adjust() {
-	overloaded := c.overfull > 0 || (c.waited > 0 && c.waits/time.Duration(c.waited) > c.config.WaitTarget)
-	if overloaded {
-		c.lower()
-	} else {
+	wanted := float64(c.served) * float64(c.config.WaitTarget) / float64(c.config.Window)
+	excess := float64(c.queued) - wanted
+	switch {
+	case excess > 0 && c.queued > 1:
+		c.lower(float64(c.served), excess*float64(c.config.Window)/float64(c.config.DrainTime))
+	case c.overfull > 0:
+		c.lower(float64(c.served), 0)
+	case float64(c.queued) < wanted/2 || c.queued == 0:
 		c.raise()
+	default:
+		c.step = 1
 	}
 	clear(c.arrivals)
-	c.waits, c.waited, c.overfull = 0, 0, 0
+	c.served, c.overfull = 0, 0
 }
 
-// lower moves the cursor down until the share to be taken away is covered. The
-// most important level stays open: its own queue order protects it.
-func (c *Controller) lower() {
+// lower moves the cursor down until no more than the served calls would have
+// arrived at or below it, and further, by the part that brings the queue down,
+// within that level only: the queue is in order of importance, so that what waits
+// in it is in nobody's way who is more important. The most important level stays
+// open altogether.
+func (c *Controller) lower(served, drained float64) {
 	c.step = 1
 	admitted := 0
 	for rank := Rank(0); rank <= c.cursor; rank++ {
 		admitted += c.arrivals[rank]
 	}
-	excess := int(float64(admitted)*c.config.Decrease) + c.overfull/2 + 1
 	floor := Rank(BucketsPerLevel - 1)
-	for excess > 0 && c.cursor > floor {
-		excess -= c.arrivals[c.cursor]
+	for float64(admitted) > served && c.cursor > floor {
+		admitted -= c.arrivals[c.cursor]
+		c.cursor--
+	}
+	floor = max(floor, Rank(c.cursor.Level()*BucketsPerLevel-1))
+	for float64(admitted) > served-drained && c.cursor > floor {
+		admitted -= c.arrivals[c.cursor]
 		c.cursor--
 	}
 }
 
-// raise opens the cursor with steps that double while no overload is seen.
+// raise opens the cursor with steps that double while the queue stays short.
 func (c *Controller) raise() {
 	c.cursor = min(c.cursor+Rank(c.step), c.config.top())
-	c.step = min(c.step*2, BucketsPerLevel)
+	c.step = min(c.step*2, maxStep)
 }
 
+// maxStep bounds how far one window opens the cursor, in buckets.
+const maxStep = BucketsPerLevel / 4
+
 // View is what a caller remembers of a target's cursor. Knowledge ages: without
 // answers the cursor is taken to open again.
 type View struct {
--- a/internal/core/limiter/learner.go
+++ b/internal/core/limiter/learner.go
@@ -2,18 +2,36 @@
 
 import "time"
 
-// learner turns the service times of one window into a step of the limit. The
-// baseline of a class is the mean service time seen while few calls shared the
-// target, so that an overload is never learned as normal; when the limit has
-// fallen to its minimum every sample is such a sample, so that a target that
-// really became slower gets a new baseline and its limit grows again.
+// learner turns the service times of one window into a step of the limit.
+//
+// The baseline of a class is the mean service time seen while few calls shared
+// the target, so that an overload is never learned as normal. Service times well
+// above it mean one of two things: calls queue inside the target, or the target
+// itself became slower. They are told apart by trying: the limit goes down, and
+// when that brings no relief the slowness is the target's own; the baseline
+// follows it and the limit goes back to where it was.
 type learner struct {
 	baselines map[string]*baseline
-	measured  time.Duration
-	expected  time.Duration
-	samples   int
-	shed      int
-	full      bool
+	window    window
+	growing   bool // cold start: the limit doubles until it is enough or too much
+	trial     *trial
+}
+
+// window sums up the calls that ended since the last step.
+type window struct {
+	measured   time.Duration
+	expected   time.Duration
+	samples    int
+	concurrent int
+	shed       int
+	full       bool
+}
+
+// trial remembers where a run of decreases began.
+type trial struct {
+	inflation  float64
+	concurrent float64
+	limit      int
 }
 
 type baseline struct {
@@ -25,14 +43,14 @@
 const (
 	firstSamples   = 20   // plain mean over the first samples
 	baselineWeight = 0.02 // then a moving mean
-	smallDecrease  = 0.9
-	largeDecrease  = 0.7
-	largeInflation = 2.0
-	minSamples     = 5 // a class without these has no baseline yet
+	minSamples     = 5    // a class without these has no baseline yet
+	decrease       = 0.85 // of the limit, for one inflated window
+	trialContrast  = 0.75 // concurrency, against the begin of the trial, at which it is judged
+	trialRelief    = 0.5  // share of the relief that queueing would bring, below which there was none
 )
 
 func newLearner() learner {
-	return learner{baselines: map[string]*baseline{}}
+	return learner{baselines: map[string]*baseline{}, growing: true}
 }
 
 func (l *Limiter) learn(call *running, own time.Duration) {
@@ -48,10 +66,12 @@
 	if known.samples < minSamples {
 		return
 	}
-	l.learner.measured += own
-	l.learner.expected += known.mean
-	l.learner.samples++
-	if l.learner.samples >= max(l.config.LearnSamples, 2*l.limit) {
+	sum := &l.learner.window
+	sum.measured += own
+	sum.expected += known.mean
+	sum.concurrent += call.concurrent
+	sum.samples++
+	if sum.samples >= max(l.config.LearnSamples, 2*l.limit) {
 		l.step()
 	}
 }
@@ -66,18 +86,58 @@
 }
 
 // step closes a window: inflated service times or refusals by the target lower
-// the limit; a limit that was reached without either goes up by one.
+// the limit; a limit that was reached without either goes up.
 func (l *Limiter) step() {
-	window := &l.learner
-	inflation := float64(window.measured) / float64(max(window.expected, 1))
+	sum := l.learner.window
+	l.learner.window = window{}
+	inflation := float64(sum.measured) / float64(max(sum.expected, 1))
+	concurrent := float64(sum.concurrent) / float64(sum.samples)
 	switch {
-	case window.shed > 0 || inflation > largeInflation:
-		l.limit = int(float64(l.limit) * largeDecrease)
+	case l.slownessIsOwn(inflation, concurrent):
+		l.accept(inflation)
 	case inflation > l.config.InflationHigh:
-		l.limit = int(float64(l.limit) * smallDecrease)
-	case window.full:
+		l.lower(inflation, concurrent)
+	case sum.shed > 0:
+		l.lower(inflation, concurrent)
+		l.learner.trial = nil
+	case sum.full && l.learner.growing:
+		l.limit *= 2
+		l.learner.trial = nil
+	case sum.full:
 		l.limit++
+		l.learner.trial = nil
+	default:
+		l.learner.trial = nil
 	}
 	l.limit = min(max(l.limit, l.config.MinLimit), l.config.MaxLimit)
-	window.measured, window.expected, window.samples, window.shed, window.full = 0, 0, 0, 0, false
+}
+
+func (l *Limiter) lower(inflation, concurrent float64) {
+	l.learner.growing = false
+	if l.learner.trial == nil {
+		l.learner.trial = &trial{inflation: inflation, concurrent: concurrent, limit: l.limit}
+	}
+	l.limit = int(float64(l.limit) * decrease)
+}
+
+// slownessIsOwn judges a trial once the concurrency has fallen far enough.
+func (l *Limiter) slownessIsOwn(inflation, concurrent float64) bool {
+	begun := l.learner.trial
+	if begun == nil || inflation <= l.config.InflationHigh {
+		return false
+	}
+	contrast := concurrent / begun.concurrent
+	if contrast > trialContrast && l.limit > l.config.MinLimit {
+		return false
+	}
+	return 1-inflation/begun.inflation < trialRelief*(1-contrast)
+}
+
+// accept takes the measured service times as the new baseline.
+func (l *Limiter) accept(inflation float64) {
+	for _, known := range l.learner.baselines {
+		known.mean = time.Duration(float64(known.mean) * inflation)
+	}
+	l.limit = l.learner.trial.limit
+	l.learner.trial = nil
 }
--- a/internal/core/limiter/limiter.go
+++ b/internal/core/limiter/limiter.go
@@ -61,8 +61,8 @@
 func DefaultConfig(levels int) Config {
 	return Config{
 		Levels: levels, InitialLimit: 4, MinLimit: 2, MaxLimit: 100,
-		QueueFactor: 2, MaxWait: 150 * time.Millisecond, Headroom: 0.2,
-		PreemptAfter: 50 * time.Millisecond, LearnSamples: 40, InflationHigh: 1.35,
+		QueueFactor: 6, MaxWait: 300 * time.Millisecond, Headroom: 0,
+		PreemptAfter: 50 * time.Millisecond, LearnSamples: 40, InflationHigh: 1.6,
 	}
 }
 
@@ -157,7 +157,7 @@
 	delete(l.active, id)
 	l.byLevel[call.call.Level]--
 	if shed {
-		l.learner.shed++
+		l.learner.window.shed++
 	}
 	if healthy && !call.preempted {
 		l.learn(call, own)
@@ -215,7 +215,7 @@
 	for len(l.queue) > 0 {
 		item := l.queue[0]
 		if len(l.active) >= l.capacity(item.call.Level) {
-			l.learner.full = true
+			l.learner.window.full = true
 			break
 		}
 		l.queue = l.queue[1:]
--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -122,6 +122,8 @@
 	pathCursor := -1
 	if a.head != nil && a.head.Cursor >= 0 {
 		result.HasCursor, result.Cursor = true, admission.Rank(a.head.Cursor)
+	}
+	if a.outcome == outcome.Answered {
 		pathCursor = a.head.PathCursor
 	}
 	switch {
@@ -134,7 +136,7 @@
 	default:
 		result.Neutral = true
 	}
-	ejected := a.outbound.route.finished(now, a.outbound.class.Name, result, pathCursor, a.outcome == outcome.Answered)
+	ejected := a.outbound.route.finished(now, a.outbound.class.Name, result, pathCursor)
 	if ejected {
 		a.plane.metrics.Ejections.WithLabelValues(a.outbound.service).Inc()
 	}
--- a/internal/dataplane/gate.go
+++ b/internal/dataplane/gate.go
@@ -6,33 +6,32 @@
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/admission"
+	gatecore "github.com/landingmast/landingmast/internal/core/gate"
 	"github.com/landingmast/landingmast/internal/core/limiter"
 	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/telemetry"
 )
 
-// gate drives the limiter and the admission controller of the target beside the
-// node: calls wait on channels, a timer ticks while any waits.
+// gate drives the gate of the target beside the node: calls wait on channels, a
+// timer ticks while any waits.
 type gate struct {
-	levels     int
-	now        func() time.Duration
-	metrics    *telemetry.Metrics
-	mutex      sync.Mutex
-	limiter    *limiter.Limiter
-	controller *admission.Controller
-	nextID     uint64
-	waiting    map[uint64]chan limiter.Action
-	running    map[uint64]context.CancelCauseFunc
-	ticking    bool
+	levels  int
+	now     func() time.Duration
+	metrics *telemetry.Metrics
+	mutex   sync.Mutex
+	core    *gatecore.Gate
+	nextID  uint64
+	waiting map[uint64]chan limiter.Action
+	running map[uint64]context.CancelCauseFunc
+	ticking bool
 }
 
 const gateTick = 5 * time.Millisecond
 
 func newGate(levels int, now func() time.Duration, metrics *telemetry.Metrics) *gate {
 	return &gate{
-		levels: levels, now: now, metrics: metrics, limiter: limiter.New(limiter.DefaultConfig(levels)),
-		controller: admission.NewController(admission.DefaultConfig(levels)),
-		waiting:    map[uint64]chan limiter.Action{}, running: map[uint64]context.CancelCauseFunc{},
+		levels: levels, now: now, metrics: metrics, core: gatecore.New(gatecore.DefaultConfig(levels)),
+		waiting: map[uint64]chan limiter.Action{}, running: map[uint64]context.CancelCauseFunc{},
 	}
 }
 
@@ -52,20 +51,11 @@
 	now := g.now()
 	g.nextID++
 	call.ID = g.nextID
-	if !g.controller.Admit(now, rank) {
-		action := limiter.Action{
-			Kind: limiter.Refuse, ID: call.ID, Reason: outcome.ReasonOverloadCursor, Limit: g.limiter.Limit(),
-			Active: g.limiter.Active(), Queued: g.limiter.Queued(),
-		}
-		cursor := g.controller.Cursor()
-		g.mutex.Unlock()
-		return ticket{id: call.ID, action: action, cursor: cursor}
-	}
 	decided := make(chan limiter.Action, 1)
 	g.waiting[call.ID] = decided
 	g.running[call.ID] = cancel
-	g.apply(now, g.limiter.Arrive(now, call))
-	cursor := g.controller.Cursor()
+	g.apply(g.core.Arrive(now, call, rank))
+	cursor := g.core.Cursor()
 	g.mutex.Unlock()
 
 	select {
@@ -84,10 +74,10 @@
 	select {
 	case action := <-decided:
 		if action.Kind == limiter.Admit {
-			g.apply(now, g.limiter.Finish(now, id, 0, false, false))
+			g.apply(g.core.Finish(now, id, 0, false, false))
 		}
 	default:
-		g.limiter.Withdraw(id)
+		g.core.Withdraw(id)
 	}
 	delete(g.waiting, id)
 	delete(g.running, id)
@@ -101,30 +91,29 @@
 	defer g.mutex.Unlock()
 	now := g.now()
 	delete(g.running, id)
-	g.apply(now, g.limiter.Finish(now, id, own, healthy, shed))
+	g.apply(g.core.Finish(now, id, own, healthy, shed))
 }
 
 func (g *gate) drain() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	now := g.now()
-	g.apply(now, g.limiter.Drain(now))
+	g.apply(g.core.Drain(g.now()))
 }
 
 func (g *gate) draining() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.limiter.Draining()
+	return g.core.Draining()
 }
 
 func (g *gate) state() (limit, active, queued int, draining bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.limiter.Limit(), g.limiter.Active(), g.limiter.Queued(), g.limiter.Draining()
+	return g.core.Limit(), g.core.Active(), g.core.Queued(), g.core.Draining()
 }
 
 // apply carries out the limiter's actions. The mutex is held.
-func (g *gate) apply(now time.Duration, actions []limiter.Action) {
+func (g *gate) apply(actions []limiter.Action) {
 	for _, action := range actions {
 		switch action.Kind {
 		case limiter.Preempt:
@@ -132,39 +121,34 @@
 				cancel(errPreempted)
 			}
 		case limiter.Admit, limiter.Refuse:
-			g.note(now, action)
+			g.note(action)
 			if decided := g.waiting[action.ID]; decided != nil {
 				decided <- action
 				delete(g.waiting, action.ID)
 			}
 		}
 	}
-	if g.limiter.Queued() > 0 && !g.ticking {
+	if g.core.Queued() > 0 && !g.ticking {
 		g.ticking = true
 		time.AfterFunc(gateTick, g.tick)
 	}
-	g.metrics.Limit.Set(float64(g.limiter.Limit()))
-	g.metrics.Active.Set(float64(g.limiter.Active()))
-	g.metrics.Queued.Set(float64(g.limiter.Queued()))
-	g.metrics.Cursor.Set(float64(g.controller.Cursor()))
+	g.metrics.Limit.Set(float64(g.core.Limit()))
+	g.metrics.Active.Set(float64(g.core.Active()))
+	g.metrics.Queued.Set(float64(g.core.Queued()))
+	g.metrics.Cursor.Set(float64(g.core.Cursor()))
 }
 
-func (g *gate) note(now time.Duration, action limiter.Action) {
+func (g *gate) note(action limiter.Action) {
 	if action.Kind == limiter.Admit {
-		g.controller.Waited(now, action.Wait)
 		g.metrics.QueueWait.Observe(action.Wait.Seconds())
 		return
 	}
 	delete(g.running, action.ID)
-	if action.Reason == outcome.ReasonQueueFull || action.Reason == outcome.ReasonQueueTimeout {
-		g.controller.Overfull(now)
-	}
 }
 
 func (g *gate) tick() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.ticking = false
-	now := g.now()
-	g.apply(now, g.limiter.Tick(now))
+	g.apply(g.core.Tick(g.now()))
 }
--- a/internal/dataplane/router.go
+++ b/internal/dataplane/router.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/landingmast/landingmast/internal/core/admission"
 	"github.com/landingmast/landingmast/internal/core/bundle"
 	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/core/routing"
@@ -14,7 +13,7 @@
 // RouteState is one target as routing sees it.
 type RouteState = routing.State
 
-// router holds a balancer for each service and what is known of whole paths.
+// router holds the route to each service.
 type router struct {
 	node     string
 	zone     string
@@ -22,11 +21,10 @@
 	services map[string]*serviceRoute
 }
 
+// serviceRoute guards a route against concurrent use.
 type serviceRoute struct {
-	mutex    sync.Mutex
-	balancer *routing.Balancer
-	paths    map[string]*admission.View // by class: the lowest cursor below
-	leaving  map[string]bool            // nodes whose own answer said that they drain
+	mutex sync.Mutex
+	route *routing.Route
 }
 
 type globalRandom struct{}
@@ -45,7 +43,7 @@
 		route := r.services[service.Name]
 		if route == nil {
 			balancer := routing.New(routing.DefaultConfig(), r.node, r.zone, globalRandom{})
-			route = &serviceRoute{balancer: balancer, paths: map[string]*admission.View{}, leaving: map[string]bool{}}
+			route = &serviceRoute{route: routing.NewRoute(balancer, false)}
 		}
 		targets := make([]routing.Target, 0, len(service.Targets))
 		for _, node := range service.Targets {
@@ -55,7 +53,7 @@
 			})
 		}
 		route.mutex.Lock()
-		route.balancer.Update(now, targets)
+		route.route.Balancer.Update(now, targets)
 		route.mutex.Unlock()
 		kept[service.Name] = route
 	}
@@ -68,52 +66,22 @@
 	return r.services[service]
 }
 
-// pick chooses a target and counts the call as started there.
 func (s *serviceRoute) pick(now time.Duration, class string, request routing.Request) (routing.Choice, outcome.Reason) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if view := s.paths[class]; view != nil && !view.Admit(now, request.Rank) {
-		return routing.Choice{}, outcome.ReasonOverloadCursor
-	}
-	choice, reason := s.balancer.Pick(now, request)
-	if reason == outcome.ReasonNone {
-		s.balancer.Started(choice.Target.Node)
-	}
-	return choice, reason
+	return s.route.Pick(now, class, request)
 }
 
-// finished feeds back what an attempt showed; pathCursor is the lowest cursor
-// below the target for the class.
-func (s *serviceRoute) finished(now time.Duration, class string, result routing.Result, pathCursor int, answered bool) (ejected bool) {
+func (s *serviceRoute) finished(now time.Duration, class string, result routing.Result, pathCursor int) (ejected bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if answered && pathCursor >= 0 {
-		view := s.paths[class]
-		if view == nil {
-			view = &admission.View{}
-			s.paths[class] = view
-		}
-		view.Observe(now, admission.Rank(pathCursor))
-	}
-	return s.balancer.Finished(now, result)
+	return s.route.Finished(now, class, result, pathCursor)
 }
 
-// cursor is the highest rank that any target of the service is known to admit;
-// -1 while at least one is not known to be shedding.
 func (s *serviceRoute) cursor(now time.Duration) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	highest := -1
-	for _, state := range s.balancer.States(now) {
-		if state.State == "leaving" || state.State == "ejected" {
-			continue
-		}
-		if !state.Known {
-			return -1
-		}
-		highest = max(highest, int(state.Cursor))
-	}
-	return highest
+	return s.route.Cursor(now)
 }
 
 func (r *router) states(now time.Duration) map[string][]RouteState {
@@ -122,7 +90,7 @@
 	states := map[string][]RouteState{}
 	for name, route := range r.services {
 		route.mutex.Lock()
-		states[name] = route.balancer.States(now)
+		states[name] = route.route.Balancer.States(now)
 		route.mutex.Unlock()
 	}
 	return states
--- a/internal/lab/deployment/deployment.go
+++ b/internal/lab/deployment/deployment.go
@@ -131,3 +131,41 @@
 func (d *Deployment) node(name string, index int, address func(string) string) bundle.Node {
 	return bundle.Node{Name: name, Address: address(name), Zone: d.Zones[index%len(d.Zones)], Region: d.Region, State: bundle.Active}
 }
+
+// Capacity gives the user requests a second of a mix that the slots of the
+// service that is used up first can serve, and that service. A slot is held
+// while its request waits for deeper calls; delays of the network are left out.
+func (d *Deployment) Capacity(mix []Traffic) (rate float64, bottleneck string) {
+	total := 0.0
+	held := map[string]float64{}
+	for _, traffic := range mix {
+		total += traffic.Share
+		d.hold(held, traffic.Service, traffic.Method, traffic.Path, traffic.Share)
+	}
+	for index := range d.Services {
+		service := &d.Services[index]
+		slots := 0
+		for target := range service.Targets {
+			slots += service.Slots(target)
+		}
+		if held[service.Name] == 0 {
+			continue
+		}
+		if limit := float64(slots) * total / held[service.Name]; rate == 0 || limit < rate {
+			rate, bottleneck = limit, service.Name
+		}
+	}
+	return rate, bottleneck
+}
+
+// hold adds the slot seconds of one request, and of its deeper calls, to held
+// and gives its length.
+func (d *Deployment) hold(held map[string]float64, service, method, path string, share float64) float64 {
+	route := d.Service(service).Route(method, path)
+	seconds := route.Mean.Seconds()
+	for _, call := range route.Calls {
+		seconds += d.hold(held, call.Service, call.Method, call.Path, share)
+	}
+	held[service] += seconds * share
+	return seconds
+}
--- /dev/null
+++ b/internal/lab/emulator/outbound.go
@@ -0,0 +1,251 @@
+package emulator
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/admission"
+	"github.com/landingmast/landingmast/internal/core/bundle"
+	"github.com/landingmast/landingmast/internal/core/outcome"
+	"github.com/landingmast/landingmast/internal/core/retry"
+	"github.com/landingmast/landingmast/internal/core/routing"
+	"github.com/landingmast/landingmast/internal/lab/deployment"
+)
+
+// baselineRetries is what each hop of the baseline tries again.
+const baselineRetries = 3
+
+// outboundCall is a call on its way out of a node.
+type outboundCall struct {
+	node     *node
+	parent   *call
+	user     *userRequest
+	class    *bundle.Class
+	route    *deployment.Route
+	service  string
+	level    int
+	rank     admission.Rank
+	deadline time.Duration
+	ledger   *retry.Ledger
+	depth    int
+	retries  int
+	exclude  map[string]bool
+	done     func(ok bool, reason outcome.Reason)
+	over     bool
+	target   *node // of the attempt that is out
+	ingress  *ingress
+	attempt  int
+}
+
+// outbound makes a deeper call of a back end, through its node.
+func (w *world) outbound(from *node, parent *call, wanted deployment.DeepCall, done func(ok bool)) {
+	if parent.abandoned {
+		return
+	}
+	class := w.bundle.Match(wanted.Service, wanted.Method, wanted.Path)
+	deadline := w.clock.now + time.Duration(class.Deadline)
+	if w.mechanisms.Deadlines {
+		deadline = min(deadline, parent.deadline)
+	}
+	out := &outboundCall{
+		node: from, parent: parent, user: parent.user, class: class, service: wanted.Service,
+		route: w.deployment.Service(wanted.Service).Route(wanted.Method, wanted.Path), level: parent.level, rank: parent.rank,
+		deadline: deadline, ledger: parent.ledger, depth: parent.depth + 1, exclude: map[string]bool{},
+	}
+	if !w.mechanisms.UserOrder {
+		out.rank = w.randomRank(out.level)
+	}
+	parent.children = append(parent.children, out)
+	parent.deeperBegins(w.clock.now)
+	out.done = func(ok bool, _ outcome.Reason) {
+		parent.deeperEnds(w.clock.now, from.routes[wanted.Service].Cursor(w.clock.now))
+		done(ok)
+	}
+	out.begin()
+}
+
+// rank gives the rank of a user's request where the chain starts.
+func (w *world) rank(level int, user string) admission.Rank {
+	if !w.mechanisms.UserOrder {
+		return w.randomRank(level)
+	}
+	return admission.RankOf(level, user)
+}
+
+func (w *world) randomRank(level int) admission.Rank {
+	return admission.RankOf(level, strconv.FormatUint(w.random.Uint64(), 36))
+}
+
+// begin starts the first attempt and the deadline.
+func (o *outboundCall) begin() {
+	w := o.node.world
+	w.clock.after(o.deadline-w.clock.now, func() {
+		if o.over {
+			return
+		}
+		o.end(false, outcome.ReasonTimeout)
+		o.abandonAttempt()
+	})
+	o.try()
+}
+
+func (o *outboundCall) end(ok bool, reason outcome.Reason) {
+	if !o.over {
+		o.over = true
+		o.done(ok, reason)
+	}
+}
+
+// abandon ends a call whose parent is not wanted any more.
+func (o *outboundCall) abandon() {
+	if o.over {
+		return
+	}
+	o.over = true
+	o.abandonAttempt()
+}
+
+// abandonAttempt cancels the attempt that is out, where that is done.
+func (o *outboundCall) abandonAttempt() {
+	if o.ingress == nil {
+		return
+	}
+	w := o.node.world
+	target, in := o.target, o.ingress
+	o.ingress = nil
+	o.node.routes[o.service].Finished(w.clock.now, o.class.Name, routing.Result{Node: target.name, Neutral: true}, -1)
+	if !w.mechanisms.Cancel {
+		return
+	}
+	w.clock.after(w.delay(o.node, target), func() {
+		if !in.over || in.call.job != nil {
+			target.withdraw(in)
+		}
+	})
+}
+
+// try sends the call to a target.
+func (o *outboundCall) try() {
+	w := o.node.world
+	if o.over {
+		return
+	}
+	choice, reason := o.pick()
+	if reason != outcome.ReasonNone {
+		w.refusedByRoute(o, reason)
+		o.end(false, reason)
+		return
+	}
+	target := w.nodes[choice]
+	loan := o.ledger.Lend()
+	o.attempt++
+	attempt := o.attempt
+	started := w.clock.now
+	finish := func(result hopResult) {
+		w.clock.after(w.delay(target, o.node), func() {
+			if attempt != o.attempt || o.ingress == nil && o.over {
+				return
+			}
+			o.ingress = nil
+			loan.Settle(result.unspent)
+			o.finished(target, started, result)
+		})
+	}
+	if !w.reachable(o.node, target) {
+		w.clock.after(unreachableAfter, func() {
+			if !o.over && attempt == o.attempt {
+				loan.Settle(loan.Amount())
+				o.finished(target, started, hopResult{outcome: outcome.NotRun, reason: outcome.ReasonUnreachable, cursor: -1, pathCursor: -1})
+			}
+		})
+		return
+	}
+	o.send(target, loan, finish)
+}
+
+// unreachableAfter is the time until a connection attempt is known to have failed.
+const unreachableAfter = 5 * time.Millisecond
+
+func (o *outboundCall) send(target *node, loan *retry.Loan, finish func(hopResult)) {
+	w := o.node.world
+	served := &call{
+		node: target, user: o.user, class: o.class.Name, level: o.level, rank: o.rank, deadline: o.deadline, ledger: retry.NewLedger(loan.Amount()),
+		depth: o.depth, pathCursor: -1,
+	}
+	in := &ingress{call: served, route: o.route, finish: finish}
+	o.target, o.ingress = target, in
+	w.clock.after(w.delay(o.node, target), func() {
+		if served.abandoned || in.over {
+			return
+		}
+		target.arrive(in, o.class.Execution == bundle.Repeatable)
+	})
+}
+
+func (o *outboundCall) pick() (string, outcome.Reason) {
+	w := o.node.world
+	if w.mechanisms.isBaseline() {
+		targets := w.bundle.Service(o.service).Targets
+		o.node.turn[o.service]++
+		return targets[o.node.turn[o.service]%len(targets)].Name, outcome.ReasonNone
+	}
+	choice, reason := o.node.routes[o.service].Pick(w.clock.now, o.class.Name, routing.Request{Rank: o.rank, Exclude: o.exclude})
+	return choice.Target.Node, reason
+}
+
+// finished takes the end of an attempt and decides on a retry.
+func (o *outboundCall) finished(target *node, started time.Duration, result hopResult) {
+	w := o.node.world
+	o.tellRouting(target, started, result)
+	if o.over {
+		return
+	}
+	switch {
+	case result.outcome == outcome.Answered && (result.ok || !w.mechanisms.isBaseline()):
+		o.end(result.ok, result.reason)
+	case o.mayRetry(result):
+		o.exclude[target.name] = true
+		o.retries++
+		w.stats.Retries++
+		o.user.retries++
+		o.try()
+	default:
+		o.end(false, result.reason)
+	}
+}
+
+func (o *outboundCall) mayRetry(result hopResult) bool {
+	w := o.node.world
+	repeatable := o.class.Execution == bundle.Repeatable
+	if w.mechanisms.isBaseline() || !w.mechanisms.Credits {
+		return (repeatable || result.outcome == outcome.NotRun) && o.retries < baselineRetries
+	}
+	overload := result.reason == outcome.ReasonOverloadCursor || result.reason == outcome.ReasonQueueFull ||
+		result.reason == outcome.ReasonQueueTimeout || result.reason == outcome.ReasonPreempted
+	verdict := retry.Decide(retry.Failure{NotRun: result.outcome == outcome.NotRun, Repeatable: repeatable, TimeLeft: w.clock.now < o.deadline, OtherTarget: true})
+	return verdict.Retry && !overload && o.ledger.Spend()
+}
+
+func (o *outboundCall) tellRouting(target *node, started time.Duration, result hopResult) {
+	w := o.node.world
+	if w.mechanisms.isBaseline() {
+		return
+	}
+	told := routing.Result{Node: target.name}
+	if result.cursor >= 0 {
+		told.HasCursor, told.Cursor = true, admission.Rank(result.cursor)
+	}
+	pathCursor := -1
+	switch {
+	case result.outcome == outcome.Answered:
+		told.Latency = w.clock.now - started
+		pathCursor = result.pathCursor
+	case result.reason == outcome.ReasonUnreachable, result.reason == outcome.ReasonReset:
+		told.Failed = true
+	default:
+		told.Neutral = true
+	}
+	if o.node.routes[o.service].Finished(w.clock.now, o.class.Name, told, pathCursor) {
+		w.stats.Ejections++
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment/emulated.go
@@ -0,0 +1,92 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/landingmast/landingmast/internal/lab/deployment"
+	"github.com/landingmast/landingmast/internal/lab/emulator"
+)
+
+// Emulate runs an experiment in virtual time with one variant and one seed.
+func Emulate(e *Experiment, variant emulator.Variant, seed uint64) (*emulator.Result, error) {
+	d, err := deployment.Named(e.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	mix := mixOf(d, e.Mix)
+	d.Mix = mix
+	capacity, _ := d.Capacity(mix)
+	plan := emulator.Plan{
+		Deployment: d, Mechanisms: variant.Mechanisms, Seed: seed, Length: time.Duration(e.Length),
+		Callers: emulator.Callers{Rate: capacity * e.Load, Resend: e.Resend, Backoff: time.Duration(e.Backoff), Mix: mix},
+	}
+	for _, event := range e.Events {
+		plan.Changes = append(plan.Changes, changesOf(d, event, plan.Callers)...)
+	}
+	return emulator.Run(plan), nil
+}
+
+// changesOf gives the begin and the end of an event.
+func changesOf(d *deployment.Deployment, event Event, normal emulator.Callers) []emulator.Change {
+	from, until := time.Duration(event.At), time.Duration(event.Until)
+	span := func(begin, end func(*emulator.Control)) []emulator.Change {
+		return []emulator.Change{{At: from, Apply: begin}, {At: until, Apply: end}}
+	}
+	callers := func(change func(*emulator.Callers)) []emulator.Change {
+		return span(func(c *emulator.Control) { c.SetCallers(change) }, func(c *emulator.Control) {
+			c.SetCallers(func(now *emulator.Callers) { restore(event.Kind, now, normal) })
+		})
+	}
+	switch event.Kind {
+	case "slow":
+		return span(func(c *emulator.Control) { c.SetSlowdown(event.Service, event.Target, event.Factor) },
+			func(c *emulator.Control) { c.SetSlowdown(event.Service, event.Target, 1) })
+	case "reset":
+		return span(func(c *emulator.Control) { c.SetReset(event.Service, event.Target, event.Factor) },
+			func(c *emulator.Control) { c.SetReset(event.Service, event.Target, 0) })
+	case "dead":
+		return span(func(c *emulator.Control) { c.SetDead(event.Service, event.Target, true) },
+			func(c *emulator.Control) { c.SetDead(event.Service, event.Target, false) })
+	case "zone_lost":
+		return span(func(c *emulator.Control) { c.CutZone(event.Zone, true) }, func(c *emulator.Control) { c.CutZone(event.Zone, false) })
+	case "surge":
+		return callers(func(now *emulator.Callers) { now.Rate = normal.Rate * event.Factor })
+	case "resend":
+		return callers(func(now *emulator.Callers) { now.Resend, now.Backoff = event.Resend, time.Duration(event.Backoff) })
+	case "mix":
+		return callers(func(now *emulator.Callers) { now.Mix = mixOf(d, event.Mix) })
+	case "restart":
+		return []emulator.Change{{At: from, Apply: func(c *emulator.Control) { c.Restart(event.Target, restartTakes) }}}
+	case "rolling_restart":
+		return rolling(d, from, until)
+	default: // store_down: no decision of a call reads the store
+		return nil
+	}
+}
+
+const restartTakes = 300 * time.Millisecond
+
+func restore(kind string, now *emulator.Callers, normal emulator.Callers) {
+	switch kind {
+	case "surge":
+		now.Rate = normal.Rate
+	case "resend":
+		now.Resend, now.Backoff = normal.Resend, normal.Backoff
+	case "mix":
+		now.Mix = normal.Mix
+	}
+}
+
+// rolling restarts every node beside a target, one after the other.
+func rolling(d *deployment.Deployment, from, until time.Duration) []emulator.Change {
+	total := 0
+	for _, service := range d.Services {
+		total += service.Targets
+	}
+	var changes []emulator.Change
+	for index := range total {
+		at := from + (until-from)*time.Duration(index)/time.Duration(total)
+		changes = append(changes, emulator.Change{At: at, Apply: func(c *emulator.Control) { c.Restart(c.Targets()[index], restartTakes) }})
+	}
+	return changes
+}
--- a/internal/lab/standin/backend.go
+++ b/internal/lab/standin/backend.go
@@ -60,13 +60,10 @@
 	executions []*Execution
 }
 
-// queuePerSlot is how many requests a back end lets wait for each slot before it sheds.
-const queuePerSlot = 10
-
 // NewBackend makes a back end of a service. egress is where it sends its calls.
 func NewBackend(name string, service *deployment.Service, slots int, egress string) *Backend {
 	backend := &Backend{
-		name: name, service: service, egress: egress, slots: make(chan struct{}, slots), maxWaiting: int64(slots * queuePerSlot),
+		name: name, service: service, egress: egress, slots: make(chan struct{}, slots), maxWaiting: int64(service.Connections - slots),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}, started: time.Now(),
 	}
 	backend.behaviour.Store(&Behaviour{})
