--- a/cmd/landingmast-lab/experiments.go
+++ b/cmd/landingmast-lab/experiments.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/landingmast/landingmast/internal/lab/emulator"
@@ -23,6 +24,48 @@
 	}
 }
 
+func registerEmulate(application *kingpin.Application) (string, func(context.Context) error) {
+	command := application.Command("emulate", "Run one experiment once in virtual time and print its state over time. The same seed prints the same bytes.")
+	directory := command.Flag("directory", "Folder of the experiment files.").Default("experiments").String()
+	name := command.Arg("experiment", "Name of the experiment.").Required().String()
+	variant := command.Flag("variant", "Variant to run.").Default("landingmast").String()
+	seed := command.Flag("seed", "Seed of the run.").Default("1").Uint64()
+	interval := command.Flag("interval", "Time between two lines.").Default("1s").Duration()
+	return command.FullCommand(), func(context.Context) error {
+		return emulateOne(*directory, *name, *variant, *seed, *interval)
+	}
+}
+
+func emulateOne(directory, name, variantName string, seed uint64, interval time.Duration) error {
+	experiments, err := experiment.LoadAll(directory)
+	if err != nil {
+		return err
+	}
+	chosen, err := choose(experiments, []string{name})
+	if err != nil {
+		return err
+	}
+	variants, err := chooseVariants([]string{variantName})
+	if err != nil {
+		return err
+	}
+	result, err := experiment.Trace(chosen[0], variants[0], seed, interval, func(samples []emulator.Sample) {
+		for _, sample := range samples {
+			fmt.Printf("%-6s %-14s busy %3d/%-3d backlog %4d  limit %4d queued %4d cursor %3d\n", sample.At, sample.Service, sample.Busy, sample.Slots,
+				sample.Backlog, sample.Limit, sample.Queued, sample.Cursor)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	for _, class := range result.Classes {
+		fmt.Printf("%-16s %6d requests, %6d whole\n", class.Class, class.Requests, class.Whole)
+	}
+	fmt.Printf("%d sendings, %d received by back ends, %d retries, %d refused early, %.2f%% of the work wasted, %d events\n",
+		result.Sendings, result.Received, result.Retries, result.RefusedEarly, result.Wasted*100, result.Events)
+	return nil
+}
+
 func runExperiments(directory string, only, names []string, folder string) error {
 	experiments, err := experiment.LoadAll(directory)
 	if err != nil {
--- /dev/null
+++ b/internal/core/retry/retry_test.go
@@ -0,0 +1,69 @@
+package retry
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestLastCreditReachesTheDeepestHop(t *testing.T) {
+	g := NewWithT(t)
+	ledger := NewLedger(1)
+	for range 8 {
+		ledger = NewLedger(ledger.Lend().Amount())
+	}
+	g.Expect(ledger.Spend()).To(BeTrue())
+	g.Expect(ledger.Spend()).To(BeFalse())
+}
+
+func TestALoanComesBackOnceAndNeverGrows(t *testing.T) {
+	g := NewWithT(t)
+	ledger := NewLedger(4)
+	loan := ledger.Lend()
+	g.Expect(loan.Amount()).To(Equal(2))
+	loan.Settle(100)
+	loan.Settle(2)
+	g.Expect(ledger.Held()).To(Equal(4))
+}
+
+// spend walks a random call tree with parallel calls, lost answers and retries
+// and gives the retries made anywhere in it.
+func spend(t *rapid.T, ledger *Ledger, depth int) int {
+	spent := 0
+	for range rapid.IntRange(0, 3).Draw(t, "calls") {
+		for {
+			loan := ledger.Lend()
+			child := NewLedger(loan.Amount())
+			if depth < 6 {
+				spent += spend(t, child, depth+1)
+			}
+			if !rapid.Bool().Draw(t, "answer lost") {
+				loan.Settle(child.Close())
+			}
+			if !rapid.Bool().Draw(t, "failed") || !ledger.Spend() {
+				break
+			}
+			spent++
+		}
+	}
+	return spent
+}
+
+func TestRetriesOfAChainNeverExceedItsCredits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		credits := rapid.IntRange(0, 8).Draw(t, "credits")
+		if spent := spend(t, NewLedger(credits), 0); spent > credits {
+			t.Fatalf("%d retries of %d", spent, credits)
+		}
+	})
+}
+
+func TestOnlySafeFailuresAreTriedAgain(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Decide(Failure{NotRun: true, TimeLeft: true, OtherTarget: true}).Retry).To(BeTrue())
+	g.Expect(Decide(Failure{Repeatable: true, TimeLeft: true, OtherTarget: true}).Retry).To(BeTrue())
+	g.Expect(Decide(Failure{TimeLeft: true}).Reason).To(Equal("may_have_run"))
+	g.Expect(Decide(Failure{NotRun: true, BytesPassed: true, TimeLeft: true}).Retry).To(BeFalse())
+	g.Expect(Decide(Failure{NotRun: true}).Reason).To(Equal("deadline"))
+}
--- a/internal/lab/experiment/emulated.go
+++ b/internal/lab/experiment/emulated.go
@@ -9,6 +9,11 @@
 
 // Emulate runs an experiment in virtual time with one variant and one seed.
 func Emulate(e *Experiment, variant emulator.Variant, seed uint64) (*emulator.Result, error) {
+	return Trace(e, variant, seed, 0, nil)
+}
+
+// Trace is Emulate with a look at the state of every service at each interval.
+func Trace(e *Experiment, variant emulator.Variant, seed uint64, interval time.Duration, look func([]emulator.Sample)) (*emulator.Result, error) {
 	d, err := deployment.Named(e.Deployment)
 	if err != nil {
 		return nil, err
@@ -23,6 +28,9 @@
 	for _, event := range e.Events {
 		plan.Changes = append(plan.Changes, changesOf(d, event, plan.Callers)...)
 	}
+	for at := interval; interval > 0 && at < plan.Length; at += interval {
+		plan.Changes = append(plan.Changes, emulator.Change{At: at, Apply: func(c *emulator.Control) { look(c.Sample()) }})
+	}
 	return emulator.Run(plan), nil
 }
 
--- a/internal/lab/experiment/possible.go
+++ b/internal/lab/experiment/possible.go
@@ -120,11 +120,18 @@
 	return share
 }
 
+// roundTrip is the mean time on the network of one deeper call, in seconds, with
+// targets drawn evenly from all zones; the slot above is held meanwhile.
+func (n *demand) roundTrip() float64 {
+	zones := float64(len(n.deployment.Zones))
+	return 2 * n.deployment.ZoneDelay.Seconds() * (zones - 1) / zones
+}
+
 func (n *demand) hold(held map[string]float64, service, method, path string) float64 {
 	route := n.deployment.Service(service).Route(method, path)
 	seconds := route.Mean.Seconds() * n.slowdown[service]
 	for _, call := range route.Calls {
-		seconds += n.hold(held, call.Service, call.Method, call.Path)
+		seconds += n.hold(held, call.Service, call.Method, call.Path) + n.roundTrip()
 	}
 	held[service] += seconds
 	return seconds
