Never say "not run" after an attempt that may have run; stream both ways

Cause and finding, both by the new specs over nodes in one process: 1. A repeatable request whose first two attempts were reset and that then found no third target was answered 'not-run'. The refusal looked at the last attempt only. Now an attempt of unknown end stays with the call. 2. A body streamed both ways hung for ever, past its deadline: net/http's server reads the rest of the request before the first byte of an answer leaves, and the planned stop then waited for that connection. Ruled out: the relay and the peer transport (both sides blocked in the server's own body read). Now connections are full duplex, a body may be read until just after the deadline, and the stop closes connections without a call in flight after 1 s.

--- /dev/null
+++ b/internal/core/routing/routing_test.go
@@ -0,0 +1,141 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/admission"
+	"github.com/landingmast/landingmast/internal/core/outcome"
+	. "github.com/onsi/gomega"
+)
+
+func targets(count int, zones ...string) []Target {
+	made := make([]Target, count)
+	for index := range made {
+		made[index] = Target{Node: "n" + strconv.Itoa(index), Zone: zones[index%len(zones)]}
+	}
+	return made
+}
+
+func balancer(count int, zones ...string) *Balancer {
+	made := New(DefaultConfig(), "self", zones[0], rand.New(rand.NewPCG(1, 2)))
+	made.Update(0, targets(count, zones...))
+	return made
+}
+
+// spread sends calls that all end well and counts them by node.
+func spread(b *Balancer, now time.Duration, calls int, request Request) map[string]int {
+	counts := map[string]int{}
+	for range calls {
+		choice, reason := b.Pick(now, request)
+		if reason != outcome.ReasonNone {
+			continue
+		}
+		counts[choice.Target.Node]++
+		b.Started(choice.Target.Node)
+		b.Finished(now, Result{Node: choice.Target.Node, Latency: 10 * time.Millisecond})
+	}
+	return counts
+}
+
+func TestFailingTargetIsEjectedAndComesBackSlowly(t *testing.T) {
+	g := NewWithT(t)
+	b := balancer(4, "a")
+	for range 4 {
+		b.Started("n1")
+		b.Finished(0, Result{Node: "n1", Failed: true})
+	}
+	g.Expect(spread(b, time.Millisecond, 400, Request{})["n1"]).To(BeZero())
+	back := spread(b, 1100*time.Millisecond, 400, Request{})["n1"]
+	g.Expect(back).To(BeNumerically("<", 60))
+	g.Expect(spread(b, 20*time.Second, 400, Request{})["n1"]).To(BeNumerically(">", 20))
+}
+
+func TestNoMoreThanHalfIsEjected(t *testing.T) {
+	g := NewWithT(t)
+	b := balancer(4, "a")
+	for _, node := range []string{"n0", "n1", "n2", "n3"} {
+		for range 6 {
+			b.Started(node)
+			b.Finished(0, Result{Node: node, Failed: true})
+		}
+	}
+	g.Expect(spread(b, time.Millisecond, 100, Request{})).To(HaveLen(2))
+}
+
+func TestLeavingAndDrainingTargetsGetNothing(t *testing.T) {
+	g := NewWithT(t)
+	b := balancer(3, "a")
+	changed := targets(3, "a")
+	changed[0].Leaving = true
+	b.Update(time.Second, changed)
+	b.Started("n1")
+	b.Finished(time.Second, Result{Node: "n1", Draining: true})
+	counts := spread(b, 1100*time.Millisecond, 100, Request{})
+	g.Expect(counts).To(Equal(map[string]int{"n2": 100}))
+}
+
+func TestOwnZoneIsPreferredAndTheSubsetIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	b := New(DefaultConfig(), "self", "a", rand.New(rand.NewPCG(1, 2)))
+	b.Update(0, targets(100, "a", "b", "c", "d"))
+	g.Expect(b.subset).To(HaveLen(DefaultConfig().SubsetSize))
+	near := 0
+	for _, known := range b.subset {
+		if known.target.Zone == "a" {
+			near++
+		}
+	}
+	g.Expect(near).To(Equal(12))
+	counts := spread(b, 0, 1000, Request{})
+	ownZone := 0
+	for node, count := range counts {
+		if b.endpoints[node].target.Zone == "a" {
+			ownZone += count
+		}
+	}
+	g.Expect(ownZone).To(BeNumerically(">", 750))
+}
+
+func TestShedRanksAreRefusedBeforeTheyAreSent(t *testing.T) {
+	g := NewWithT(t)
+	b := balancer(2, "a")
+	for _, node := range []string{"n0", "n1"} {
+		b.Started(node)
+		b.Finished(time.Second, Result{Node: node, HasCursor: true, Cursor: 100, Neutral: true})
+	}
+	spread(b, time.Second, 2, Request{Rank: 200}) // probes
+	_, reason := b.Pick(time.Second, Request{Rank: 200})
+	g.Expect(reason).To(Equal(outcome.ReasonOverloadCursor))
+	_, reason = b.Pick(time.Second, Request{Rank: 100})
+	g.Expect(reason).To(Equal(outcome.ReasonNone))
+	route := NewRoute(b, false)
+	g.Expect(route.Cursor(time.Second)).To(Equal(100))
+}
+
+func TestAPathThatShedsBelowIsRefusedAbove(t *testing.T) {
+	g := NewWithT(t)
+	route := NewRoute(balancer(2, "a"), false)
+	choice, _ := route.Pick(time.Second, "bulk", Request{Rank: 200})
+	route.Finished(time.Second, "bulk", Result{Node: choice.Target.Node, Latency: 1}, 100)
+	_, reason := route.Pick(time.Second, "bulk", Request{Rank: 200}) // probe
+	g.Expect(reason).To(Equal(outcome.ReasonNone))
+	_, reason = route.Pick(time.Second, "bulk", Request{Rank: 200})
+	g.Expect(reason).To(Equal(outcome.ReasonOverloadCursor))
+	_, reason = route.Pick(time.Second, "other", Request{Rank: 200})
+	g.Expect(reason).To(Equal(outcome.ReasonNone))
+}
+
+func TestTheSameKeyGoesToTheSameTarget(t *testing.T) {
+	g := NewWithT(t)
+	left, right := balancer(5, "a", "b"), New(DefaultConfig(), "other", "b", rand.New(rand.NewPCG(9, 9)))
+	right.Update(0, targets(5, "a", "b"))
+	for number := range 50 {
+		request := Request{Key: strconv.Itoa(number), Rank: admission.Rank(0)}
+		first, _ := left.Pick(0, request)
+		second, _ := right.Pick(0, request)
+		g.Expect(first.Target.Node).To(Equal(second.Target.Node))
+	}
+}
--- a/internal/dataplane/ingress.go
+++ b/internal/dataplane/ingress.go
@@ -58,6 +58,7 @@
 	defer abandon(nil)
 	ctx, cancel := bounded(ctx, time.Duration(header.Remaining)*time.Microsecond)
 	defer cancel()
+	boundBody(w, r, time.Duration(header.Remaining)*time.Microsecond)
 	call.context = &callContext{
 		requestID: header.RequestID, callID: header.CallID, class: header.Class, level: header.Level, rank: admission.Rank(header.Rank),
 		depth: header.Depth, deadline: call.started + time.Duration(header.Remaining)*time.Microsecond,
--- a/internal/dataplane/outbound.go
+++ b/internal/dataplane/outbound.go
@@ -33,6 +33,7 @@
 	context  *callContext
 	parent   *callContext
 	retries  int
+	mayRun   bool // an attempt was handed over and its end is not known
 	started  time.Duration
 	upstream time.Duration // time spent waiting for peers
 }
@@ -144,6 +145,7 @@
 func (c *outboundCall) serve() {
 	ctx, cancel := bounded(c.request.Context(), c.context.deadline-c.started)
 	defer cancel()
+	boundBody(c.writer, c.request, c.context.deadline-c.started)
 	if c.parent != nil {
 		c.parent.deeperBegins(c.started)
 		defer func() {
@@ -167,6 +169,7 @@
 			return
 		}
 		try.settle()
+		c.mayRun = c.mayRun || try.outcome == outcome.Unknown
 		if !c.again(ctx, try, &request) {
 			return
 		}
@@ -255,8 +258,12 @@
 	return false
 }
 
-// refuse writes the final answer of a call that no target answers.
+// refuse writes the final answer of a call that no target answers. Whatever the
+// last attempt came to, "not run" is never said after one that may have run.
 func (c *outboundCall) refuse(final refusal) {
+	if c.mayRun {
+		final.outcome = outcome.Unknown
+	}
 	c.count(final.outcome, final.reason)
 	c.plane.record(c.context, explain.Refuse, string(final.reason), c.service, "",
 		number("rank", float64(c.context.rank)), number("retry_after_ms", milliseconds(final.retryAfter)))
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -153,15 +153,30 @@
 // CloseConnections has every answer from now on ask to close its connection.
 func (p *Plane) CloseConnections() { p.closing.Store(true) }
 
-// begin counts a call as in flight; the function that it gives ends that.
+// begin counts a call as in flight; the function that it gives ends that. It
+// makes the connection full duplex: without that net/http reads the rest of the
+// request before it sends the first byte of an answer, and a sender that waits
+// for that byte never ends.
 func (p *Plane) begin(w http.ResponseWriter) func() {
 	p.calls.enter()
 	if p.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	return p.calls.leave
 }
 
+// bodyGrace is how long after its deadline a request body may still be read.
+const bodyGrace = 50 * time.Millisecond
+
+// boundBody ends the reading of a request's body soon after the deadline, so that
+// a sender that stalls holds nothing for longer.
+func boundBody(w http.ResponseWriter, r *http.Request, remaining time.Duration) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(remaining + bodyGrace))
+	}
+}
+
 // InFlight gives the calls that the node is serving, on all sides.
 func (p *Plane) InFlight() int { return p.calls.inFlight() }
 
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -38,6 +38,7 @@
 	Peers   string
 	Callers string // of an entry
 	Target  string // of a node beside a target
+	Relay   *Relay // before its peer port, when the cluster has relays
 	command *exec.Cmd
 	file    string
 }
@@ -66,6 +67,7 @@
 	Lab        string // path of landingmast-lab
 	Directory  string // for keys, settings and logs
 	FirstPort  int
+	Relays     bool // put a relay before every peer port, to cut connections
 }
 
 // Start writes keys and settings, starts every process and rolls version 1.
@@ -79,7 +81,7 @@
 		return nil, err
 	}
 	c.log = log
-	if err := c.prepare(load.NewPorts(options.FirstPort)); err != nil {
+	if err := c.prepare(load.NewPorts(options.FirstPort), options.Relays); err != nil {
 		return nil, err
 	}
 	if err := c.startAll(ctx); err != nil {
@@ -90,7 +92,7 @@
 }
 
 // prepare lays out addresses and writes keys and settings.
-func (c *Cluster) prepare(ports *load.Ports) error {
+func (c *Cluster) prepare(ports *load.Ports, relays bool) error {
 	c.PlatformAddr = ports.Next()
 	for index := range deployment.Entries {
 		c.Nodes = append(c.Nodes, &Process{Name: fmt.Sprintf("entry-%d", index+1), Callers: ports.Next()})
@@ -104,6 +106,15 @@
 		process.Peers = ports.Next()
 		process.Admin = ports.Next()
 		c.address[process.Name] = process.Peers
+		if !relays {
+			continue
+		}
+		c.address[process.Name] = ports.Next()
+		relay, err := NewRelay(c.address[process.Name], process.Peers)
+		if err != nil {
+			return err
+		}
+		process.Relay = relay
 	}
 	c.bundle = c.Deployment.Bundle(1, func(name string) string { return c.address[name] })
 	return c.writeSettings(ports)
@@ -176,7 +187,7 @@
 	step := max(len(c.Nodes)/seeds, 1)
 	for index := 0; index < len(c.Nodes); index += step {
 		if c.Nodes[index] != process {
-			settings.Peers = append(settings.Peers, c.Nodes[index].Peers)
+			settings.Peers = append(settings.Peers, c.address[c.Nodes[index].Name])
 		}
 	}
 	return settings
@@ -412,6 +423,11 @@
 		_ = process.command.Wait()
 		timer.Stop()
 	}
+	for _, process := range c.Nodes {
+		if process.Relay != nil {
+			process.Relay.Close()
+		}
+	}
 	for _, process := range c.standins {
 		if process.Process != nil {
 			_ = process.Process.Kill()
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -28,8 +28,9 @@
 	Outcome   string // answered, not-run, unknown, or broken when the connection was cut
 	Reason    string
 	Status    int
-	Whole     bool // body complete, matching its digest and this caller's token
-	Foreign   bool // body of another caller
+	Whole     bool   // body complete, matching its digest and this caller's token
+	Foreign   bool   // body of another caller
+	Run       string // token of the sending that the answer was made for
 	Sent      time.Time
 	Took      time.Duration
 }
@@ -172,12 +173,12 @@
 		outcome = Answered
 	}
 	a.Outcome = outcome
+	a.Run = response.Header.Get(standin.HeaderEcho)
 	if outcome != Answered || response.StatusCode != http.StatusOK {
 		return
 	}
-	echo := response.Header.Get(standin.HeaderEcho)
 	kept := a.Reason == "kept_answer" // belongs to an earlier sending of the same key
-	a.Foreign = echo != token && !(kept && sameRequest(echo, token))
+	a.Foreign = a.Run != token && !(kept && sameRequest(a.Run, token))
 	a.Whole = response.Header.Get(standin.HeaderDigest) != "" && !a.Foreign
 }
 
--- a/internal/lab/standin/backend.go
+++ b/internal/lab/standin/backend.go
@@ -112,6 +112,7 @@
 	}
 	defer func() { <-b.slots }()
 	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set(HeaderEcho, r.Header.Get(HeaderEcho))
 	execution := b.begin(r)
 	behaviour := b.behaviour.Load()
 	if rand.Float64() < behaviour.FailRate {
@@ -232,7 +233,6 @@
 func (b *Backend) answer(w http.ResponseWriter, r *http.Request, route *deployment.Route) {
 	body := Body(r.Header.Get(HeaderEcho), route.Bytes)
 	w.Header().Set(HeaderDigest, strconv.FormatUint(xxhash.Sum64(body), 16))
-	w.Header().Set(HeaderEcho, r.Header.Get(HeaderEcho))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body)
--- /dev/null
+++ b/internal/node/mesh_test.go
@@ -0,0 +1,223 @@
+package node_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/adminapi"
+	"github.com/landingmast/landingmast/internal/config"
+	"github.com/landingmast/landingmast/internal/core/bundle"
+	"github.com/landingmast/landingmast/internal/lab/standin"
+	"github.com/landingmast/landingmast/internal/node"
+	"github.com/landingmast/landingmast/internal/platform"
+	"github.com/landingmast/landingmast/internal/roll"
+	"github.com/landingmast/landingmast/internal/security"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestNode(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Node")
+}
+
+// mesh is a small mesh in this process: two entries, service "front" with two
+// targets and "back" with three, all over real sockets and mutual TLS.
+type mesh struct {
+	directory string
+	store     *standin.Platform
+	storeAddr string
+	private   ed25519.PrivateKey
+	public    ed25519.PublicKey
+	bundle    *bundle.Bundle
+	settings  map[string]*config.Settings
+	running   map[string]context.CancelFunc
+	stopped   map[string]chan error
+	group     sync.WaitGroup
+	front     http.HandlerFunc
+	back      http.HandlerFunc
+}
+
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func newMesh() *mesh {
+	m := &mesh{directory: GinkgoT().TempDir(), settings: map[string]*config.Settings{}, running: map[string]context.CancelFunc{}, stopped: map[string]chan error{}}
+	m.store = standin.NewPlatform()
+	server := httptest.NewServer(m.store.Handler())
+	DeferCleanup(server.Close)
+	m.storeAddr = server.Listener.Addr().String()
+	authority, err := security.NewAuthority("test")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(os.WriteFile(m.path("authority.pem"), authority.Certificate, 0o600)).To(Succeed())
+	private, public, err := security.NewSigner()
+	Expect(err).NotTo(HaveOccurred())
+	m.private, err = security.ReadSigner(private)
+	Expect(err).NotTo(HaveOccurred())
+	m.public = public
+	m.bundle = &bundle.Bundle{Mesh: "test", Version: 1, Levels: []string{"critical", "normal", "bulk"}, MaxDepth: 8, UserHeader: "X-User", Services: []bundle.Service{
+		{Name: "front", Shed: &bundle.ShedSignal{Status: 503, Header: "X-Shed"}}, {Name: "back"},
+	}, Classes: []bundle.Class{
+		{Name: "once", Service: "front", Method: "POST", Path: "/once", Importance: "critical", Execution: bundle.AtMostOnce, KeyHeader: bundle.DefaultKeyHeader, Retries: 2, Deadline: bundle.Duration(5 * time.Second)},
+		{Name: "read", Service: "front", Path: "/", Importance: "normal", Execution: bundle.Repeatable, Retries: 2, Deadline: bundle.Duration(5 * time.Second)},
+		{Name: "lookup", Service: "back", Path: "/", Importance: "bulk", Execution: bundle.Repeatable, Retries: 2, Deadline: bundle.Duration(5 * time.Second)},
+	}}
+	m.add("entry-1", "a", nil)
+	m.add("entry-2", "b", nil)
+	m.add("front-1", "a", func(w http.ResponseWriter, r *http.Request) { m.front(w, r) })
+	m.add("front-2", "b", func(w http.ResponseWriter, r *http.Request) { m.front(w, r) })
+	m.add("back-1", "a", func(w http.ResponseWriter, r *http.Request) { m.back(w, r) })
+	m.add("back-2", "b", func(w http.ResponseWriter, r *http.Request) { m.back(w, r) })
+	m.add("back-3", "a", func(w http.ResponseWriter, r *http.Request) { m.back(w, r) })
+	m.finishSettings(authority)
+	return m
+}
+
+func (m *mesh) path(name string) string { return filepath.Join(m.directory, name) }
+
+func (m *mesh) add(name, zone string, target http.HandlerFunc) {
+	settings := &config.Settings{Node: name, Mesh: "test", Zone: zone, Listen: config.Listen{Peers: freeAddress(), Admin: freeAddress()}, Log: config.Log{Level: "error", Format: "text"}}
+	described := bundle.Node{Name: name, Address: settings.Listen.Peers, Zone: zone, State: bundle.Active}
+	if target == nil {
+		settings.Listen.Callers = freeAddress()
+		m.bundle.Entries = append(m.bundle.Entries, described)
+	} else {
+		server := httptest.NewServer(target)
+		DeferCleanup(server.Close)
+		settings.Target = &config.Target{Address: server.Listener.Addr().String(), Connections: 50}
+		settings.Listen.Egress = freeAddress()
+		service := &m.bundle.Services[0]
+		if name[:4] == "back" {
+			service = &m.bundle.Services[1]
+		}
+		service.Targets = append(service.Targets, described)
+	}
+	m.settings[name] = settings
+}
+
+func (m *mesh) finishSettings(authority security.Pair) {
+	for name, settings := range m.settings {
+		pair, err := security.NewNode(authority, name)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(m.path(name+".crt"), pair.Certificate, 0o600)).To(Succeed())
+		Expect(os.WriteFile(m.path(name+".key"), pair.Key, 0o600)).To(Succeed())
+		settings.TLS = config.TLS{Certificate: m.path(name + ".crt"), Key: m.path(name + ".key"), Authorities: m.path("authority.pem")}
+		settings.Signers = []config.Signer{{Name: "op", PublicKey: base64.StdEncoding.EncodeToString(m.public)}}
+		settings.Platform = config.Platform{Address: m.storeAddr, Timeout: bundle.Duration(time.Second)}
+		for other, peer := range m.settings {
+			if other != name {
+				settings.Peers = append(settings.Peers, peer.Listen.Peers)
+			}
+		}
+		Expect(settings.Validate()).To(Succeed())
+	}
+}
+
+func (m *mesh) start() {
+	m.roll(m.bundle)
+	for name := range m.settings {
+		m.startNode(name)
+	}
+	DeferCleanup(m.stop)
+	for name := range m.settings {
+		m.waitReady(name)
+	}
+}
+
+func (m *mesh) startNode(name string) {
+	made, err := node.New(m.settings[name], GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	m.running[name] = cancel
+	stopped := make(chan error, 1)
+	m.stopped[name] = stopped
+	m.group.Go(func() { stopped <- made.Run(ctx, context.Background()) })
+}
+
+func (m *mesh) waitReady(name string) {
+	Eventually(func() int {
+		response, err := http.Get("http://" + m.settings[name].Listen.Admin + "/readyz")
+		if err != nil {
+			return 0
+		}
+		defer response.Body.Close()
+		return response.StatusCode
+	}, "10s", "10ms").Should(Equal(http.StatusOK))
+}
+
+// waitVoters waits until the front service's voter set is active everywhere.
+func (m *mesh) waitVoters() {
+	for _, name := range []string{"front-1", "front-2"} {
+		Eventually(func() int64 {
+			status, err := m.admin(name).Status(context.Background())
+			if err != nil {
+				return 0
+			}
+			return status.VoterEpoch
+		}, "10s", "20ms").Should(BeNumerically(">", 0))
+	}
+}
+
+func (m *mesh) stop() {
+	for _, cancel := range m.running {
+		cancel()
+	}
+	m.group.Wait()
+}
+
+func (m *mesh) roll(wanted *bundle.Bundle) {
+	release, err := bundle.Sign(wanted, "op", m.private)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = roll.Roll(context.Background(), platform.NewConsul(m.storeAddr, time.Second), release)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (m *mesh) admin(name string) *adminapi.Client {
+	return adminapi.New(m.settings[name].Listen.Admin)
+}
+
+// send sends a request to an entry and gives the answer with its body.
+func (m *mesh) send(entry, method, path string, body io.Reader, header http.Header) (*http.Response, string, error) {
+	request, err := http.NewRequest(method, "http://"+m.settings[entry].Listen.Callers+path, body)
+	Expect(err).NotTo(HaveOccurred())
+	request.Host = "front"
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response, string(data), err
+}
+
+// callBack calls the back service from a front target, as a back end does.
+func (m *mesh) callBack(r *http.Request, path string) (*http.Response, error) {
+	egress := m.settings["front-1"].Listen.Egress
+	if r.Header.Get("X-Test-Node") != "" {
+		egress = m.settings[r.Header.Get("X-Test-Node")].Listen.Egress
+	}
+	request, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+egress+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Host = "back"
+	request.Header.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	return http.DefaultClient.Do(request)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,6 +103,7 @@
 	drainLimit    = 10 * time.Minute // the longest deadline that a class may have
 	drainGrace    = time.Second      // in which callers and peers learn that the node goes
 	drainPoll     = 10 * time.Millisecond
+	closeLimit    = time.Second // for connections on which no call is in flight
 )
 
 // listen opens every listener before anything is served, so that an unusable
@@ -187,8 +188,10 @@
 	for wait.Err() == nil && (n.plane.InFlight() > 0 || time.Now().Before(grace)) {
 		time.Sleep(drainPoll)
 	}
+	closing, cancelClosing := context.WithTimeout(wait, closeLimit)
+	defer cancelClosing()
 	for _, server := range n.servers {
-		_ = server.Shutdown(wait)
+		_ = server.Shutdown(closing)
 		_ = server.Close()
 	}
 	n.plane.Close()
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,288 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/bundle"
+	"github.com/landingmast/landingmast/internal/failure"
+	"github.com/landingmast/landingmast/internal/platform"
+	"github.com/landingmast/landingmast/internal/roll"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a mesh of nodes", func() {
+	var m *mesh
+
+	BeforeEach(func() {
+		m = newMesh()
+		m.front = func(w http.ResponseWriter, r *http.Request) { _, _ = fmt.Fprint(w, "front") }
+		m.back = func(w http.ResponseWriter, r *http.Request) { _, _ = fmt.Fprint(w, "back") }
+		m.start()
+	})
+
+	It("serves a request through two services and explains it at every hop", func() {
+		m.front = func(w http.ResponseWriter, r *http.Request) {
+			response, err := m.callBack(r, "/deeper")
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			_, _ = io.Copy(w, response.Body)
+		}
+		response, body, err := m.send("entry-1", "GET", "/x", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("back"))
+		Expect(response.Header.Get("Landingmast-Outcome")).To(Equal("answered"))
+		decisions, err := m.admin("back-2").Explain(context.Background(), response.Header.Get("X-Request-Id"))
+		Expect(err).NotTo(HaveOccurred())
+		depths := map[int]bool{}
+		actions := map[string]bool{}
+		for _, decision := range decisions {
+			depths[decision.Depth] = true
+			actions[decision.Action] = true
+		}
+		Expect(depths).To(HaveKey(0))
+		Expect(actions).To(And(HaveKey("route"), HaveKey("admit"), HaveKey("answer")))
+	})
+
+	It("passes methods, statuses and headers through and strips reserved headers", func() {
+		m.front = func(w http.ResponseWriter, r *http.Request) {
+			for name := range r.Header {
+				Expect(name).NotTo(HavePrefix("Landingmast-"))
+			}
+			w.Header().Set("X-Method", r.Method)
+			w.Header().Set("X-Query", r.URL.RawQuery)
+			w.Header().Set("Landingmast-Forged", "1")
+			w.WriteHeader(http.StatusNoContent)
+		}
+		for _, method := range []string{"HEAD", "GET", "DELETE", "PUT"} {
+			response, _, err := m.send("entry-1", method, "/x?a=%20b", nil, http.Header{"Landingmast-Call": {"forged"}})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusNoContent))
+			Expect(response.Header.Get("X-Method")).To(Equal(method))
+			Expect(response.Header.Get("X-Query")).To(Equal("a=%20b"))
+			Expect(response.Header).NotTo(HaveKey("Landingmast-Forged"))
+		}
+	})
+
+	It("refuses strangers on the peer port", func() {
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+		_, err := client.Get("https://" + m.settings["front-1"].Listen.Peers + "/")
+		Expect(err).To(HaveOccurred())
+		response, err := http.Get("http://" + m.settings["front-1"].Listen.Peers + "/")
+		if err == nil {
+			Expect(response.StatusCode).To(Equal(http.StatusBadRequest)) // "client sent an HTTP request to an HTTPS server"
+		}
+	})
+
+	It("streams both ways without waiting for the end", func() {
+		m.front = func(w http.ResponseWriter, r *http.Request) {
+			Expect(http.NewResponseController(w).EnableFullDuplex()).To(Succeed())
+			lines := bufio.NewScanner(r.Body)
+			for lines.Scan() {
+				_, _ = fmt.Fprintln(w, "echo "+lines.Text())
+				_ = http.NewResponseController(w).Flush()
+			}
+		}
+		reader, writer := io.Pipe()
+		go func() { _, _ = fmt.Fprintln(writer, "one") }()
+		request, _ := http.NewRequest("POST", "http://"+m.settings["entry-1"].Listen.Callers+"/stream", reader)
+		request.Host = "front"
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		answers := bufio.NewReader(response.Body)
+		Expect(answers.ReadString('\n')).To(Equal("echo one\n"))
+		_, _ = fmt.Fprintln(writer, "two")
+		Expect(answers.ReadString('\n')).To(Equal("echo two\n"))
+		_ = writer.Close()
+	})
+
+	DescribeTable("a truncated answer reaches the caller as an error", func(announce bool) {
+		m.front = func(w http.ResponseWriter, r *http.Request) {
+			if announce {
+				w.Header().Set("Content-Length", "100000")
+			}
+			_, _ = w.Write(make([]byte, 60000))
+			panic(http.ErrAbortHandler)
+		}
+		_, body, err := m.send("entry-1", "GET", "/x", nil, nil)
+		Expect(err).To(HaveOccurred())
+		Expect(len(body)).To(BeNumerically("<", 100000))
+	}, Entry("with its length announced", true), Entry("in chunks", false))
+
+	It("never sends a request twice by itself when a reused connection breaks", func() {
+		var received atomic.Int64
+		m.front = func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			if r.URL.Path == "/once" {
+				received.Add(1)
+				panic(http.ErrAbortHandler)
+			}
+		}
+		m.waitVoters()
+		for range 20 { // warm connections everywhere
+			_, _, err := m.send("entry-1", "GET", "/warm", nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		for number := range 10 {
+			header := http.Header{"Idempotency-Key": {fmt.Sprint("k", number)}}
+			response, _, err := m.send("entry-1", "POST", "/once", nil, header)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Header.Get("Landingmast-Outcome")).To(Equal("unknown"))
+		}
+		Expect(received.Load()).To(Equal(int64(10)))
+	})
+
+	It("tries a repeatable request again, up to the retries of its class", func() {
+		var received atomic.Int64
+		m.front = func(w http.ResponseWriter, r *http.Request) {
+			received.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+		response, _, err := m.send("entry-1", "GET", "/x", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Header.Get("Landingmast-Outcome")).To(Equal("unknown"))
+		Expect(received.Load()).To(BeNumerically("<=", 3))
+		Expect(received.Load()).To(BeNumerically(">=", 2))
+	})
+
+	It("runs a key once however often and wherever it is sent", func() {
+		var runs atomic.Int64
+		m.front = func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			time.Sleep(50 * time.Millisecond)
+			_, _ = fmt.Fprint(w, "done")
+		}
+		m.waitVoters()
+		header := http.Header{"Idempotency-Key": {"one"}}
+		var group sync.WaitGroup
+		for number := range 10 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				response, _, err := m.send(fmt.Sprintf("entry-%d", number%2+1), "POST", "/once", strings.NewReader("x"), header)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(response.Header.Get("Landingmast-Outcome")).To(Or(Equal("answered"), Equal("unknown")))
+			})
+		}
+		group.Wait()
+		Expect(runs.Load()).To(Equal(int64(1)))
+		response, body, err := m.send("entry-2", "POST", "/once", nil, header)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("done"))
+		Expect(response.Header.Get("Landingmast-Reason")).To(Equal("kept_answer"))
+	})
+
+	It("takes a target's declared refusal as not run, unless the target has gone deeper", func() {
+		m.front = func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/deeper" {
+				response, err := m.callBack(r, "/x")
+				Expect(err).NotTo(HaveOccurred())
+				_ = response.Body.Close()
+			}
+			w.Header().Set("X-Shed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		response, _, err := m.send("entry-1", "GET", "/plain", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Header.Get("Landingmast-Outcome")).To(Equal("not-run"))
+		Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("refuses what no class allows and names the remedy", func() {
+		response, body, err := m.send("entry-1", "POST", "/once", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
+		Expect(body).To(ContainSubstring("remedy"))
+		Expect(response.Header.Get("Landingmast-Outcome")).To(Equal("not-run"))
+		request, _ := http.NewRequest("GET", "http://"+m.settings["entry-1"].Listen.Callers+"/", nil)
+		request.Host = "nowhere"
+		response, err = http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusNotFound))
+	})
+
+	It("gives a drained target no new work", func() {
+		var seen sync.Map
+		m.front = func(w http.ResponseWriter, r *http.Request) { seen.Store(r.Host+r.Header.Get("X-Request-Id"), true) }
+		_, err := m.admin("front-1").Drain(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		for range 30 {
+			response, _, err := m.send("entry-1", "GET", "/x", nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
+		}
+		status, err := m.admin("front-1").Status(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.State).To(Equal("draining"))
+		Expect(status.Admitted).To(BeZero())
+	})
+
+	It("puts a rolled bundle in force everywhere and refuses forged ones", func() {
+		next := *m.bundle
+		next.Version = 2
+		m.roll(&next)
+		for name := range m.settings {
+			Eventually(func() int64 {
+				status, err := m.admin(name).Status(context.Background())
+				Expect(err).NotTo(HaveOccurred())
+				return status.BundleVersion
+			}, "5s", "20ms").Should(Equal(int64(2)))
+		}
+		forged := next
+		forged.Version = 3
+		release, err := bundle.Sign(&forged, "op", m.private)
+		Expect(err).NotTo(HaveOccurred())
+		release.Signer = "stranger"
+		_, err = roll.Roll(context.Background(), platform.NewConsul(m.storeAddr, time.Second), release)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() uint64 {
+			status, err := m.admin("entry-1").Status(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status.BundleVersion).To(Equal(int64(2)))
+			return status.BundlesRejected
+		}, "10s", "50ms").Should(BeNumerically(">", 0))
+	})
+
+	It("tells the loser of two operators who won", func() {
+		next := *m.bundle
+		next.Version = 2
+		m.roll(&next)
+		release, err := bundle.Sign(&next, "op", m.private)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = roll.Roll(context.Background(), platform.NewConsul(m.storeAddr, time.Second), release)
+		Expect(failure.Is(err, failure.Conflict)).To(BeTrue())
+		Expect(err.Error()).To(ContainSubstring("signed by op"))
+	})
+
+	It("cuts nothing in flight on a planned stop", func() {
+		started := make(chan struct{}, 1)
+		m.front = func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				started <- struct{}{}
+				time.Sleep(300 * time.Millisecond)
+			}
+			_, _ = fmt.Fprint(w, "whole")
+		}
+		answers := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, body, err := m.send("entry-1", "GET", "/slow", nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+			answers <- body
+		}()
+		<-started
+		m.running["front-1"]()
+		m.running["front-2"]()
+		Expect(<-answers).To(Equal("whole"))
+		Eventually(m.stopped["front-1"], "5s").Should(Receive(BeNil()))
+	})
+})
--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -49,6 +49,7 @@
 byte promised[VOTERS];
 byte accepted[VOTERS];
 byte executor[VOTERS];
+bool member[VOTERS];          /* its present incarnation is in the set of epoch 2 */
 
 byte record_epoch = 1;        /* the platform's record */
 bool record_active = true;
@@ -176,7 +177,10 @@
 		if
 		:: record_epoch == 1 ->
 			record_epoch = 2;
-			record_active = false
+			record_active = false;
+			member[0] = true;
+			member[1] = true;
+			member[2] = true
 		:: record_epoch == 2 && !record_active
 		:: else -> goto done
 		fi
@@ -234,13 +238,14 @@
 		if
 		:: atomic {
 				if
-				:: epoch[v] < 2 ->
+				:: !member[v] /* names an incarnation that is gone */
+				:: member[v] && epoch[v] < 2 ->
 					epoch[v] = 2;
 					executor[v] = value;
 					accepted[v] = (value == NONE -> 0 : found);
 					promised[v] = accepted[v];
 					count++
-				:: epoch[v] == 2 -> count++
+				:: member[v] && epoch[v] == 2 -> count++
 				fi
 			}
 		:: skip /* not reached */
@@ -272,6 +277,7 @@
 		accepted[v] = 0;
 		executor[v] = NONE;
 		sealed[v] = 0;
+		member[v] = false;
 #ifndef MUTANT_REJOIN
 		epoch[v] = 0 /* its new incarnation is no member */
 #endif
