--- a/cmd/landingmast-lab/experiments.go
+++ b/cmd/landingmast-lab/experiments.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/landingmast/landingmast/internal/lab/cluster"
 	"github.com/landingmast/landingmast/internal/lab/emulator"
 	"github.com/landingmast/landingmast/internal/lab/experiment"
 )
@@ -19,7 +20,12 @@
 	only := command.Flag("only", "Name of one experiment; repeat for more.").Strings()
 	variants := command.Flag("variant", "Variant to run; repeat for more. Without it: all.").Strings()
 	report := command.Flag("report", "Folder for the report and its plots.").String()
-	return command.FullCommand(), func(context.Context) error {
+	real := command.Flag("real", "Run landingmast as real processes, once with the first seed, rates and service times scaled.").Bool()
+	port := command.Flag("first-port", "First of some 150 loopback ports, with --real.").Default("27500").Int()
+	return command.FullCommand(), func(ctx context.Context) error {
+		if *real {
+			return runReal(ctx, *directory, *only, *port)
+		}
 		return runExperiments(*directory, *only, *variants, *report)
 	}
 }
@@ -93,6 +99,34 @@
 	return writeReport(folder, reports)
 }
 
+func runReal(ctx context.Context, directory string, only []string, port int) error {
+	experiments, err := experiment.LoadAll(directory)
+	if err != nil {
+		return err
+	}
+	experiments, err = choose(experiments, only)
+	if err != nil {
+		return err
+	}
+	for _, one := range experiments {
+		folder, err := os.MkdirTemp("", "landingmast-experiment-")
+		if err != nil {
+			return err
+		}
+		options := cluster.Options{Daemon: sibling("landingmastd"), Lab: sibling("landingmast-lab"), Directory: folder, FirstPort: port}
+		measured, err := experiment.MeasureReal(ctx, one, options, one.Seeds[0])
+		if err != nil {
+			return fmt.Errorf("%s: %w", one.Name, err)
+		}
+		report := &experiment.Report{Experiment: one, Rows: []experiment.Row{{Variant: "real processes", Runs: []experiment.Measure{measured}}}}
+		report.Print(os.Stdout)
+		if err := os.RemoveAll(folder); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func choose(experiments []*experiment.Experiment, only []string) ([]*experiment.Experiment, error) {
 	if len(only) == 0 {
 		return experiments, nil
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -26,7 +26,7 @@
 	// Zone is the zone that the node runs in.
 	Zone string `yaml:"zone"`
 	// Target is the back end beside the node; without it the node is an entry.
-	Target *Target `yaml:"target"`
+	Target *Target `yaml:"target,omitempty"`
 	// Listen holds the addresses that the node listens on.
 	Listen Listen `yaml:"listen"`
 	// Platform says how the platform's service is reached.
@@ -53,9 +53,9 @@
 // Listen holds the listen addresses, each IP:port.
 type Listen struct {
 	// Callers is where an entry serves outside callers.
-	Callers string `yaml:"callers"`
+	Callers string `yaml:"callers,omitempty"`
 	// Egress is where the target beside the node sends its own calls.
-	Egress string `yaml:"egress"`
+	Egress string `yaml:"egress,omitempty"`
 	// Peers is where other nodes connect.
 	Peers string `yaml:"peers"`
 	// Admin serves operators, metrics and health.
--- a/internal/core/bundle/bundle.go
+++ b/internal/core/bundle/bundle.go
@@ -61,7 +61,7 @@
 	Address string `yaml:"address" json:"address"`
 	// Zone and Region where it runs.
 	Zone   string `yaml:"zone" json:"zone"`
-	Region string `yaml:"region" json:"region,omitempty"`
+	Region string `yaml:"region,omitempty" json:"region,omitempty"`
 	// State of the target beside it: active, joining or leaving.
 	State TargetState `yaml:"state" json:"state"`
 }
@@ -72,14 +72,16 @@
 	Name string `yaml:"name" json:"name"`
 	// Shed is how a target of this service says that it refused a request
 	// before starting it; without it a refusal counts as an answer.
-	Shed *ShedSignal `yaml:"shed" json:"shed,omitempty"`
+	Shed *ShedSignal `yaml:"shed,omitempty" json:"shed,omitempty"`
 	// Targets are the nodes beside the targets of this service.
 	Targets []Node `yaml:"targets" json:"targets"`
 }
 
 // ShedSignal is a status and a header that together mean "not started".
 type ShedSignal struct {
-	Status int    `yaml:"status" json:"status"`
+	// Status of the refusal, 400 to 599.
+	Status int `yaml:"status" json:"status"`
+	// Header that is present on it, with any value.
 	Header string `yaml:"header" json:"header"`
 }
 
@@ -90,7 +92,7 @@
 	// Service, Method and Path select the requests. An empty method is any; a
 	// path that ends in / or * is a prefix.
 	Service string `yaml:"service" json:"service"`
-	Method  string `yaml:"method" json:"method,omitempty"`
+	Method  string `yaml:"method,omitempty" json:"method,omitempty"`
 	Path    string `yaml:"path" json:"path"`
 	// Importance is one of the bundle's levels. It counts where the chain
 	// starts; deeper calls inherit it.
@@ -99,7 +101,7 @@
 	Execution Execution `yaml:"execution" json:"execution"`
 	// KeyHeader names the header with the key of an at-most-once request;
 	// default Idempotency-Key.
-	KeyHeader string `yaml:"key_header" json:"key_header,omitempty"`
+	KeyHeader string `yaml:"key_header,omitempty" json:"key_header,omitempty"`
 	// Retries bounds the retries of one user request over the whole chain.
 	Retries int `yaml:"retries" json:"retries"`
 	// Deadline bounds the whole request, e.g. 2s.
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -74,7 +74,7 @@
 func rollHalfWay(ctx context.Context, running *cluster.Cluster, after time.Duration, result *Result) error {
 	time.Sleep(after)
 	next := running.Bundle(2)
-	next.Classes[0].Retries++
+	next.MaxDepth--
 	began := time.Now()
 	if _, err := running.Roll(ctx, next); err != nil {
 		return err
--- a/internal/lab/deployment/deployment.go
+++ b/internal/lab/deployment/deployment.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/bundle"
@@ -114,7 +115,7 @@
 // Bundle gives the deployment's bundle at a version; address gives the peer
 // address of each node by name.
 func (d *Deployment) Bundle(version int64, address func(node string) string) *bundle.Bundle {
-	made := &bundle.Bundle{Mesh: d.Mesh, Version: version, Levels: d.Levels, MaxDepth: bundle.DefaultMaxDepth, UserHeader: "X-User", Classes: d.Classes}
+	made := &bundle.Bundle{Mesh: d.Mesh, Version: version, Levels: d.Levels, MaxDepth: bundle.DefaultMaxDepth, UserHeader: "X-User", Classes: slices.Clone(d.Classes)}
 	for index := range Entries {
 		made.Entries = append(made.Entries, d.node(fmt.Sprintf("entry-%d", index+1), index, address))
 	}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -45,10 +45,10 @@
 	// Kind is slow, reset, dead, surge, resend, mix, zone_lost, store_down,
 	// rolling_restart or restart.
 	Kind string `yaml:"kind"`
-	// At and Until bound the event.
+	// Begin and end of the event, from the begin of the run.
 	At    bundle.Duration `yaml:"at"`
 	Until bundle.Duration `yaml:"until"`
-	// Service, Target and Zone say where.
+	// Where it happens; what does not apply is left out.
 	Service string `yaml:"service"`
 	Target  string `yaml:"target"`
 	Zone    string `yaml:"zone"`
@@ -72,7 +72,7 @@
 	decoder.KnownFields(true)
 	parsed := &Experiment{}
 	if err := decoder.Decode(parsed); err != nil {
-		return nil, failure.Wrap(err, failure.BadInput, "correct the named line; keys are listed in docs/EXPERIMENTS.md", "experiment cannot be read")
+		return nil, failure.Wrap(err, failure.BadInput, "correct the named line; keys are listed in docs/CONFIGURATION.md", "experiment cannot be read")
 	}
 	return parsed, parsed.Validate()
 }
@@ -91,7 +91,7 @@
 	}
 	for _, event := range e.Events {
 		if !kinds[event.Kind] {
-			return bad("use a kind that docs/EXPERIMENTS.md lists", "event kind %q is unknown", event.Kind)
+			return bad("use a kind that docs/CONFIGURATION.md lists", "event kind %q is unknown", event.Kind)
 		}
 		if event.Until < event.At || event.Until > e.Length {
 			return bad("let it end after it begins and before the run ends", "event %s lasts from %s to %s", event.Kind, time.Duration(event.At), time.Duration(event.Until))
--- /dev/null
+++ b/internal/lab/experiment/real.go
@@ -0,0 +1,247 @@
+package experiment
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/lab/cluster"
+	"github.com/landingmast/landingmast/internal/lab/deployment"
+	"github.com/landingmast/landingmast/internal/lab/emulator"
+	"github.com/landingmast/landingmast/internal/lab/load"
+	"github.com/landingmast/landingmast/internal/lab/standin"
+)
+
+// RealScale is the factor by which back ends are slower and rates lower in runs
+// with real processes: one machine cannot carry the whole deployment's rate.
+const RealScale = 8
+
+// realRun is one experiment over real processes.
+type realRun struct {
+	experiment *Experiment
+	deployment *deployment.Deployment
+	cluster    *cluster.Cluster
+	began      time.Time
+	group      sync.WaitGroup
+	mutex      sync.Mutex
+	answers    []load.Answer
+}
+
+// Real runs an experiment with real processes and gives its windows as the
+// emulator does. Rates are those of the emulator divided by RealScale.
+func Real(ctx context.Context, e *Experiment, options cluster.Options, seed uint64) (*emulator.Result, error) {
+	d, err := deployment.Named(e.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	d.Mix = mixOf(d, e.Mix)
+	options.Deployment, options.Relays = d, true
+	running, err := cluster.Start(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	defer running.Stop()
+	run := &realRun{experiment: e, deployment: d, cluster: running}
+	for _, service := range d.Services {
+		if err := run.setSlowdown(service.Name, "", 1); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(2 * time.Second) // voter sets
+	run.began = time.Now()
+	for _, event := range e.Events {
+		run.group.Go(func() { run.apply(ctx, event) })
+	}
+	run.traffic(ctx, seed)
+	run.group.Wait()
+	return run.result(), nil
+}
+
+func (r *realRun) at(span time.Duration) { time.Sleep(time.Until(r.began.Add(span))) }
+
+// each calls a function for the nodes of a service, or for one of them.
+func (r *realRun) each(service, target string, apply func(*cluster.Process) error) error {
+	for _, process := range r.cluster.Nodes {
+		if process.Service != "" && process.Service == service && (target == "" || target == process.Name) {
+			if err := apply(process); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (r *realRun) setSlowdown(service, target string, factor float64) error {
+	return r.each(service, target, func(p *cluster.Process) error {
+		return r.cluster.SetBehaviour(p, standin.Behaviour{Slowdown: RealScale * factor})
+	})
+}
+
+// apply carries out an event that is not of the callers.
+func (r *realRun) apply(ctx context.Context, event Event) {
+	r.at(time.Duration(event.At))
+	switch event.Kind {
+	case "slow":
+		_ = r.setSlowdown(event.Service, event.Target, event.Factor)
+		r.at(time.Duration(event.Until))
+		_ = r.setSlowdown(event.Service, event.Target, 1)
+	case "reset":
+		_ = r.each(event.Service, event.Target, func(p *cluster.Process) error {
+			return r.cluster.SetBehaviour(p, standin.Behaviour{Slowdown: RealScale, FailRate: event.Factor})
+		})
+		r.at(time.Duration(event.Until))
+		_ = r.setSlowdown(event.Service, event.Target, 1)
+	case "store_down":
+		_ = r.cluster.SetFaults(standin.Faults{Down: true})
+		r.at(time.Duration(event.Until))
+		_ = r.cluster.SetFaults(standin.Faults{})
+	case "zone_lost":
+		r.cutZone(event.Zone, cluster.CutBoth)
+		r.at(time.Duration(event.Until))
+		r.cutZone(event.Zone, cluster.CutNothing)
+	case "rolling_restart":
+		r.restartAll(ctx, time.Duration(event.At), time.Duration(event.Until))
+	}
+}
+
+// cutZone cuts the nodes beside targets; entries of the zone stay, because the
+// callers of the harness do not move to others.
+func (r *realRun) cutZone(zone string, cut cluster.Cut) {
+	for _, process := range r.cluster.Nodes {
+		node, _ := r.cluster.Bundle(1).Node(process.Name)
+		if process.Target != "" && node.Zone == zone {
+			process.Relay.Set(cut)
+		}
+	}
+}
+
+func (r *realRun) restartAll(ctx context.Context, from, until time.Duration) {
+	var targets []*cluster.Process
+	for _, process := range r.cluster.Nodes {
+		if process.Target != "" {
+			targets = append(targets, process)
+		}
+	}
+	for index, process := range targets {
+		r.at(from + (until-from)*time.Duration(index)/time.Duration(len(targets)))
+		if ctx.Err() != nil {
+			return
+		}
+		_ = r.cluster.Signal(process, syscall.SIGTERM)
+		_ = r.cluster.Wait(process)
+		_ = r.cluster.StartNode(process)
+	}
+}
+
+// traffic runs the callers in phases, from one of their events to the next.
+func (r *realRun) traffic(ctx context.Context, seed uint64) {
+	bounds := map[time.Duration]bool{0: true, time.Duration(r.experiment.Length): true}
+	for _, event := range r.experiment.Events {
+		bounds[time.Duration(event.At)], bounds[time.Duration(event.Until)] = true, true
+	}
+	var times []time.Duration
+	for bound := range bounds {
+		times = append(times, bound)
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	for phase := 0; phase+1 < len(times); phase++ {
+		r.at(times[phase])
+		options := r.phase(times[phase], times[phase+1])
+		options.Seed = seed*100 + uint64(phase)
+		r.group.Go(func() {
+			answers := load.Run(ctx, options)
+			r.mutex.Lock()
+			defer r.mutex.Unlock()
+			r.answers = append(r.answers, answers...)
+		})
+	}
+}
+
+func (r *realRun) phase(from, until time.Duration) load.Options {
+	capacity, _ := r.deployment.Capacity(r.deployment.Mix)
+	mesh := *r.deployment
+	options := load.Options{
+		Deployment: &mesh, Entries: r.cluster.Entries(), Rate: capacity * r.experiment.Load / RealScale, Duration: until - from, Users: 500, Resend: r.experiment.Resend,
+		Backoff: time.Duration(r.experiment.Backoff),
+	}
+	for _, event := range r.experiment.Events {
+		if time.Duration(event.At) > from || time.Duration(event.Until) <= from {
+			continue
+		}
+		switch event.Kind {
+		case "surge":
+			options.Rate *= event.Factor
+		case "resend":
+			options.Resend, options.Backoff = event.Resend, time.Duration(event.Backoff)
+		case "mix":
+			mesh.Mix = mixOf(r.deployment, event.Mix)
+		}
+	}
+	return options
+}
+
+// result sums up user requests by the time of their first sending.
+func (r *realRun) result() *emulator.Result {
+	length := time.Duration(r.experiment.Length)
+	result := &emulator.Result{Windows: make([]emulator.Window, int(length/emulator.WindowLength))}
+	for index := range result.Windows {
+		result.Windows[index].Start = time.Duration(index) * emulator.WindowLength
+	}
+	place := map[string]int{}
+	for index, traffic := range r.deployment.Mix {
+		place[traffic.Class] = index
+		result.Classes = append(result.Classes, emulator.ClassResult{Class: traffic.Class})
+	}
+	for _, request := range requests(r.answers) {
+		class := &result.Classes[place[request.class]]
+		class.Requests++
+		result.Offered++
+		index := min(max(int(request.first.Sub(r.began)/emulator.WindowLength), 0), len(result.Windows)-1)
+		result.Windows[index].Offered++
+		if request.whole {
+			class.Whole++
+			result.Whole++
+			result.Windows[index].Whole++
+		}
+	}
+	return result
+}
+
+type userRequest struct {
+	class string
+	first time.Time
+	whole bool
+}
+
+// requests joins the sendings of each user request.
+func requests(answers []load.Answer) map[string]*userRequest {
+	joined := map[string]*userRequest{}
+	for _, answer := range answers {
+		name := answer.Request()
+		request := joined[name]
+		if request == nil {
+			request = &userRequest{class: answer.Class, first: answer.Sent}
+			joined[name] = request
+		}
+		if answer.Sent.Before(request.first) {
+			request.first = answer.Sent
+		}
+		request.whole = request.whole || answer.Whole
+	}
+	return joined
+}
+
+// MeasureReal runs an experiment with real processes and measures it against
+// what is possible at the lower rate.
+func MeasureReal(ctx context.Context, e *Experiment, options cluster.Options, seed uint64) (Measure, error) {
+	result, err := Real(ctx, e, options, seed)
+	if err != nil {
+		return Measure{}, err
+	}
+	measured, err := measure(e, seed, result)
+	measured.Goodput *= RealScale
+	measured.After *= RealScale
+	return measured, err
+}
--- /dev/null
+++ b/internal/lab/scaffold/scaffold.go
@@ -0,0 +1,113 @@
+// Package scaffold writes the example bundles and settings of the two
+// deployments; a test holds the committed files of examples/ against it.
+package scaffold
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/config"
+	"github.com/landingmast/landingmast/internal/core/bundle"
+	"github.com/landingmast/landingmast/internal/lab/deployment"
+	"go.yaml.in/yaml/v3"
+)
+
+// Examples gives the example files of a deployment by their path below examples/.
+func Examples(d *deployment.Deployment) (map[string][]byte, error) {
+	layout := newLayout(d)
+	intent := d.Bundle(1, layout.peers)
+	files := map[string][]byte{}
+	head := fmt.Sprintf("# Bundle of %s: the sizes, zones and classes of today.\n# Zones are %s apart one way, callers %s. Keys: docs/CONFIGURATION.md.\n",
+		d.Mesh, d.ZoneDelay, d.ClientDelay)
+	data, err := encode(head, intent)
+	if err != nil {
+		return nil, err
+	}
+	files[filepath.Join(d.Mesh, "bundle.yaml")] = data
+	for _, node := range intent.Nodes() {
+		_, service := intent.Node(node.Name)
+		settings := layout.settings(d, node, service, intent.Nodes())
+		data, err := encode("# Settings of node "+node.Name+". Keys: docs/CONFIGURATION.md.\n", settings)
+		if err != nil {
+			return nil, err
+		}
+		files[filepath.Join(d.Mesh, "settings", node.Name+".yaml")] = data
+	}
+	return files, nil
+}
+
+func encode(head string, document any) ([]byte, error) {
+	var text bytes.Buffer
+	text.WriteString(head)
+	encoder := yaml.NewEncoder(&text)
+	encoder.SetIndent(2)
+	if err := encoder.Encode(document); err != nil {
+		return nil, err
+	}
+	return text.Bytes(), encoder.Close()
+}
+
+// layout gives every node its loopback ports.
+type layout struct {
+	numbers map[string]int
+	first   int
+}
+
+const (
+	portsPerNode = 5
+	firstExample = 7000
+	meshPorts    = 200
+)
+
+func newLayout(d *deployment.Deployment) *layout {
+	l := &layout{numbers: map[string]int{}, first: firstExample}
+	if d.Mesh == deployment.ExpenseClaims().Mesh {
+		l.first += meshPorts
+	}
+	for _, node := range d.Bundle(1, func(name string) string { return "127.0.0.1:1" }).Nodes() {
+		l.numbers[node.Name] = len(l.numbers)
+	}
+	return l
+}
+
+func (l *layout) address(node string, offset int) string {
+	return fmt.Sprintf("127.0.0.1:%d", l.first+l.numbers[node]*portsPerNode+offset)
+}
+
+func (l *layout) peers(node string) string { return l.address(node, 0) }
+
+// examplePublicKey is the public part of a key that everybody knows.
+func examplePublicKey() string {
+	private := ed25519.NewKeyFromSeed([]byte(strings.Repeat("example!", 4)))
+	return base64.StdEncoding.EncodeToString(private.Public().(ed25519.PublicKey))
+}
+
+func (l *layout) settings(d *deployment.Deployment, node bundle.Node, service string, all []bundle.Node) *config.Settings {
+	settings := &config.Settings{
+		Node: node.Name, Mesh: d.Mesh, Zone: node.Zone,
+		Listen:   config.Listen{Peers: l.peers(node.Name), Admin: l.address(node.Name, 1)},
+		Platform: config.Platform{Address: "127.0.0.1:8500", Timeout: bundle.Duration(time.Second)},
+		TLS:      config.TLS{Certificate: "keys/" + node.Name + ".crt", Key: "keys/" + node.Name + ".key", Authorities: "keys/authority.crt"},
+		Signers:  []config.Signer{{Name: "operator-1", PublicKey: examplePublicKey()}},
+		Log:      config.Log{Level: "info", Format: "json"},
+	}
+	if service == "" {
+		settings.Listen.Callers = l.address(node.Name, 2)
+	} else {
+		settings.Target = &config.Target{Address: l.address(node.Name, 3), Connections: d.Service(service).Connections}
+		settings.Listen.Egress = l.address(node.Name, 4)
+	}
+	seen := map[string]bool{}
+	for _, other := range all {
+		if other.Name != node.Name && !seen[other.Zone] {
+			seen[other.Zone] = true
+			settings.Peers = append(settings.Peers, other.Address)
+		}
+	}
+	return settings
+}
