Judge a slower target against the last decrease, not the first

Change: a trial that brought relief ends, and the next one begins from there.

The new test of the limiter fails without the change (limit 2) and passes with it.

--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -45,7 +45,7 @@
 
 // DefaultConfig gives the values that docs/OVERLOAD.md was measured with.
 func DefaultConfig(levels int) Config {
-	return Config{Levels: levels, Window: 100 * time.Millisecond, WaitTarget: 50 * time.Millisecond, DrainTime: 400 * time.Millisecond}
+	return Config{Levels: levels, Window: 100 * time.Millisecond, WaitTarget: 80 * time.Millisecond, DrainTime: 400 * time.Millisecond}
 }
 
 // Controller learns the cursor of one target. Each window it compares what
--- a/internal/core/limiter/learner.go
+++ b/internal/core/limiter/learner.go
@@ -27,7 +27,9 @@
 	full       bool
 }
 
-// trial remembers where a run of decreases began.
+// trial remembers where decreases began. Once they have brought relief the next
+// trial begins from there: part of the slowness may be queueing and the rest the
+// target's own.
 type trial struct {
 	inflation  float64
 	concurrent float64
@@ -130,7 +132,11 @@
 	if contrast > trialContrast && l.limit > l.config.MinLimit {
 		return false
 	}
-	return 1-inflation/begun.inflation < trialRelief*(1-contrast)
+	if 1-inflation/begun.inflation < trialRelief*(1-contrast) {
+		return true
+	}
+	l.learner.trial = nil // there was relief
+	return false
 }
 
 // accept takes the measured service times as the new baseline.
--- a/internal/core/limiter/limiter_test.go
+++ b/internal/core/limiter/limiter_test.go
@@ -152,6 +152,19 @@
 	g.Expect(limiter.Limit()).To(BeNumerically("<=", 25))
 }
 
+// TestSlownessOnTopOfAQueueIsToldApart holds a finding of the emulator: a target
+// that became slower while calls queued in it as well was judged against the
+// begin of the queue for ever, and its limit fell to the minimum.
+func TestSlownessOnTopOfAQueueIsToldApart(t *testing.T) {
+	g := NewWithT(t)
+	limiter := New(DefaultConfig(1))
+	target{slots: 13, service: 4 * time.Millisecond}.drive(limiter, 0, 20*time.Second)
+	limiter.limit = 32 // as after a time of low load, at which the limit is never tried
+	limiter.learner.trial = &trial{inflation: 9.8, concurrent: 32, limit: 32}
+	target{slots: 13, service: 16 * time.Millisecond}.drive(limiter, 20*time.Second, 1500*time.Millisecond)
+	g.Expect(limiter.Limit()).To(BeNumerically(">=", 12))
+}
+
 // TestNoLessImportantWorkIsAheadOfARefusedCall draws arrivals and ends and checks
 // at each refusal for a full queue that nothing less important waits, and at each
 // admission that nothing more important does.
