Read the platform's plain-text refusals by status; index bundles by service

Cause: new tests of the platform port. A rate limit answered with 429 and plain text, as the published protocol does, was taken for an outage (reads) or for a lost answer (writes), because the generated client could not read its body; a 404 without a body likewise. Ruled out: the stand-in (its own middleware answers as the real service does).

Change: statuses alone decide. Bundle index by service and class name, so that a call does not go through 1,200 classes at the large size.

Measured: TestFaultsHaveTheirKinds failed (kind unavailable instead of limited) before and passes after.

--- a/internal/dataplane/ingress.go
+++ b/internal/dataplane/ingress.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/admission"
-	"github.com/landingmast/landingmast/internal/core/bundle"
 	"github.com/landingmast/landingmast/internal/core/claim"
 	"github.com/landingmast/landingmast/internal/core/limiter"
 	"github.com/landingmast/landingmast/internal/core/outcome"
@@ -73,19 +72,18 @@
 
 // check refuses what can never be served here and answers keys that have run.
 func (c *ingressCall) check() *refusal {
-	installed := c.plane.bundle.Load()
+	intent := c.plane.intent.Load()
 	switch {
 	case c.wire.Protocol > wire.ProtocolVersion:
 		return refused(outcome.ReasonVersionMismatch)
-	case installed == nil || c.plane.gate.Load() == nil:
+	case intent == nil || c.plane.gate.Load() == nil:
 		return refused(outcome.ReasonNoBundle)
 	case c.wire.Service != *c.plane.service.Load():
 		return refused(outcome.ReasonUnknownService)
 	}
-	if c.context.level >= 0 && c.context.level < len(installed.Levels) {
-		c.context.levelName = installed.Levels[c.context.level]
-	}
-	c.context.level = min(max(c.context.level, 0), len(installed.Levels)-1)
+	levels := intent.Bundle.Levels
+	c.context.level = min(max(c.context.level, 0), len(levels)-1)
+	c.context.levelName = levels[c.context.level]
 	c.repeatable = !c.wire.AtMostOnce
 	return nil
 }
@@ -246,7 +244,7 @@
 // isShed tells the target's declared "not started" from an answer. A target
 // that made a call of its own has started, whatever it says.
 func (c *ingressCall) isShed(response *http.Response) bool {
-	service := c.plane.bundle.Load().Service(c.wire.Service)
+	service := c.plane.intent.Load().Service(c.wire.Service)
 	if service == nil || service.Shed == nil || c.context.hasGoneDeeper() {
 		return false
 	}
@@ -347,17 +345,8 @@
 	if c.wire.Service == *c.plane.service.Load() {
 		service = c.wire.Service
 	}
-	if installed := c.plane.bundle.Load(); installed != nil && hasClass(installed, c.context.class) {
+	if intent := c.plane.intent.Load(); intent != nil && intent.HasClass(c.context.class) {
 		class = c.context.class
 	}
 	c.plane.metrics.Calls.WithLabelValues(string(SideIngress), service, class, string(how), string(reason)).Inc()
 }
-
-func hasClass(installed *bundle.Bundle, name string) bool {
-	for index := range installed.Classes {
-		if installed.Classes[index].Name == name {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/dataplane/outbound.go
+++ b/internal/dataplane/outbound.go
@@ -75,8 +75,8 @@
 // prepare finds the class of the call and what it inherits; it gives a refusal
 // when the call cannot be sent at all.
 func (c *outboundCall) prepare() *refusal {
-	installed := c.plane.bundle.Load()
-	if installed == nil {
+	intent := c.plane.intent.Load()
+	if intent == nil {
 		return refused(outcome.ReasonNoBundle)
 	}
 	c.service = c.request.Host
@@ -87,7 +87,7 @@
 	if c.route == nil {
 		return refused(outcome.ReasonUnknownService)
 	}
-	c.class = installed.Match(c.service, c.request.Method, c.request.URL.Path)
+	c.class = intent.Match(c.service, c.request.Method, c.request.URL.Path)
 	if c.class == nil {
 		return refused(outcome.ReasonNoClass)
 	}
@@ -98,8 +98,8 @@
 			return refused(outcome.ReasonNoKey)
 		}
 	}
-	c.inherit(installed)
-	if c.context.depth > installed.MaxDepth {
+	c.inherit(intent.Bundle)
+	if c.context.depth > intent.Bundle.MaxDepth {
 		return refused(outcome.ReasonTooDeep)
 	}
 	return nil
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -79,7 +79,7 @@
 	peers    *http.Transport
 	local    *http.Transport
 	claims   Claims
-	bundle   atomic.Pointer[bundle.Bundle]
+	intent   atomic.Pointer[bundle.Index]
 	service  atomic.Pointer[string]
 	calls    *callTable
 	router   *router
@@ -132,8 +132,9 @@
 	if current := p.gate.Load(); p.target != "" && (current == nil || current.levels != len(installed.Levels)) {
 		p.setGate(current, newGate(len(installed.Levels), p.now, p.metrics))
 	}
-	p.router.update(installed, leaving)
-	p.bundle.Store(installed)
+	intent := bundle.NewIndex(installed)
+	p.router.update(intent, leaving)
+	p.intent.Store(intent)
 }
 
 func (p *Plane) setGate(old, gate *gate) {
--- a/internal/dataplane/router.go
+++ b/internal/dataplane/router.go
@@ -21,7 +21,7 @@
 	zone     string
 	now      func() time.Duration
 	mutex    sync.RWMutex
-	bundle   *bundle.Bundle
+	intent   *bundle.Index
 	leaving  map[string]bool
 	services map[string]*serviceRoute
 }
@@ -42,12 +42,12 @@
 
 // update tells the routes of a bundle and of the nodes that the machine list
 // calls leaving.
-func (r *router) update(installed *bundle.Bundle, leaving map[string]bool) {
+func (r *router) update(intent *bundle.Index, leaving map[string]bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.bundle, r.leaving = installed, leaving
+	r.intent, r.leaving = intent, leaving
 	for name, route := range r.services {
-		service := installed.Service(name)
+		service := intent.Service(name)
 		if service == nil {
 			delete(r.services, name)
 			continue
@@ -66,10 +66,10 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if route := r.services[name]; route != nil || r.bundle == nil {
+	if route := r.services[name]; route != nil || r.intent == nil {
 		return route
 	}
-	service := r.bundle.Service(name)
+	service := r.intent.Service(name)
 	if service == nil {
 		return nil
 	}
--- a/internal/platform/consul.go
+++ b/internal/platform/consul.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -30,7 +31,7 @@
 
 // NewConsul makes the adapter to the service at IP:port.
 func NewConsul(address string, timeout time.Duration) *Consul {
-	transport := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
+	transport := plainErrors{&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}}
 	raw := httpclient.NewClient("http", address, transport, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 	return &Consul{
 		client:  api.NewClient(raw.Get(), raw.Put(), raw.CreateSession(), raw.RenewSession(), raw.DestroySession(), raw.CatalogNodes()),
@@ -38,6 +39,40 @@
 	}
 }
 
+// plainErrors gives errors the body that the generated client reads. The service
+// itself answers them with plain text or nothing; only the status counts.
+type plainErrors struct{ client *http.Client }
+
+var errorNames = map[int]string{
+	http.StatusTooManyRequests: "limited", http.StatusNotFound: "missing", http.StatusBadRequest: "malformed",
+	http.StatusInternalServerError: "unavailable", http.StatusServiceUnavailable: "unavailable",
+}
+
+// Do implements goahttp.Doer.
+func (p plainErrors) Do(request *http.Request) (*http.Response, error) {
+	response, err := p.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	name, isError := errorNames[response.StatusCode]
+	if !isError {
+		return response, nil
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBody))
+	_ = response.Body.Close()
+	body, err := json.Marshal(map[string]any{
+		"name": name, "id": "-", "message": response.Status, "temporary": false, "timeout": false, "fault": false,
+	})
+	if err != nil {
+		return nil, err
+	}
+	response.Header.Set("Content-Type", "application/json")
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	return response, nil
+}
+
+const maxErrorBody = 4 << 10
+
 // Get implements Store.
 func (c *Consul) Get(ctx context.Context, key string) (Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
