Let calls of long services wait in proportion to the service time

Counting the failures by class and reason showed downloads refused by rank and queue_timeout: the wait that the queue is steered to (80 ms) and the longest wait (300 ms) were fixed, with services of 240 ms.

Change: both waits grow with the target's own mean service time (one and three times) where that is longer. Real runs print their failures by class and reason.

--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -37,7 +37,7 @@
 	// Window is the time between two adjustments.
 	Window time.Duration
 	// WaitTarget is the wait that a full queue is steered to: the queue may hold
-	// what is served in that time.
+	// what is served in that time, or in one service time where that is longer.
 	WaitTarget time.Duration
 	// DrainTime is the time in which a longer queue is brought down.
 	DrainTime time.Duration
@@ -60,6 +60,7 @@
 	served    int
 	queued    int
 	overfull  int
+	typical   time.Duration
 	windowEnd time.Duration
 	step      int
 }
@@ -95,6 +96,9 @@
 	c.queued = length
 }
 
+// Typical tells the mean service time of the target.
+func (c *Controller) Typical(span time.Duration) { c.typical = span }
+
 // Overfull records a refusal by the queue itself.
 func (c *Controller) Overfull(now time.Duration) {
 	c.advance(now)
@@ -122,7 +126,8 @@
 }
 
 func (c *Controller) adjust() {
-	wanted := float64(c.served) * float64(c.config.WaitTarget) / float64(c.config.Window)
+	target := max(c.config.WaitTarget, c.typical)
+	wanted := float64(c.served) * float64(target) / float64(c.config.Window)
 	excess := float64(c.queued) - wanted
 	switch {
 	case excess > 0 && c.queued > 1:
--- a/internal/core/limiter/learner.go
+++ b/internal/core/limiter/learner.go
@@ -13,7 +13,8 @@
 type learner struct {
 	baselines map[string]*baseline
 	window    window
-	growing   bool // cold start: the limit doubles until it is enough or too much
+	typical   time.Duration // mean own time of a call in the last window
+	growing   bool          // cold start: the limit doubles until it is enough or too much
 	trial     *trial
 }
 
@@ -92,6 +93,7 @@
 func (l *Limiter) step() {
 	sum := l.learner.window
 	l.learner.window = window{}
+	l.learner.typical = sum.measured / time.Duration(sum.samples)
 	inflation := float64(sum.measured) / float64(max(sum.expected, 1))
 	concurrent := float64(sum.concurrent) / float64(sum.samples)
 	switch {
--- a/internal/core/limiter/limiter.go
+++ b/internal/core/limiter/limiter.go
@@ -50,7 +50,7 @@
 	MinLimit      int           // never below
 	MaxLimit      int           // never above: the target's connections
 	QueueFactor   float64       // queue length as a multiple of the limit
-	MaxWait       time.Duration // longest wait in the queue
+	MaxWait       time.Duration // longest wait in the queue of a target with short service times
 	Headroom      float64       // share of the limit kept from the least important level
 	PreemptAfter  time.Duration // wait after which running less important work is cancelled; 0: never
 	LearnSamples  int           // ends in one learning window
@@ -184,6 +184,18 @@
 	return append(actions, l.preempt(now)...)
 }
 
+// Typical gives the mean time that the target itself took for a call lately; 0
+// until it is known.
+func (l *Limiter) Typical() time.Duration { return l.learner.typical }
+
+// waitFactor is how many service times a call may wait where that is longer than
+// the configured wait: downloads of seconds need a queue of seconds.
+const waitFactor = 3
+
+func (l *Limiter) maxWait() time.Duration {
+	return max(l.config.MaxWait, waitFactor*l.learner.typical)
+}
+
 func (l *Limiter) queueLength() int {
 	return max(int(float64(l.limit)*l.config.QueueFactor), 2)
 }
@@ -233,7 +245,7 @@
 		switch {
 		case now >= item.call.Deadline:
 			actions = append(actions, l.refusal(now, item, outcome.ReasonExpired))
-		case now-item.arrived > l.config.MaxWait:
+		case now-item.arrived > l.maxWait():
 			actions = append(actions, l.refusal(now, item, outcome.ReasonQueueTimeout))
 		default:
 			kept = append(kept, item)
--- a/internal/core/limiter/limiter_test.go
+++ b/internal/core/limiter/limiter_test.go
@@ -165,6 +165,17 @@
 	g.Expect(limiter.Limit()).To(BeNumerically(">=", 12))
 }
 
+// TestLongServicesMayQueueLonger holds a finding of the runs with real processes:
+// a wait that is fixed in milliseconds refused most downloads of a quarter second.
+func TestLongServicesMayQueueLonger(t *testing.T) {
+	g := NewWithT(t)
+	limiter := New(DefaultConfig(1))
+	g.Expect(limiter.maxWait()).To(Equal(DefaultConfig(1).MaxWait))
+	target{slots: 8, service: 240 * time.Millisecond}.drive(limiter, 0, 20*time.Second)
+	g.Expect(limiter.Typical()).To(BeNumerically(">=", 200*time.Millisecond))
+	g.Expect(limiter.maxWait()).To(BeNumerically(">=", 600*time.Millisecond))
+}
+
 // TestNoLessImportantWorkIsAheadOfARefusedCall draws arrivals and ends and checks
 // at each refusal for a full queue that nothing less important waits, and at each
 // admission that nothing more important does.
--- a/internal/lab/experiment/measure.go
+++ b/internal/lab/experiment/measure.go
@@ -22,6 +22,7 @@
 	Wrong     int     // refusals while less important work waited in the same queue
 	Windows   []emulator.Window
 	Classes   []emulator.ClassResult
+	Failures  map[string]int // of real runs: sendings without a whole answer, by class and reason
 }
 
 // Row sums up the runs of one variant over all seeds.
--- a/internal/lab/experiment/real.go
+++ b/internal/lab/experiment/real.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sort"
 	"sync"
 	"syscall"
@@ -31,22 +32,22 @@
 
 // Real runs an experiment with real processes and gives its windows as the
 // emulator does. Rates are those of the emulator divided by RealScale.
-func Real(ctx context.Context, e *Experiment, options cluster.Options, seed uint64) (*emulator.Result, error) {
+func Real(ctx context.Context, e *Experiment, options cluster.Options, seed uint64) (*emulator.Result, map[string]int, error) {
 	d, err := deployment.Named(e.Deployment)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	d.Mix = mixOf(d, e.Mix)
 	options.Deployment, options.Relays = d, true
 	running, err := cluster.Start(ctx, options)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer running.Stop()
 	run := &realRun{experiment: e, deployment: d, cluster: running}
 	for _, service := range d.Services {
 		if err := run.setSlowdown(service.Name, "", 1); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
 	time.Sleep(2 * time.Second) // voter sets
@@ -56,7 +57,25 @@
 	}
 	run.traffic(ctx, seed)
 	run.group.Wait()
-	return run.result(), nil
+	return run.result(), run.failures(), nil
+}
+
+// failures counts the sendings without a whole answer by class and reason.
+func (r *realRun) failures() map[string]int {
+	counts := map[string]int{}
+	for _, answer := range r.answers {
+		if !answer.Whole {
+			reason := answer.Reason
+			if answer.Outcome == load.Answered {
+				reason = fmt.Sprint(answer.Status)
+			}
+			if answer.Outcome == load.Broken {
+				reason = "connection"
+			}
+			counts[answer.Class+" "+answer.Outcome+" "+reason]++
+		}
+	}
+	return counts
 }
 
 func (r *realRun) at(span time.Duration) { time.Sleep(time.Until(r.began.Add(span))) }
@@ -236,11 +255,12 @@
 // MeasureReal runs an experiment with real processes and measures it against
 // what is possible at the lower rate.
 func MeasureReal(ctx context.Context, e *Experiment, options cluster.Options, seed uint64) (Measure, error) {
-	result, err := Real(ctx, e, options, seed)
+	result, failures, err := Real(ctx, e, options, seed)
 	if err != nil {
 		return Measure{}, err
 	}
 	measured, err := measure(e, seed, result)
+	measured.Failures = failures
 	measured.Goodput *= RealScale
 	measured.After *= RealScale
 	return measured, err
--- a/internal/lab/experiment/report.go
+++ b/internal/lab/experiment/report.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"image/color"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"text/tabwriter"
@@ -89,6 +91,11 @@
 			seconds(recoveryWorst), percent(after), percent(critical), percent(criticalWorst), percent(wasted), percent(wastedWorst), retries, shedText(row))
 	}
 	_ = table.Flush()
+	for _, row := range r.Rows {
+		for _, reason := range slices.Sorted(maps.Keys(row.Runs[0].Failures)) {
+			fmt.Fprintf(output, "  %6d %s\n", row.Runs[0].Failures[reason], reason)
+		}
+	}
 }
 
 func percent(share float64) string { return fmt.Sprintf("%.1f%%", share*100) }
