Mend a race of the platform's stand-in; never take a cached test run for a run

Ruled out: the adapter. And the fault tests start programs that go test does not know as inputs, so that a cached 'ok' could stand for older programs.

Change: the index is read under the lock; make test runs with -count=1.

--- a/internal/lab/standin/platform.go
+++ b/internal/lab/standin/platform.go
@@ -192,8 +192,8 @@
 		entry := p.keys[payload.Key]
 		changed := p.changed
 		result := p.result(payload.Key, entry)
-		p.mutex.Unlock()
 		waits := payload.Index != nil && wait > 0 && (entry == nil || entry.modify <= *payload.Index)
+		p.mutex.Unlock()
 		if !waits {
 			if entry == nil {
 				return nil, api.MakeMissing(goa.PermanentError("missing", "no such key"))
