Say once what a reason means; drop what nothing uses

Cause: reading as a newcomer: the data plane, the emulator and the retry rules each had their own list of overload reasons and of target faults; headroom stood in the limiter though it was off; two fields of the protocol and one reason were never read; draining was begun in two places.

Change: IsOverload, IsTargetFault and IsOfOneTarget stand at outcome.Reason and are used by all three; headroom, its per-level counts and the unread fields are gone; one beginDrain; the callers' listener has a name.

--- a/cmd/landingmast-lab/scale.go
+++ b/cmd/landingmast-lab/scale.go
@@ -20,7 +20,7 @@
 	pause := command.Flag("pause", "Time between two changes; 4.5s is 19,000 a day.").Default("4.5s").Duration()
 	port := command.Flag("first-port", "First of 150 loopback ports, and three more for each hollow node.").Default("29000").Int()
 	return command.FullCommand(), func(ctx context.Context) error {
-		directory, err := scale.Directory()
+		directory, err := os.MkdirTemp("", "landingmast-scale-")
 		if err != nil {
 			return err
 		}
--- a/gen/admin/service.go
+++ b/gen/admin/service.go
@@ -66,8 +66,7 @@
 	Depth int
 	// time of the decision, RFC 3339 with microseconds
 	At string
-	// admit, queue, refuse, route, retry, no_retry, claim, answer, preempt or
-	// cancel
+	// admit, refuse, route, retry, no_retry, claim or answer
 	Action string
 	// why, as a fixed word
 	Reason string
--- a/internal/claims/manager.go
+++ b/internal/claims/manager.go
@@ -173,7 +173,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if executor == m.options.Self && ctx.Err() == nil && m.table.Grant(key) {
-		return dataplane.Claimed{Run: true, Reason: "granted", Executor: executor.Node, Numbers: numbers}
+		return dataplane.Claimed{Run: true, Reason: outcome.ReasonGranted, Executor: executor.Node, Numbers: numbers}
 	}
 	m.table.GiveUp(key)
 	result := claimed(outcome.NotRun, outcome.ReasonNoQuorum)
@@ -189,7 +189,7 @@
 	case executor.Node == m.options.Self.Node: // an earlier run of this node, whose memory is gone
 		result.Outcome, result.Reason = outcome.Unknown, outcome.ReasonExecutorLost
 	default:
-		result.Outcome, result.Reason, result.Executor = outcome.Unknown, "claimed_elsewhere", executor.Node
+		result.Outcome, result.Reason, result.Executor = outcome.Unknown, outcome.ReasonElsewhere, executor.Node
 	}
 	return result
 }
--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -22,7 +22,7 @@
 
 // DefaultConfig gives the values that docs/OVERLOAD.md was measured with.
 func DefaultConfig(levels int) Config {
-	return Config{Limiter: limiter.DefaultConfig(levels), Admission: admission.DefaultConfig(levels)}
+	return Config{Limiter: limiter.DefaultConfig(), Admission: admission.DefaultConfig(levels)}
 }
 
 // Gate is the state of one target. It is not safe for concurrent use.
--- a/internal/core/limiter/limiter.go
+++ b/internal/core/limiter/limiter.go
@@ -45,23 +45,21 @@
 
 // Config bounds the limiter.
 type Config struct {
-	Levels        int           // number of importance levels
 	InitialLimit  int           // where a cold target starts
 	MinLimit      int           // never below
 	MaxLimit      int           // never above: the target's connections
 	QueueFactor   float64       // queue length as a multiple of the limit
 	MaxWait       time.Duration // longest wait in the queue of a target with short service times
-	Headroom      float64       // share of the limit kept from the least important level
 	PreemptAfter  time.Duration // wait after which running less important work is cancelled; 0: never
 	LearnSamples  int           // ends in one learning window
 	InflationHigh float64       // mean service time over baseline that lowers the limit
 }
 
 // DefaultConfig gives the values that docs/OVERLOAD.md was measured with.
-func DefaultConfig(levels int) Config {
+func DefaultConfig() Config {
 	return Config{
-		Levels: levels, InitialLimit: 4, MinLimit: 2, MaxLimit: 100,
-		QueueFactor: 6, MaxWait: 300 * time.Millisecond, Headroom: 0,
+		InitialLimit: 4, MinLimit: 2, MaxLimit: 100,
+		QueueFactor: 6, MaxWait: 300 * time.Millisecond,
 		PreemptAfter: 50 * time.Millisecond, LearnSamples: 40, InflationHigh: 1.6,
 	}
 }
@@ -85,7 +83,6 @@
 	limit    int
 	queue    []waiting // sorted by level, then arrival
 	active   map[uint64]*running
-	byLevel  []int // active calls by level
 	sequence uint64
 	learner  learner
 	draining bool
@@ -95,7 +92,7 @@
 func New(config Config) *Limiter {
 	return &Limiter{
 		config: config, limit: config.InitialLimit, active: map[uint64]*running{},
-		byLevel: make([]int, config.Levels), learner: newLearner(),
+		learner: newLearner(),
 	}
 }
 
@@ -155,7 +152,6 @@
 		return nil
 	}
 	delete(l.active, id)
-	l.byLevel[call.call.Level]--
 	if shed {
 		l.learner.window.shed++
 	}
@@ -210,29 +206,17 @@
 	l.queue[place] = item
 }
 
-// capacity is the number of slots that calls of a level may fill all together
-// with the more important ones: the limit less the headroom kept from them.
-func (l *Limiter) capacity(level int) int {
-	if l.config.Levels < 2 {
-		return l.limit
-	}
-	kept := float64(l.limit) * l.config.Headroom * float64(level) / float64(l.config.Levels-1)
-	return max(l.limit-int(kept), 1)
-}
-
-// fill admits from the front of the queue. The capacity falls with the level,
-// so that when the first does not fit none behind it does.
+// fill admits from the front of the queue while slots are free.
 func (l *Limiter) fill(now time.Duration) []Action {
 	var actions []Action
 	for len(l.queue) > 0 {
 		item := l.queue[0]
-		if len(l.active) >= l.capacity(item.call.Level) {
+		if len(l.active) >= l.limit {
 			l.learner.window.full = true
 			break
 		}
 		l.queue = l.queue[1:]
 		l.active[item.call.ID] = &running{call: item.call, started: now, concurrent: len(l.active) + 1}
-		l.byLevel[item.call.Level]++
 		actions = append(actions, l.action(Admit, item.call.ID, outcome.ReasonNone, now-item.arrived))
 	}
 	return actions
--- a/internal/core/limiter/limiter_test.go
+++ b/internal/core/limiter/limiter_test.go
@@ -14,7 +14,7 @@
 }
 
 func small() Config {
-	config := DefaultConfig(4)
+	config := DefaultConfig()
 	config.InitialLimit, config.MinLimit, config.QueueFactor = 2, 2, 1
 	return config
 }
@@ -136,7 +136,7 @@
 func TestLimitIsLearnedFromQueueing(t *testing.T) {
 	for _, slots := range []int{6, 10, 23} {
 		g := NewWithT(t)
-		limiter := New(DefaultConfig(1))
+		limiter := New(DefaultConfig())
 		target{slots: slots, service: 10 * time.Millisecond}.drive(limiter, 0, 30*time.Second)
 		g.Expect(limiter.Limit()).To(BeNumerically(">=", slots))
 		g.Expect(limiter.Limit()).To(BeNumerically("<=", 2*slots))
@@ -145,7 +145,7 @@
 
 func TestASlowerTargetIsNotTakenForAQueue(t *testing.T) {
 	g := NewWithT(t)
-	limiter := New(DefaultConfig(1))
+	limiter := New(DefaultConfig())
 	target{slots: 10, service: 10 * time.Millisecond}.drive(limiter, 0, 20*time.Second)
 	target{slots: 10, service: 40 * time.Millisecond}.drive(limiter, 20*time.Second, 20*time.Second)
 	g.Expect(limiter.Limit()).To(BeNumerically(">=", 10))
@@ -157,7 +157,7 @@
 // begin of the queue for ever, and its limit fell to the minimum.
 func TestSlownessOnTopOfAQueueIsToldApart(t *testing.T) {
 	g := NewWithT(t)
-	limiter := New(DefaultConfig(1))
+	limiter := New(DefaultConfig())
 	target{slots: 13, service: 4 * time.Millisecond}.drive(limiter, 0, 20*time.Second)
 	limiter.limit = 32 // as after a time of low load, at which the limit is never tried
 	limiter.learner.trial = &trial{inflation: 9.8, concurrent: 32, limit: 32}
@@ -169,8 +169,8 @@
 // a wait that is fixed in milliseconds refused most downloads of a quarter second.
 func TestLongServicesMayQueueLonger(t *testing.T) {
 	g := NewWithT(t)
-	limiter := New(DefaultConfig(1))
-	g.Expect(limiter.maxWait()).To(Equal(DefaultConfig(1).MaxWait))
+	limiter := New(DefaultConfig())
+	g.Expect(limiter.maxWait()).To(Equal(DefaultConfig().MaxWait))
 	target{slots: 8, service: 240 * time.Millisecond}.drive(limiter, 0, 20*time.Second)
 	g.Expect(limiter.Typical()).To(BeNumerically(">=", 200*time.Millisecond))
 	g.Expect(limiter.maxWait()).To(BeNumerically(">=", 600*time.Millisecond))
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -6,7 +6,11 @@
 // anywhere in the chain is at most the number that the entry gave.
 package retry
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/landingmast/landingmast/internal/core/outcome"
+)
 
 // Ledger holds the credits of one call at one hop. It is safe for concurrent
 // use, because one call may make several deeper calls at a time.
@@ -94,27 +98,26 @@
 
 // Failure is what a hop knows about a failed attempt.
 type Failure struct {
-	NotRun      bool // provably not handed over to any target
-	Repeatable  bool // class may be repeated
-	Overload    bool // refused for overload rather than for a fault of one target
-	BytesPassed bool // part of the answer has reached the caller
-	TimeLeft    bool // deadline has not passed
-	OtherTarget bool // another target may be tried
+	Outcome    outcome.Outcome
+	Reason     outcome.Reason
+	Repeatable bool // class may be repeated
+	TimeLeft   bool // deadline has not passed
 }
 
-// Decide says whether the failure may be tried again, before credits are
-// looked at. Only the hop directly above a failure comes here: a target that
-// answers, be it with an error because something deeper failed, has answered.
+// Decide says whether the failure may be tried again at another target, before
+// credits are looked at. Only the hop directly above a failure comes here: a
+// target that answers, be it with an error because something deeper failed, has
+// answered. Overload is never tried again, it would only add to it.
 func Decide(f Failure) Verdict {
 	switch {
-	case f.BytesPassed:
-		return Verdict{Reason: "bytes_passed"}
 	case !f.TimeLeft:
 		return Verdict{Reason: "deadline"}
-	case !f.NotRun && !f.Repeatable:
+	case f.Outcome != outcome.NotRun && !f.Repeatable:
 		return Verdict{Reason: "may_have_run"}
-	case f.Overload && !f.OtherTarget:
-		return Verdict{Reason: "overload_everywhere"}
+	case f.Reason.IsOverload():
+		return Verdict{Reason: "overload"}
+	case !f.Reason.IsOfOneTarget():
+		return Verdict{Reason: "not_of_one_target"}
 	default:
 		return Verdict{Retry: true, Reason: "hop_above_failure"}
 	}
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/landingmast/landingmast/internal/core/outcome"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 )
@@ -61,9 +62,16 @@
 
 func TestOnlySafeFailuresAreTriedAgain(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(Decide(Failure{NotRun: true, TimeLeft: true, OtherTarget: true}).Retry).To(BeTrue())
-	g.Expect(Decide(Failure{Repeatable: true, TimeLeft: true, OtherTarget: true}).Retry).To(BeTrue())
-	g.Expect(Decide(Failure{TimeLeft: true}).Reason).To(Equal("may_have_run"))
-	g.Expect(Decide(Failure{NotRun: true, BytesPassed: true, TimeLeft: true}).Retry).To(BeFalse())
-	g.Expect(Decide(Failure{NotRun: true}).Reason).To(Equal("deadline"))
+	lost := Failure{Outcome: outcome.Unknown, Reason: outcome.ReasonReset, TimeLeft: true}
+	g.Expect(Decide(lost).Reason).To(Equal("may_have_run"))
+	lost.Repeatable = true
+	g.Expect(Decide(lost).Retry).To(BeTrue())
+	refused := Failure{Outcome: outcome.NotRun, Reason: outcome.ReasonUnreachable, TimeLeft: true}
+	g.Expect(Decide(refused).Retry).To(BeTrue())
+	refused.TimeLeft = false
+	g.Expect(Decide(refused).Reason).To(Equal("deadline"))
+	for _, reason := range []outcome.Reason{outcome.ReasonOverloadCursor, outcome.ReasonQueueFull, outcome.ReasonPreempted} {
+		g.Expect(Decide(Failure{Outcome: outcome.NotRun, Reason: reason, Repeatable: true, TimeLeft: true}).Reason).To(Equal("overload"))
+	}
+	g.Expect(Decide(Failure{Outcome: outcome.NotRun, Reason: outcome.ReasonNoQuorum, TimeLeft: true}).Retry).To(BeFalse())
 }
--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -131,7 +131,7 @@
 		result.Latency = now - a.started
 	case a.reason == outcome.ReasonDraining:
 		result.Draining = true
-	case isTargetFault(a.reason):
+	case a.reason.IsTargetFault():
 		result.Failed = true
 	default:
 		result.Neutral = true
@@ -141,13 +141,3 @@
 		a.plane.metrics.Ejections.WithLabelValues(a.outbound.service).Inc()
 	}
 }
-
-// isTargetFault tells the reasons that speak against a target from those that
-// are its choice or the caller's.
-func isTargetFault(reason outcome.Reason) bool {
-	switch reason {
-	case outcome.ReasonUnreachable, outcome.ReasonReset, outcome.ReasonTimeout, outcome.ReasonTruncated, outcome.ReasonVersionMismatch:
-		return true
-	}
-	return false
-}
--- a/internal/dataplane/ingress.go
+++ b/internal/dataplane/ingress.go
@@ -300,11 +300,9 @@
 
 // head writes the head of the answer to the node above.
 func (c *ingressCall) head(how outcome.Outcome, reason outcome.Reason, status int, length int64, retryAfter time.Duration, executor string) {
-	gate := c.plane.gate.Load()
-	draining := gate != nil && gate.draining()
 	value, err := wire.ResultCodec.EncodeHeader(&wire.Result{
 		Outcome: string(how), Reason: string(reason), Status: status, ContentLength: length, Cursor: c.cursor,
-		PathCursor: c.context.lowestCursor(), Draining: draining, Executor: executor, RetryAfter: int64(retryAfter / time.Millisecond),
+		PathCursor: c.context.lowestCursor(), Executor: executor, RetryAfter: int64(retryAfter / time.Millisecond),
 	})
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/dataplane/outbound.go
+++ b/internal/dataplane/outbound.go
@@ -213,10 +213,8 @@
 	}
 	request.Exclude[try.choice.Target.Node] = true
 	verdict := retry.Decide(retry.Failure{
-		NotRun: try.outcome == outcome.NotRun, Repeatable: c.class.Execution == bundle.Repeatable,
-		Overload: isOverload(try.reason), TimeLeft: ctx.Err() == nil, OtherTarget: true,
+		Outcome: try.outcome, Reason: try.reason, Repeatable: c.class.Execution == bundle.Repeatable, TimeLeft: ctx.Err() == nil,
 	})
-	verdict.Retry = verdict.Retry && !isOverload(try.reason) && isWorthRetry(try.reason)
 	if verdict.Retry && !c.body.replayable() {
 		verdict = retry.Verdict{Reason: "body_not_kept"}
 	}
@@ -240,24 +238,6 @@
 	return verdict.Retry
 }
 
-func isOverload(reason outcome.Reason) bool {
-	switch reason {
-	case outcome.ReasonOverloadCursor, outcome.ReasonQueueFull, outcome.ReasonQueueTimeout:
-		return true
-	}
-	return false
-}
-
-// isWorthRetry tells the failures of one target from those that another target
-// would repeat.
-func isWorthRetry(reason outcome.Reason) bool {
-	switch reason {
-	case outcome.ReasonUnreachable, outcome.ReasonReset, outcome.ReasonDraining, outcome.ReasonTargetShed, outcome.ReasonTruncated, outcome.ReasonNoBundle:
-		return true
-	}
-	return false
-}
-
 // refuse writes the final answer of a call that no target answers. Whatever the
 // last attempt came to, "not run" is never said after one that may have run.
 func (c *outboundCall) refuse(final refusal) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -20,7 +20,6 @@
 	NoRetry Action = "no_retry"
 	Claim   Action = "claim"
 	Answer  Action = "answer"
-	Preempt Action = "preempt"
 )
 
 // Number is one value that a decision was made on.
--- a/internal/lab/emulator/outbound.go
+++ b/internal/lab/emulator/outbound.go
@@ -220,10 +220,8 @@
 	if w.mechanisms.isBaseline() || !w.mechanisms.Credits {
 		return (repeatable || result.outcome == outcome.NotRun) && o.retries < baselineRetries
 	}
-	overload := result.reason == outcome.ReasonOverloadCursor || result.reason == outcome.ReasonQueueFull ||
-		result.reason == outcome.ReasonQueueTimeout || result.reason == outcome.ReasonPreempted
-	verdict := retry.Decide(retry.Failure{NotRun: result.outcome == outcome.NotRun, Repeatable: repeatable, TimeLeft: w.clock.now < o.deadline, OtherTarget: true})
-	return verdict.Retry && !overload && o.ledger.Spend()
+	verdict := retry.Decide(retry.Failure{Outcome: result.outcome, Reason: result.reason, Repeatable: repeatable, TimeLeft: w.clock.now < o.deadline})
+	return verdict.Retry && o.ledger.Spend()
 }
 
 func (o *outboundCall) tellRouting(target *node, started time.Duration, result hopResult) {
@@ -240,7 +238,7 @@
 	case result.outcome == outcome.Answered:
 		told.Latency = w.clock.now - started
 		pathCursor = result.pathCursor
-	case result.reason == outcome.ReasonUnreachable, result.reason == outcome.ReasonReset:
+	case result.reason.IsTargetFault():
 		told.Failed = true
 	default:
 		told.Neutral = true
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"path/filepath"
 	"sort"
 	"strconv"
@@ -188,6 +187,3 @@
 	}
 	return list
 }
-
-// Directory makes a folder for a run.
-func Directory() (string, error) { return os.MkdirTemp("", "landingmast-scale-") }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,7 @@
 	spread      *spread
 	servers     []*http.Server
 	listeners   []net.Listener
+	callers     net.Listener // of an entry; one of listeners
 	background  sync.WaitGroup
 
 	mutex       sync.Mutex
@@ -129,6 +130,9 @@
 			n.closeListeners()
 			return failure.Wrap(err, failure.BadInput, "name an address of this machine that is free", "settings: %s: %s", one.key, one.address)
 		}
+		if one.key == "listen.callers" {
+			n.callers = listener
+		}
 		if one.tls != nil {
 			listener = tls.NewListener(listener, one.tls)
 		}
@@ -179,8 +183,8 @@
 func (n *Node) stop(hurry context.Context) {
 	n.drain("stopping")
 	n.plane.CloseConnections()
-	if n.settings.Listen.Callers != "" {
-		_ = n.listeners[len(n.listeners)-1].Close()
+	if n.callers != nil {
+		_ = n.callers.Close()
 	}
 	wait, cancel := context.WithTimeout(hurry, drainLimit)
 	defer cancel()
@@ -201,14 +205,16 @@
 // drain makes the node refuse new work; the first reason stays.
 func (n *Node) drain(reason string) {
 	n.mutex.Lock()
-	already := n.drainedBy != ""
-	if !already {
-		n.drainedBy = reason
-	}
-	n.mutex.Unlock()
-	if already {
+	defer n.mutex.Unlock()
+	n.beginDrain(reason)
+}
+
+// beginDrain is drain with the mutex held.
+func (n *Node) beginDrain(reason string) {
+	if n.drainedBy != "" {
 		return
 	}
+	n.drainedBy = reason
 	n.plane.Drain()
 	n.log.WithField("reason", reason).Info("draining")
 }
@@ -257,17 +263,11 @@
 	if self == nil {
 		return
 	}
-	reason := ""
 	switch {
 	case self.State == bundle.Leaving:
-		reason = "leaving by bundle"
+		n.beginDrain("leaving by bundle")
 	case n.machines.leaving[self.Name]:
-		reason = "leaving by machine list"
-	}
-	if reason != "" && n.drainedBy == "" {
-		n.drainedBy = reason
-		n.plane.Drain()
-		n.log.WithField("reason", reason).Info("draining")
+		n.beginDrain("leaving by machine list")
 	}
 }
 
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -43,9 +43,8 @@
 	ContentLength int64  `avro:"content_length"` // of the target's answer; -1 unknown
 	Cursor        int    `avro:"cursor"`         // highest rank admitted here; -1 unknown
 	PathCursor    int    `avro:"path_cursor"`    // lowest cursor met below, for this class; -1 unknown
-	Draining      bool   `avro:"draining"`
-	Executor      string `avro:"executor"`    // node to ask instead, for a key that is claimed there
-	RetryAfter    int64  `avro:"retry_after"` // milliseconds
+	Executor      string `avro:"executor"`       // node to ask instead, for a key that is claimed there
+	RetryAfter    int64  `avro:"retry_after"`    // milliseconds
 }
 
 // End closes the answer to a call.
@@ -69,7 +68,7 @@
 {"name":"outcome","type":"string"},{"name":"reason","type":"string"},{"name":"status","type":"int"},
 {"name":"content_length","type":"long"},{"name":"cursor","type":"int","default":-1},
 {"name":"path_cursor","type":"int","default":-1},
-{"name":"draining","type":"boolean","default":false},{"name":"executor","type":"string","default":""},
+{"name":"executor","type":"string","default":""},
 {"name":"retry_after","type":"long","default":0}]}`
 	endSchema = `{"type":"record","name":"End","fields":[
 {"name":"call_id","type":"string"},{"name":"unspent","type":"int"},{"name":"length","type":"long"},
