--- a/internal/node/mesh_test.go
+++ b/internal/node/mesh_test.go
@@ -88,13 +88,15 @@
 		{Name: "read", Service: "front", Path: "/", Importance: "normal", Execution: bundle.Repeatable, Retries: 2, Deadline: bundle.Duration(5 * time.Second)},
 		{Name: "lookup", Service: "back", Path: "/", Importance: "bulk", Execution: bundle.Repeatable, Retries: 2, Deadline: bundle.Duration(5 * time.Second)},
 	}}
+	front := func(w http.ResponseWriter, r *http.Request) { m.front(w, r) }
+	back := func(w http.ResponseWriter, r *http.Request) { m.back(w, r) }
 	m.add("entry-1", "a", nil)
 	m.add("entry-2", "b", nil)
-	m.add("front-1", "a", func(w http.ResponseWriter, r *http.Request) { m.front(w, r) })
-	m.add("front-2", "b", func(w http.ResponseWriter, r *http.Request) { m.front(w, r) })
-	m.add("back-1", "a", func(w http.ResponseWriter, r *http.Request) { m.back(w, r) })
-	m.add("back-2", "b", func(w http.ResponseWriter, r *http.Request) { m.back(w, r) })
-	m.add("back-3", "a", func(w http.ResponseWriter, r *http.Request) { m.back(w, r) })
+	m.add("front-1", "a", front)
+	m.add("front-2", "b", front)
+	m.add("back-1", "a", back)
+	m.add("back-2", "b", back)
+	m.add("back-3", "a", back)
 	m.finishSettings(authority)
 	return m
 }
@@ -108,7 +110,10 @@
 		settings.Listen.Callers = freeAddress()
 		m.bundle.Entries = append(m.bundle.Entries, described)
 	} else {
-		server := httptest.NewServer(target)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			r.Header.Set(headerNode, name)
+			target(w, r)
+		}))
 		DeferCleanup(server.Close)
 		settings.Target = &config.Target{Address: server.Listener.Addr().String(), Connections: 50}
 		settings.Listen.Egress = freeAddress()
@@ -219,17 +224,18 @@
 	return response, string(data), err
 }
 
-// callBack calls the back service from a front target, as a back end does.
-func (m *mesh) callBack(r *http.Request, path string) (*http.Response, error) {
-	egress := m.settings["front-1"].Listen.Egress
-	if r.Header.Get("X-Test-Node") != "" {
-		egress = m.settings[r.Header.Get("X-Test-Node")].Listen.Egress
-	}
+// headerNode tells a target's handler beside which node it stands.
+const headerNode = "X-Test-Node"
+
+// call calls a service from a target, as a back end does: through its own node,
+// passing on nothing but the one id header.
+func (m *mesh) call(r *http.Request, service, path string) (*http.Response, error) {
+	egress := m.settings[r.Header.Get(headerNode)].Listen.Egress
 	request, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+egress+path, nil)
 	if err != nil {
 		return nil, err
 	}
-	request.Host = "back"
+	request.Host = service
 	request.Header.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	return http.DefaultClient.Do(request)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,7 +33,7 @@
 
 	It("serves a request through two services and explains it at every hop", func() {
 		m.front = func(w http.ResponseWriter, r *http.Request) {
-			response, err := m.callBack(r, "/deeper")
+			response, err := m.call(r, "back", "/deeper")
 			Expect(err).NotTo(HaveOccurred())
 			defer response.Body.Close()
 			_, _ = io.Copy(w, response.Body)
@@ -184,7 +185,7 @@
 	It("takes a target's declared refusal as not run, unless the target has gone deeper", func() {
 		m.front = func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/deeper" {
-				response, err := m.callBack(r, "/x")
+				response, err := m.call(r, "back", "/x")
 				Expect(err).NotTo(HaveOccurred())
 				_ = response.Body.Close()
 			}
@@ -195,6 +196,42 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response.Header.Get("Landingmast-Outcome")).To(Equal("not-run"))
 		Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+		response, _, err = m.send("entry-1", "GET", "/deeper", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Header.Get("Landingmast-Outcome")).To(Equal("answered"))
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("serves a chain of eight calls below the entry and refuses a deeper one", func() {
+		other := map[string]string{"front": "back", "back": "front"}
+		hop := func(w http.ResponseWriter, r *http.Request) {
+			left, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/"))
+			Expect(err).NotTo(HaveOccurred())
+			if left == 0 {
+				_, _ = fmt.Fprint(w, "bottom")
+				return
+			}
+			response, err := m.call(r, other[r.Host], fmt.Sprint("/", left-1))
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			w.WriteHeader(response.StatusCode)
+			_, _ = io.Copy(w, response.Body)
+		}
+		m.front, m.back = hop, hop
+		response, body, err := m.send("entry-1", "GET", "/8", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("bottom"))
+		decisions, err := m.admin("entry-2").Explain(context.Background(), response.Header.Get("X-Request-Id"))
+		Expect(err).NotTo(HaveOccurred())
+		most := 0
+		for _, decision := range decisions {
+			most = max(most, decision.Depth)
+		}
+		Expect(most).To(Equal(8))
+		response, body, err = m.send("entry-1", "GET", "/9", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusLoopDetected))
+		Expect(body).To(ContainSubstring("too_deep"))
 	})
 
 	It("refuses what no class allows and names the remedy", func() {
