--- a/cmd/landingmast-lab/experiments.go
+++ b/cmd/landingmast-lab/experiments.go
@@ -43,11 +43,7 @@
 }
 
 func emulateOne(directory, name, variantName string, seed uint64, interval time.Duration) error {
-	experiments, err := experiment.LoadAll(directory)
-	if err != nil {
-		return err
-	}
-	chosen, err := choose(experiments, []string{name})
+	chosen, err := load(directory, []string{name})
 	if err != nil {
 		return err
 	}
@@ -73,11 +69,7 @@
 }
 
 func runExperiments(directory string, only, names []string, folder string) error {
-	experiments, err := experiment.LoadAll(directory)
-	if err != nil {
-		return err
-	}
-	experiments, err = choose(experiments, only)
+	experiments, err := load(directory, only)
 	if err != nil {
 		return err
 	}
@@ -100,11 +92,7 @@
 }
 
 func runReal(ctx context.Context, directory string, only []string, port int) error {
-	experiments, err := experiment.LoadAll(directory)
-	if err != nil {
-		return err
-	}
-	experiments, err = choose(experiments, only)
+	experiments, err := load(directory, only)
 	if err != nil {
 		return err
 	}
@@ -127,10 +115,16 @@
 	return nil
 }
 
-func choose(experiments []*experiment.Experiment, only []string) ([]*experiment.Experiment, error) {
-	if len(only) == 0 {
-		return experiments, nil
+// load reads the experiments of a folder, or only the named ones.
+func load(directory string, only []string) ([]*experiment.Experiment, error) {
+	experiments, err := experiment.LoadAll(directory)
+	if err != nil || len(only) == 0 {
+		return experiments, err
 	}
+	return choose(experiments, only)
+}
+
+func choose(experiments []*experiment.Experiment, only []string) ([]*experiment.Experiment, error) {
 	var chosen []*experiment.Experiment
 	for _, name := range only {
 		found := false
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -75,3 +75,35 @@
 	}
 	g.Expect(Decide(Failure{Outcome: outcome.NotRun, Reason: outcome.ReasonNoQuorum, TimeLeft: true}).Retry).To(BeFalse())
 }
+
+// copied is the weaker way: every call takes a copy of the remaining number along,
+// as a counter in a header does.
+func copied(t *rapid.T, remaining, depth int) int {
+	spent := 0
+	for range rapid.IntRange(0, 3).Draw(t, "calls") {
+		left := remaining
+		for {
+			if depth < 6 {
+				spent += copied(t, left, depth+1)
+			}
+			if !rapid.Bool().Draw(t, "failed") || left == 0 {
+				break
+			}
+			left--
+			spent++
+		}
+	}
+	return spent
+}
+
+// TestACopiedCounterIsNoBound shows that the property can fail, and why credits
+// are lent rather than copied.
+func TestACopiedCounterIsNoBound(t *testing.T) {
+	const credits = 2
+	most := 0
+	for seed := range 200 {
+		most = max(most, rapid.Custom(func(t *rapid.T) int { return copied(t, credits, 4) }).Example(seed))
+	}
+	NewWithT(t).Expect(most).To(BeNumerically(">", 2*credits))
+	t.Logf("most retries with copied counters: %d of %d", most, credits)
+}
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/admission"
+	"github.com/landingmast/landingmast/internal/core/limiter"
 	"github.com/landingmast/landingmast/internal/core/retry"
 )
 
@@ -25,10 +26,7 @@
 	abandoned context.Context // done when nobody wants the answer any more
 
 	mutex      sync.Mutex
-	deeper     int // calls that the target has open now
-	madeDeeper bool
-	deeperFrom time.Duration
-	deeperTime time.Duration
+	own        limiter.OwnTime
 	pathCursor int // lowest cursor met below; -1: none
 }
 
@@ -36,36 +34,24 @@
 func (c *callContext) deeperBegins(now time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.madeDeeper = true
-	if c.deeper == 0 {
-		c.deeperFrom = now
-	}
-	c.deeper++
+	c.own.DeeperBegins(now)
 }
 
 // deeperEnds notes the end of such a call, and the cursor met below.
 func (c *callContext) deeperEnds(now time.Duration, cursor int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.deeper--
-	if c.deeper == 0 {
-		c.deeperTime += now - c.deeperFrom
-	}
+	c.own.DeeperEnds(now)
 	if cursor >= 0 && (c.pathCursor < 0 || cursor < c.pathCursor) {
 		c.pathCursor = cursor
 	}
 }
 
-// ownTime is the part of a span since start in which no deeper call was open:
-// the time that the target itself took.
-func (c *callContext) ownTime(now, start time.Duration) time.Duration {
+// ownTime is the time since started that the target itself took.
+func (c *callContext) ownTime(now, started time.Duration) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	deeper := c.deeperTime
-	if c.deeper > 0 {
-		deeper += now - c.deeperFrom
-	}
-	return max(now-start-deeper, 0)
+	return c.own.Since(started, now)
 }
 
 func (c *callContext) lowestCursor() int {
@@ -77,7 +63,7 @@
 func (c *callContext) hasGoneDeeper() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.madeDeeper
+	return c.own.MadeDeeper()
 }
 
 // callTable holds the calls that are at the target, by call id.
--- a/internal/lab/capacity/hollow.go
+++ b/internal/lab/capacity/hollow.go
@@ -1,13 +1,13 @@
 package capacity
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"sort"
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/dissemination"
+	"github.com/landingmast/landingmast/internal/lab/virtualtime"
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
@@ -36,9 +36,7 @@
 	random   *rand.Rand
 	nodes    []*hollow
 	byName   map[string]*hollow
-	now      time.Duration
-	queue    deliveries
-	order    int
+	clock    virtualtime.Clock
 	platform int64
 	parted   func(a, b int) bool // regions that cannot talk now
 	cutOff   map[int]bool        // regions that cannot reach the platform
@@ -49,31 +47,6 @@
 	delta    int
 }
 
-type delivery struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type deliveries []delivery
-
-func (d deliveries) Len() int { return len(d) }
-func (d deliveries) Less(i, j int) bool {
-	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].order < d[j].order
-}
-func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-
-// Push implements heap.Interface.
-func (d *deliveries) Push(value any) { *d = append(*d, value.(delivery)) }
-
-// Pop implements heap.Interface.
-func (d *deliveries) Pop() any {
-	last := len(*d) - 1
-	value := (*d)[last]
-	*d = (*d)[:last]
-	return value
-}
-
 const (
 	hollowTick    = 75 * time.Millisecond
 	regionDelay   = 40 * time.Millisecond // one way, between regions
@@ -99,28 +72,14 @@
 		n.byName[name] = node
 	}
 	for _, node := range n.nodes {
-		n.after(time.Duration(n.random.Int64N(int64(hollowTick))), func() { n.tick(node) })
+		n.clock.After(time.Duration(n.random.Int64N(int64(hollowTick))), func() { n.tick(node) })
 	}
 	return n
 }
 
-func (n *network) after(span time.Duration, run func()) {
-	n.order++
-	heap.Push(&n.queue, delivery{at: n.now + span, order: n.order, run: run})
-}
-
-func (n *network) run(until time.Duration) {
-	for len(n.queue) > 0 && n.queue[0].at <= until {
-		next := heap.Pop(&n.queue).(delivery)
-		n.now = next.at
-		next.run()
-	}
-	n.now = until
-}
-
 func (n *network) tick(node *hollow) {
-	n.do(node, node.state.Tick(n.now))
-	n.after(hollowTick, func() { n.tick(node) })
+	n.do(node, node.state.Tick(n.clock.Now()))
+	n.clock.After(hollowTick, func() { n.tick(node) })
 }
 
 func (n *network) do(node *hollow, actions []dissemination.Action) {
@@ -142,7 +101,7 @@
 	}
 	n.reads++
 	version := n.platform
-	n.after(2*platformDelay, func() { node.state.Installed(n.now, version) })
+	n.clock.After(2*platformDelay, func() { node.state.Installed(n.clock.Now(), version) })
 }
 
 // reach gives the delay between two nodes; false when the message is lost.
@@ -166,12 +125,12 @@
 	if !ok {
 		return
 	}
-	n.after(delay, func() {
+	n.clock.After(delay, func() {
 		answer := to.state.Version()
 		if version > answer {
-			n.do(to, to.state.Heard(n.now, from.name, version))
+			n.do(to, to.state.Heard(n.clock.Now(), from.name, version))
 		}
-		n.after(delay, func() { n.do(from, from.state.Heard(n.now, to.name, answer)) })
+		n.clock.After(delay, func() { n.do(from, from.state.Heard(n.clock.Now(), to.name, answer)) })
 	})
 }
 
@@ -182,7 +141,7 @@
 	if !ok {
 		return
 	}
-	n.after(2*delay, func() { node.state.Installed(n.now, from.state.Version()) })
+	n.clock.After(2*delay, func() { node.state.Installed(n.clock.Now(), from.state.Version()) })
 }
 
 func encodedTell(name string, version int64) int {
@@ -197,9 +156,9 @@
 // of it has it, or the limit.
 func (n *network) spreadTime(counts func(*hollow) bool, limit time.Duration) time.Duration {
 	n.platform++
-	began := n.now
-	for n.now-began < limit {
-		n.run(n.now + 50*time.Millisecond)
+	began := n.clock.Now()
+	for n.clock.Now()-began < limit {
+		n.clock.Run(n.clock.Now() + 50*time.Millisecond)
 		behind := false
 		for _, node := range n.nodes {
 			if counts(node) && node.state.Version() != n.platform {
@@ -208,7 +167,7 @@
 			}
 		}
 		if !behind {
-			return n.now - began
+			return n.clock.Now() - began
 		}
 	}
 	return limit
@@ -242,21 +201,21 @@
 func Disseminate(nodes int, deltaBytes int) Spread {
 	n := newNetwork(nodes, uint64(nodes), deltaBytes)
 	n.platform = 1
-	n.run(warmUp)
-	began, tells, reads := n.now, n.sentTell, n.reads
-	n.run(n.now + warmUp)
-	quiet := n.now - began
+	n.clock.Run(warmUp)
+	began, tells, reads := n.clock.Now(), n.sentTell, n.reads
+	n.clock.Run(n.clock.Now() + warmUp)
+	quiet := n.clock.Now() - began
 	result := Spread{Nodes: nodes}
 	result.QuietTells = float64(n.sentTell-tells) / quiet.Seconds() / float64(nodes)
 	result.Reads = float64(n.reads-reads) / quiet.Seconds()
 	var times []float64
-	began, tells = n.now, n.sentTell
+	began, tells = n.clock.Now(), n.sentTell
 	bytes := n.bytes
 	for range changes {
 		times = append(times, float64(n.spreadTime(everyone, spreadStop)))
-		n.run(n.now + betweenTwo)
+		n.clock.Run(n.clock.Now() + betweenTwo)
 	}
-	busy := n.now - began
+	busy := n.clock.Now() - began
 	sort.Float64s(times)
 	result.Median, result.Worst = time.Duration(times[len(times)/2]), time.Duration(times[len(times)-1])
 	perNode := float64(n.sentTell-tells)/float64(nodes) - result.QuietTells*busy.Seconds()
@@ -277,19 +236,19 @@
 	near := func(node *hollow) bool { return node.region < regions/2 }
 	for range 3 {
 		n.spreadTime(near, spreadStop)
-		n.run(n.now + 15*time.Second)
+		n.clock.Run(n.clock.Now() + 15*time.Second)
 	}
 	n.parted = func(int, int) bool { return false }
 	clear(n.cutOff)
-	began := n.now
-	for n.now-began < spreadStop {
-		n.run(n.now + 50*time.Millisecond)
+	began := n.clock.Now()
+	for n.clock.Now()-began < spreadStop {
+		n.clock.Run(n.clock.Now() + 50*time.Millisecond)
 		agreed := true
 		for _, node := range n.nodes {
 			agreed = agreed && node.state.Version() == n.platform
 		}
 		if agreed {
-			return n.now - began
+			return n.clock.Now() - began
 		}
 	}
 	return spreadStop
--- a/internal/lab/emulator/backend.go
+++ b/internal/lab/emulator/backend.go
@@ -64,10 +64,10 @@
 func (b *backend) receive(j *job) {
 	switch {
 	case b.fault.dead:
-		b.world.clock.after(0, func() { j.end(backendRefused) })
+		b.world.clock.After(0, func() { j.end(backendRefused) })
 	case len(b.waiting) >= b.service.Connections-b.slots:
 		b.shedDebt += shedCost
-		b.world.clock.after(0, func() { j.end(backendShed) })
+		b.world.clock.After(0, func() { j.end(backendShed) })
 	default:
 		b.waiting = append(b.waiting, j)
 		b.start()
@@ -91,7 +91,7 @@
 		}
 		b.busy++
 		next.running = true
-		next.started = b.world.clock.now
+		next.started = b.world.clock.Now()
 		b.work(next)
 	}
 }
@@ -102,12 +102,12 @@
 	if b.fault.slowdown > 0 {
 		span = time.Duration(float64(span) * b.fault.slowdown)
 	}
-	if b.world.clock.now < b.warmAt {
+	if b.world.clock.Now() < b.warmAt {
 		span = time.Duration(float64(span) * coldFactor)
 	}
 	span += b.payShedDebt()
 	reset := b.fault.reset > 0 && b.world.random.Float64() < b.fault.reset
-	b.world.clock.after(span, func() {
+	b.world.clock.After(span, func() {
 		if j.cancelled {
 			return
 		}
@@ -185,7 +185,7 @@
 	}
 	j.cancelled = true
 	if j.running {
-		j.work = b.world.clock.now - j.started
+		j.work = b.world.clock.Now() - j.started
 		b.release(j, backendReset)
 		return
 	}
--- a/internal/lab/emulator/callers.go
+++ b/internal/lab/emulator/callers.go
@@ -35,15 +35,15 @@
 // generate makes user requests as an open loop until the end.
 func (w *world) generate(end time.Duration, callers func() Callers, users int) {
 	now := callers()
-	w.clock.after(time.Duration(w.random.ExpFloat64()/now.Rate*float64(time.Second)), func() {
-		if w.clock.now >= end {
+	w.clock.After(time.Duration(w.random.ExpFloat64()/now.Rate*float64(time.Second)), func() {
+		if w.clock.Now() >= end {
 			return
 		}
 		current := callers()
 		traffic := pick(current.Mix, w.random.Float64())
 		request := &userRequest{
 			traffic: traffic, class: w.bundle.Match(traffic.Service, traffic.Method, traffic.Path),
-			user: "user-" + strconv.Itoa(w.random.IntN(users)), arrived: w.clock.now,
+			user: "user-" + strconv.Itoa(w.random.IntN(users)), arrived: w.clock.Now(),
 		}
 		w.stats.requests = append(w.stats.requests, request)
 		w.send(request, current)
@@ -74,9 +74,9 @@
 	for w.cutZones[entry.zone] && w.anyEntryUp() {
 		entry = w.entries[w.random.IntN(len(w.entries))]
 	}
-	w.clock.after(w.deployment.ClientDelay, func() {
+	w.clock.After(w.deployment.ClientDelay, func() {
 		w.enter(entry, request, func(ok bool, reason outcome.Reason) {
-			w.clock.after(w.deployment.ClientDelay, func() { w.answered(request, callers, ok, reason) })
+			w.clock.After(w.deployment.ClientDelay, func() { w.answered(request, callers, ok, reason) })
 		})
 	})
 }
@@ -92,16 +92,16 @@
 
 func (w *world) answered(request *userRequest, callers Callers, ok bool, reason outcome.Reason) {
 	if ok {
-		request.whole, request.ended = true, w.clock.now
+		request.whole, request.ended = true, w.clock.Now()
 		return
 	}
 	request.reason = reason
 	if request.sendings > callers.Resend {
-		request.ended = w.clock.now
+		request.ended = w.clock.Now()
 		return
 	}
 	pause := callers.Backoff/2 + time.Duration(w.random.Int64N(int64(callers.Backoff)+1))
-	w.clock.after(pause, func() { w.send(request, callers) })
+	w.clock.After(pause, func() { w.send(request, callers) })
 }
 
 // enter is the entry's part: class, importance, deadline and credits are set here.
@@ -114,7 +114,7 @@
 	out := &outboundCall{
 		node: entry, user: request, class: request.class, service: request.traffic.Service,
 		route: w.deployment.Service(request.traffic.Service).Route(request.traffic.Method, request.traffic.Path), level: level,
-		rank: w.rank(level, request.user), deadline: w.clock.now + time.Duration(request.class.Deadline), ledger: retry.NewLedger(credits),
+		rank: w.rank(level, request.user), deadline: w.clock.Now() + time.Duration(request.class.Deadline), ledger: retry.NewLedger(credits),
 		exclude: map[string]bool{}, done: done,
 	}
 	out.begin()
--- a/internal/lab/emulator/outbound.go
+++ b/internal/lab/emulator/outbound.go
@@ -43,7 +43,7 @@
 		return
 	}
 	class := w.bundle.Match(wanted.Service, wanted.Method, wanted.Path)
-	deadline := w.clock.now + time.Duration(class.Deadline)
+	deadline := w.clock.Now() + time.Duration(class.Deadline)
 	if w.mechanisms.Deadlines {
 		deadline = min(deadline, parent.deadline)
 	}
@@ -56,9 +56,10 @@
 		out.rank = w.randomRank(out.level)
 	}
 	parent.children = append(parent.children, out)
-	parent.deeperBegins(w.clock.now)
+	parent.own.DeeperBegins(w.clock.Now())
 	out.done = func(ok bool, _ outcome.Reason) {
-		parent.deeperEnds(w.clock.now, from.routes[wanted.Service].Cursor(w.clock.now))
+		parent.own.DeeperEnds(w.clock.Now())
+		parent.lower(from.routes[wanted.Service].Cursor(w.clock.Now()))
 		done(ok)
 	}
 	out.begin()
@@ -79,7 +80,7 @@
 // begin starts the first attempt and the deadline.
 func (o *outboundCall) begin() {
 	w := o.node.world
-	w.clock.after(o.deadline-w.clock.now, func() {
+	w.clock.After(o.deadline-w.clock.Now(), func() {
 		if o.over {
 			return
 		}
@@ -113,11 +114,11 @@
 	w := o.node.world
 	target, in := o.target, o.ingress
 	o.ingress = nil
-	o.node.routes[o.service].Finished(w.clock.now, o.class.Name, routing.Result{Node: target.name, Neutral: true}, -1)
+	o.node.routes[o.service].Finished(w.clock.Now(), o.class.Name, routing.Result{Node: target.name, Neutral: true}, -1)
 	if !w.mechanisms.Cancel {
 		return
 	}
-	w.clock.after(w.delay(o.node, target), func() {
+	w.clock.After(w.delay(o.node, target), func() {
 		if !in.over || in.call.job != nil {
 			target.withdraw(in)
 		}
@@ -140,9 +141,9 @@
 	loan := o.ledger.Lend()
 	o.attempt++
 	attempt := o.attempt
-	started := w.clock.now
+	started := w.clock.Now()
 	finish := func(result hopResult) {
-		w.clock.after(w.delay(target, o.node), func() {
+		w.clock.After(w.delay(target, o.node), func() {
 			if attempt != o.attempt || o.ingress == nil && o.over {
 				return
 			}
@@ -152,7 +153,7 @@
 		})
 	}
 	if !w.reachable(o.node, target) {
-		w.clock.after(unreachableAfter, func() {
+		w.clock.After(unreachableAfter, func() {
 			if !o.over && attempt == o.attempt {
 				loan.Settle(loan.Amount())
 				o.finished(target, started, hopResult{outcome: outcome.NotRun, reason: outcome.ReasonUnreachable, cursor: -1, pathCursor: -1})
@@ -174,7 +175,7 @@
 	}
 	in := &ingress{call: served, route: o.route, finish: finish}
 	o.target, o.ingress = target, in
-	w.clock.after(w.delay(o.node, target), func() {
+	w.clock.After(w.delay(o.node, target), func() {
 		if served.abandoned || in.over {
 			return
 		}
@@ -189,7 +190,7 @@
 		o.node.turn[o.service]++
 		return targets[o.node.turn[o.service]%len(targets)].Name, outcome.ReasonNone
 	}
-	choice, reason := o.node.routes[o.service].Pick(w.clock.now, o.class.Name, routing.Request{Rank: o.rank, Exclude: o.exclude})
+	choice, reason := o.node.routes[o.service].Pick(w.clock.Now(), o.class.Name, routing.Request{Rank: o.rank, Exclude: o.exclude})
 	return choice.Target.Node, reason
 }
 
@@ -220,7 +221,7 @@
 	if w.mechanisms.isBaseline() || !w.mechanisms.Credits {
 		return (repeatable || result.outcome == outcome.NotRun) && o.retries < baselineRetries
 	}
-	verdict := retry.Decide(retry.Failure{Outcome: result.outcome, Reason: result.reason, Repeatable: repeatable, TimeLeft: w.clock.now < o.deadline})
+	verdict := retry.Decide(retry.Failure{Outcome: result.outcome, Reason: result.reason, Repeatable: repeatable, TimeLeft: w.clock.Now() < o.deadline})
 	return verdict.Retry && o.ledger.Spend()
 }
 
@@ -236,14 +237,14 @@
 	pathCursor := -1
 	switch {
 	case result.outcome == outcome.Answered:
-		told.Latency = w.clock.now - started
+		told.Latency = w.clock.Now() - started
 		pathCursor = result.pathCursor
 	case result.reason.IsTargetFault():
 		told.Failed = true
 	default:
 		told.Neutral = true
 	}
-	if o.node.routes[o.service].Finished(w.clock.now, o.class.Name, told, pathCursor) {
+	if o.node.routes[o.service].Finished(w.clock.Now(), o.class.Name, told, pathCursor) {
 		w.stats.Ejections++
 	}
 }
--- a/internal/lab/emulator/probe.go
+++ b/internal/lab/emulator/probe.go
@@ -18,7 +18,7 @@
 func (c *Control) Sample() []Sample {
 	var samples []Sample
 	for _, service := range c.world.deployment.Services {
-		sample := Sample{At: c.world.clock.now, Service: service.Name}
+		sample := Sample{At: c.world.clock.Now(), Service: service.Name}
 		c.each(service.Name, "", func(n *node) {
 			sample.Slots += n.backend.slots
 			sample.Busy += n.backend.busy
--- a/internal/lab/emulator/run.go
+++ b/internal/lab/emulator/run.go
@@ -49,7 +49,7 @@
 	c.each(service, target, func(n *node) {
 		n.backend.fault.dead = dead
 		if !dead {
-			n.backend.warmAt = c.world.clock.now + coldFor
+			n.backend.warmAt = c.world.clock.Now() + coldFor
 		}
 	})
 }
@@ -73,7 +73,7 @@
 		return
 	}
 	n.down = true
-	c.world.clock.after(down, func() {
+	c.world.clock.After(down, func() {
 		n.down = false
 		n.restart()
 	})
@@ -109,13 +109,13 @@
 	changes := append([]Change(nil), plan.Changes...)
 	sort.SliceStable(changes, func(i, j int) bool { return changes[i].At < changes[j].At })
 	for _, change := range changes {
-		w.clock.after(change.At, func() { change.Apply(control) })
+		w.clock.After(change.At, func() { change.Apply(control) })
 	}
 	users := plan.Users
 	if users == 0 {
 		users = defaultUsers
 	}
 	w.generate(plan.Length, func() Callers { return callers }, users)
-	w.clock.run(plan.Length + settle)
+	w.clock.Run(plan.Length + settle)
 	return w.result(plan.Deployment.Mix, plan.Length)
 }
--- a/internal/lab/emulator/stats.go
+++ b/internal/lab/emulator/stats.go
@@ -65,7 +65,7 @@
 const WindowLength = 100 * time.Millisecond
 
 func (w *world) result(mix []deployment.Traffic, length time.Duration) *Result {
-	result := &Result{Stats: w.stats, Events: w.clock.count}
+	result := &Result{Stats: w.stats, Events: w.clock.Count()}
 	result.Windows = make([]Window, int(length/WindowLength))
 	for index := range result.Windows {
 		result.Windows[index].Start = time.Duration(index) * WindowLength
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -14,11 +14,12 @@
 	"github.com/landingmast/landingmast/internal/core/retry"
 	"github.com/landingmast/landingmast/internal/core/routing"
 	"github.com/landingmast/landingmast/internal/lab/deployment"
+	"github.com/landingmast/landingmast/internal/lab/virtualtime"
 )
 
 // world is one emulated deployment.
 type world struct {
-	clock      clock
+	clock      virtualtime.Clock
 	random     *rand.Rand
 	deployment *deployment.Deployment
 	bundle     *bundle.Bundle
@@ -61,10 +62,7 @@
 	job        *job
 	children   []*outboundCall
 	abandoned  bool
-	deeperTime time.Duration
-	deeperFrom time.Duration
-	deeperOpen int
-	madeDeeper bool
+	own        limiter.OwnTime
 	pathCursor int
 }
 
@@ -143,7 +141,7 @@
 		for _, target := range service.Targets {
 			targets = append(targets, routing.Target{Node: target.Name, Address: target.Address, Zone: target.Zone, Leaving: target.State == bundle.Leaving})
 		}
-		n.routes[service.Name].Balancer.Update(n.world.clock.now, targets)
+		n.routes[service.Name].Balancer.Update(n.world.clock.Now(), targets)
 	}
 }
 
@@ -207,7 +205,7 @@
 	}
 	n.waiting[in.id] = in
 	call := limiter.Call{ID: in.id, Level: in.call.level, Class: in.call.class, Deadline: in.call.deadline, Preemptible: repeatable}
-	n.apply(n.gate.Arrive(w.clock.now, call, in.call.rank))
+	n.apply(n.gate.Arrive(w.clock.Now(), call, in.call.rank))
 }
 
 func (n *node) apply(actions []limiter.Action) {
@@ -235,9 +233,9 @@
 	}
 	if n.gate.Queued() > 0 && !n.ticking {
 		n.ticking = true
-		n.world.clock.after(gateTick, func() {
+		n.world.clock.After(gateTick, func() {
 			n.ticking = false
-			n.apply(n.gate.Tick(n.world.clock.now))
+			n.apply(n.gate.Tick(n.world.clock.Now()))
 		})
 	}
 }
@@ -259,14 +257,14 @@
 
 // handOver sends the call to the target.
 func (n *node) handOver(in *ingress) {
-	started := n.world.clock.now
+	started := n.world.clock.Now()
 	in.call.job = &job{call: in.call, route: in.route, finish: func(result backendResult) {
-		own := in.call.ownTime(n.world.clock.now, started)
+		own := in.call.own.Since(started, n.world.clock.Now())
 		delete(n.active, in.id)
 		n.world.stats.Received++
 		if !n.world.mechanisms.isBaseline() {
 			defer func() {
-				n.apply(n.gate.Finish(n.world.clock.now, in.id, own, result == backendAnswered, result == backendShed))
+				n.apply(n.gate.Finish(n.world.clock.Now(), in.id, own, result == backendAnswered, result == backendShed))
 			}()
 		}
 		in.end(n.judge(in, result))
@@ -314,28 +312,9 @@
 	}
 }
 
-func (c *call) deeperBegins(now time.Duration) {
-	c.madeDeeper = true
-	if c.deeperOpen == 0 {
-		c.deeperFrom = now
-	}
-	c.deeperOpen++
-}
-
-func (c *call) deeperEnds(now time.Duration, cursor int) {
-	c.deeperOpen--
-	if c.deeperOpen == 0 {
-		c.deeperTime += now - c.deeperFrom
-	}
+// lower keeps the lowest cursor met below; -1 is none.
+func (c *call) lower(cursor int) {
 	if cursor >= 0 && (c.pathCursor < 0 || cursor < c.pathCursor) {
 		c.pathCursor = cursor
 	}
 }
-
-func (c *call) ownTime(now, started time.Duration) time.Duration {
-	deeper := c.deeperTime
-	if c.deeperOpen > 0 {
-		deeper += now - c.deeperFrom
-	}
-	return max(now-started-deeper, 0)
-}
--- a/internal/lab/emulator/clock.go
+++ b/internal/lab/virtualtime/virtualtime.go
@@ -1,8 +1,7 @@
-// Package emulator runs a deployment in virtual time in one process: callers,
-// entries, nodes, back ends and the delays between them. The nodes are the real
-// state machines of internal/core; only sockets and clocks are emulated. The
-// same seed gives the same run, event for event.
-package emulator
+// Package virtualtime is a clock that events move: they run in the order of their
+// times, and of their making where times are equal, so that a run with the same
+// seed is the same run, event for event.
+package virtualtime
 
 import (
 	"container/heap"
@@ -37,23 +36,29 @@
 	return value
 }
 
-// clock is virtual time: events run in the order of their times, and of their
-// making where times are equal.
-type clock struct {
+// Clock is virtual time; the zero clock stands at 0. It is not safe for
+// concurrent use.
+type Clock struct {
 	now    time.Duration
 	events eventHeap
 	order  uint64
 	count  uint64
 }
 
-// after runs a function when a span has passed.
-func (c *clock) after(span time.Duration, run func()) {
+// Now gives the time since the begin of the run.
+func (c *Clock) Now() time.Duration { return c.now }
+
+// Count gives the number of events that have run.
+func (c *Clock) Count() uint64 { return c.count }
+
+// After runs a function when a span has passed; a negative span is none.
+func (c *Clock) After(span time.Duration, run func()) {
 	c.order++
 	heap.Push(&c.events, event{at: c.now + max(span, 0), order: c.order, run: run})
 }
 
-// run runs events until none is left or the time is reached.
-func (c *clock) run(until time.Duration) {
+// Run runs events until none is left or the time is reached.
+func (c *Clock) Run(until time.Duration) {
 	for len(c.events) > 0 && c.events[0].at <= until {
 		next := heap.Pop(&c.events).(event)
 		c.now = next.at
