Bound a target's limit by its own connections

Cause: reading as a newcomer: the limiter's MaxLimit says 'the target's connections' and was 100 for every target, whatever its settings say. With fewer connections calls would have waited in the transport and been taken for a slow target.

Change: the gate takes the bound from target.connections; a test with one.

--- a/internal/dataplane/gate.go
+++ b/internal/dataplane/gate.go
@@ -28,9 +28,15 @@
 
 const gateTick = 5 * time.Millisecond
 
-func newGate(levels int, now func() time.Duration, metrics *telemetry.Metrics) *gate {
+// newGate makes the gate of a target that takes so many connections: there is one
+// for each call at it.
+func newGate(levels, connections int, now func() time.Duration, metrics *telemetry.Metrics) *gate {
+	config := gatecore.DefaultConfig(levels)
+	config.Limiter.MaxLimit = connections
+	config.Limiter.MinLimit = min(config.Limiter.MinLimit, connections)
+	config.Limiter.InitialLimit = min(config.Limiter.InitialLimit, connections)
 	return &gate{
-		levels: levels, now: now, metrics: metrics, core: gatecore.New(gatecore.DefaultConfig(levels)),
+		levels: levels, now: now, metrics: metrics, core: gatecore.New(config),
 		waiting: map[uint64]chan limiter.Action{}, running: map[uint64]context.CancelCauseFunc{},
 	}
 }
--- /dev/null
+++ b/internal/dataplane/gate_test.go
@@ -0,0 +1,33 @@
+package dataplane
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/limiter"
+	"github.com/landingmast/landingmast/internal/telemetry"
+	. "github.com/onsi/gomega"
+)
+
+func TestNoMoreCallsThanConnectionsAreAtATarget(t *testing.T) {
+	g := NewWithT(t)
+	began := time.Now()
+	gate := newGate(2, 1, func() time.Duration { return time.Since(began) }, telemetry.NewMetrics())
+	call := limiter.Call{Class: "c", Deadline: time.Minute}
+	first := gate.enter(context.Background(), call, 0, func(error) {})
+	g.Expect(first.admitted()).To(BeTrue())
+	ctx, cancel := context.WithCancel(context.Background())
+	waited := make(chan ticket, 1)
+	go func() { waited <- gate.enter(ctx, call, 0, func(error) {}) }()
+	g.Eventually(func() int {
+		_, _, queued, _ := gate.state()
+		return queued
+	}).Should(Equal(1))
+	cancel()
+	g.Expect((<-waited).admitted()).To(BeFalse())
+	gate.leave(first.id, time.Millisecond, true, false)
+	_, active, queued, _ := gate.state()
+	g.Expect(active).To(BeZero())
+	g.Expect(queued).To(BeZero())
+}
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -70,28 +70,30 @@
 
 // Plane is the data plane of one node.
 type Plane struct {
-	node     string
-	zone     string
-	target   string
-	started  time.Time
-	metrics  *telemetry.Metrics
-	recorder *explain.Recorder
-	peers    *http.Transport
-	local    *http.Transport
-	claims   Claims
-	intent   atomic.Pointer[bundle.Index]
-	service  atomic.Pointer[string]
-	calls    *callTable
-	router   *router
-	gate     atomic.Pointer[gate]
-	resends  *resendTable
-	closing  atomic.Bool
+	node   string
+	zone   string
+	target string
+	// connections is the most that the target takes.
+	connections int
+	started     time.Time
+	metrics     *telemetry.Metrics
+	recorder    *explain.Recorder
+	peers       *http.Transport
+	local       *http.Transport
+	claims      Claims
+	intent      atomic.Pointer[bundle.Index]
+	service     atomic.Pointer[string]
+	calls       *callTable
+	router      *router
+	gate        atomic.Pointer[gate]
+	resends     *resendTable
+	closing     atomic.Bool
 }
 
 // New makes a plane; it serves once SetBundle was called.
 func New(options Options) *Plane {
 	plane := &Plane{
-		node: options.Node, zone: options.Zone, target: options.Target, started: time.Now(), metrics: options.Metrics,
+		node: options.Node, zone: options.Zone, target: options.Target, connections: options.Connections, started: time.Now(), metrics: options.Metrics,
 		recorder: options.Recorder, peers: options.Peers, claims: options.Claims, calls: newCallTable(), resends: newResendTable(),
 	}
 	plane.router = newRouter(options.Node, options.Zone, plane.now)
@@ -130,7 +132,7 @@
 	_, service := installed.Node(p.node)
 	p.service.Store(&service)
 	if current := p.gate.Load(); p.target != "" && (current == nil || current.levels != len(installed.Levels)) {
-		p.setGate(current, newGate(len(installed.Levels), p.now, p.metrics))
+		p.setGate(current, newGate(len(installed.Levels), p.connections, p.now, p.metrics))
 	}
 	intent := bundle.NewIndex(installed)
 	p.router.update(intent, leaving)
