Keep to the shares of a mix in the load on real processes

The load picked classes as if shares summed up to 1; a mix with 3.0 of bulk was the ordinary one. Ruled out: the measure of what is possible (the emulator, which normalizes, uses the same).

--- a/internal/lab/deployment/deployment.go
+++ b/internal/lab/deployment/deployment.go
@@ -170,3 +170,20 @@
 	held[service] += seconds * share
 	return seconds
 }
+
+// Pick gives the kind of request that a point in [0, 1) falls on; the shares of
+// the mix may sum up to any number.
+func Pick(mix []Traffic, point float64) *Traffic {
+	total := 0.0
+	for index := range mix {
+		total += mix[index].Share
+	}
+	point *= total
+	for index := range mix {
+		point -= mix[index].Share
+		if point < 0 {
+			return &mix[index]
+		}
+	}
+	return &mix[len(mix)-1]
+}
--- /dev/null
+++ b/internal/lab/deployment/deployment_test.go
@@ -0,0 +1,28 @@
+package deployment
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestPickKeepsToShares holds a finding: the load on real processes ignored shares
+// that did not sum up to 1, so that a month-end of bulk was an ordinary mix.
+func TestPickKeepsToShares(t *testing.T) {
+	g := NewWithT(t)
+	mix := []Traffic{{Class: "a", Share: 1}, {Class: "b", Share: 3}}
+	counts := map[string]int{}
+	for point := range 1000 {
+		counts[Pick(mix, float64(point)/1000).Class]++
+	}
+	g.Expect(counts).To(Equal(map[string]int{"a": 250, "b": 750}))
+}
+
+func TestCapacityCountsHeldSlots(t *testing.T) {
+	g := NewWithT(t)
+	d := ExpenseClaims()
+	rate, bottleneck := d.Capacity(d.Mix)
+	g.Expect(bottleneck).To(Equal("receipt-store"))
+	// 54 slots, 0.3 of the requests, 29 ms each with the lookup below.
+	g.Expect(rate).To(BeNumerically("~", 54/(0.3*0.029), 1))
+}
--- a/internal/lab/emulator/callers.go
+++ b/internal/lab/emulator/callers.go
@@ -40,7 +40,7 @@
 			return
 		}
 		current := callers()
-		traffic := pick(current.Mix, w.random.Float64())
+		traffic := deployment.Pick(current.Mix, w.random.Float64())
 		request := &userRequest{
 			traffic: traffic, class: w.bundle.Match(traffic.Service, traffic.Method, traffic.Path),
 			user: "user-" + strconv.Itoa(w.random.IntN(users)), arrived: w.clock.Now(),
@@ -51,21 +51,6 @@
 	})
 }
 
-func pick(mix []deployment.Traffic, point float64) *deployment.Traffic {
-	total := 0.0
-	for index := range mix {
-		total += mix[index].Share
-	}
-	point *= total
-	for index := range mix {
-		point -= mix[index].Share
-		if point < 0 {
-			return &mix[index]
-		}
-	}
-	return &mix[len(mix)-1]
-}
-
 // send sends a user request to an entry, once.
 func (w *world) send(request *userRequest, callers Callers) {
 	request.sendings++
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -66,7 +66,7 @@
 	for number := 0; time.Since(started) < options.Duration && ctx.Err() == nil; number++ {
 		due = due.Add(time.Duration(random.ExpFloat64() / options.Rate * float64(time.Second)))
 		time.Sleep(time.Until(due))
-		traffic := pick(options.Deployment.Mix, random.Float64())
+		traffic := deployment.Pick(options.Deployment.Mix, random.Float64())
 		user := fmt.Sprintf("user-%d", random.IntN(max(options.Users, 1)))
 		entry := random.IntN(len(options.Entries))
 		group.Go(func() { runner.request(ctx, traffic, user, entry, number) })
@@ -78,16 +78,6 @@
 	return runner.answers
 }
 
-func pick(mix []deployment.Traffic, point float64) *deployment.Traffic {
-	for index := range mix {
-		point -= mix[index].Share
-		if point < 0 {
-			return &mix[index]
-		}
-	}
-	return &mix[len(mix)-1]
-}
-
 type runner struct {
 	options Options
 	client  *http.Client
