--- a/cmd/landingmastd/main.go
+++ b/cmd/landingmastd/main.go
@@ -33,12 +33,18 @@
 	application := kingpin.New("landingmastd", "A node of landingmast, the overload control layer.")
 	application.Version(node.Version)
 	application.HelpFlag.Short('h')
-	settingsFile := application.Flag("settings", "Settings file, YAML; see docs/CONFIGURATION.md.").Required().String()
+	settingsFile := application.Flag("settings", "Settings file, YAML; see docs/CONFIGURATION.md.").Envar(settingsVariable).Required().String()
 	checkOnly := application.Flag("check", "Check the settings and end.").Bool()
 	logLevel := application.Flag("log-level", "debug, info, warning or error; goes before the settings file.").String()
-	kingpin.MustParse(application.Parse(os.Args[1:]))
+	application.Command("mesh", "Run as a node of a mesh with signed bundles.").Default()
+	sidecarCommand := application.Command("sidecar", "Run beside one target on a machine that keeps nothing; see docs/SIDECAR.md.")
+	command := kingpin.MustParse(application.Parse(os.Args[1:]))
 
-	if err := run(*settingsFile, *logLevel, *checkOnly); err != nil {
+	start := run
+	if command == sidecarCommand.FullCommand() {
+		start = runSidecar
+	}
+	if err := start(*settingsFile, *logLevel, *checkOnly); err != nil {
 		fmt.Fprintln(os.Stderr, "landingmastd:", err)
 		if failure.Is(err, failure.BadInput) {
 			os.Exit(exitBadInput)
--- /dev/null
+++ b/internal/core/balancer/balancer.go
@@ -0,0 +1,212 @@
+// Package balancer picks the target of a request by what the gates in front of
+// the targets tell of their occupancy, nearer targets first while that costs
+// nothing. It is a state machine without locks, clocks or sockets of its own.
+package balancer
+
+import (
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/slots"
+)
+
+// Random gives numbers in [0, 1); the driver supplies it.
+type Random interface {
+	Float64() float64
+}
+
+// Target is one target as the membership names it.
+type Target struct {
+	Node     string // node beside the target
+	Address  string // of that node, IP:port
+	Zone     string
+	Instance string // incarnation of the target
+	Slots    int
+	Cold     time.Duration // on the driver's clock: until then the target is slow
+}
+
+// Config sets the balancer.
+type Config struct {
+	// FarCost is added to the cost of a target in another zone.
+	FarCost time.Duration
+	// LocalGain is taken off the cost of the target beside the node itself.
+	LocalGain time.Duration
+	// Noise is the relative spread put on costs, so that senders with the same
+	// knowledge do not all choose the same target.
+	Noise float64
+	// ReportLife is the age from which a gate's report no longer counts.
+	ReportLife time.Duration
+	// SuspectFor is how long a target that gave no sign is left alone.
+	SuspectFor time.Duration
+	// RefusedFor is how long a target is left alone that said it is leaving.
+	RefusedFor time.Duration
+}
+
+// DefaultConfig gives the values that docs/PLATFORM.md was measured with.
+func DefaultConfig() Config {
+	return Config{
+		FarCost: 2 * time.Millisecond, LocalGain: time.Millisecond, Noise: 0.1, ReportLife: 2 * time.Second,
+		SuspectFor: time.Second, RefusedFor: 500 * time.Millisecond,
+	}
+}
+
+// Endpoint is a target with what is known of its load.
+type Endpoint struct {
+	Target
+	report     slots.Load
+	reportedAt time.Duration
+	sentSince  int // sent since the report
+	inFlight   int
+	avoidUntil time.Duration
+	suspected  bool
+}
+
+// InFlight gives the requests of this node at the endpoint.
+func (e *Endpoint) InFlight() int { return e.inFlight }
+
+// Balancer holds the targets of one service. It is not safe for concurrent use.
+type Balancer struct {
+	config    Config
+	node      string
+	zone      string
+	random    Random
+	endpoints map[string]*Endpoint // by node
+	order     []*Endpoint
+}
+
+// New makes an empty balancer for the node that sends.
+func New(config Config, node, zone string, random Random) *Balancer {
+	return &Balancer{config: config, node: node, zone: zone, random: random, endpoints: map[string]*Endpoint{}}
+}
+
+// Update sets the targets. What is known of the load of those that stay is kept.
+func (b *Balancer) Update(targets []Target) {
+	previous := b.endpoints
+	b.endpoints = make(map[string]*Endpoint, len(targets))
+	b.order = b.order[:0]
+	for _, target := range targets {
+		endpoint := previous[target.Node]
+		if endpoint == nil {
+			endpoint = &Endpoint{}
+		} else if endpoint.Instance != target.Instance {
+			endpoint.avoidUntil = 0
+			endpoint.reportedAt = 0
+		}
+		endpoint.Target = target
+		b.endpoints[target.Node] = endpoint
+		b.order = append(b.order, endpoint)
+	}
+}
+
+// Len gives the number of targets.
+func (b *Balancer) Len() int { return len(b.order) }
+
+// Pick chooses a target that is not excluded, and gives the second best cost for
+// comparison. It gives nil when there is none. Targets to avoid are chosen only
+// when no other is left and desperate is true.
+func (b *Balancer) Pick(now time.Duration, excluded map[string]bool, desperate bool) (best *Endpoint, cost, second time.Duration) {
+	second = -1
+	for _, endpoint := range b.order {
+		if excluded[endpoint.Node] || now < endpoint.avoidUntil {
+			continue
+		}
+		estimate := b.cost(now, endpoint)
+		switch {
+		case best == nil || estimate < cost:
+			best, cost, second = endpoint, estimate, cost
+		case second < 0 || estimate < second:
+			second = estimate
+		}
+	}
+	if best == nil && desperate {
+		best = b.leastAvoided(excluded)
+	}
+	return best, cost, second
+}
+
+func (b *Balancer) leastAvoided(excluded map[string]bool) (best *Endpoint) {
+	for _, endpoint := range b.order {
+		if !excluded[endpoint.Node] && (best == nil || endpoint.avoidUntil < best.avoidUntil) {
+			best = endpoint
+		}
+	}
+	return best
+}
+
+// Shares of a target's slots in use at which it costs more to add work.
+const (
+	busyShare  = 0.5
+	busyFactor = 0.6
+	coldFactor = 2.0
+)
+
+// cost estimates the time until a request sent now would be done.
+func (b *Balancer) cost(now time.Duration, e *Endpoint) time.Duration {
+	hold := e.report.Hold
+	occupied := max(e.inFlight, 0)
+	if e.reportedAt > 0 && now-e.reportedAt < b.config.ReportLife {
+		occupied = max(occupied, e.report.Running+e.report.Waiting+e.sentSince)
+	}
+	if hold <= 0 {
+		hold = 20 * time.Millisecond
+	}
+	count := max(e.Slots, 1)
+	share := float64(occupied+1) / float64(count)
+	factor := 1.0
+	switch {
+	case share > 1:
+		factor = 1 + busyFactor*(1-busyShare) + share - 1 + 0.5
+	case share > busyShare:
+		factor = 1 + busyFactor*(share-busyShare)
+	}
+	if now < e.Cold {
+		factor *= coldFactor
+	}
+	estimate := time.Duration(float64(hold) * factor * (1 + b.config.Noise*b.random.Float64()))
+	switch {
+	case e.Node == b.node:
+		estimate -= b.config.LocalGain
+	case e.Zone != b.zone:
+		estimate += b.config.FarCost
+	}
+	return estimate
+}
+
+// Sent notes that a request goes to the endpoint.
+func (b *Balancer) Sent(e *Endpoint) {
+	e.inFlight++
+	e.sentSince++
+}
+
+// Done notes that a request to the endpoint has ended.
+func (b *Balancer) Done(e *Endpoint) {
+	e.inFlight--
+	if e.sentSince > 0 {
+		e.sentSince--
+	}
+}
+
+// Report takes in what the gate of an endpoint told.
+func (b *Balancer) Report(now time.Duration, e *Endpoint, load slots.Load) {
+	e.report, e.reportedAt, e.sentSince = load, now, 0
+	if load.Slots > 0 {
+		e.Slots = load.Slots
+	}
+	if e.suspected {
+		e.suspected = false
+		e.avoidUntil = 0
+	}
+}
+
+// Suspect leaves an endpoint alone that gave no sign of life.
+func (b *Balancer) Suspect(now time.Duration, e *Endpoint) {
+	e.suspected = true
+	e.avoidUntil = now + b.config.SuspectFor
+}
+
+// Refused leaves an endpoint alone that cannot take work now.
+func (b *Balancer) Refused(now time.Duration, e *Endpoint) {
+	e.avoidUntil = now + b.config.RefusedFor
+}
+
+// Endpoint gives the endpoint beside a node, or nil.
+func (b *Balancer) Endpoint(node string) *Endpoint { return b.endpoints[node] }
--- /dev/null
+++ b/internal/core/slots/slots.go
@@ -0,0 +1,199 @@
+// Package slots is the gate in front of one target: no more requests than the
+// target has slots are at the target, the rest waits in order of importance and
+// deadline. A gate that drains refuses everything that has not been sent. It is a
+// state machine without locks or clocks; times are on the driver's own clock.
+package slots
+
+import (
+	"sort"
+	"time"
+)
+
+// Reason says why a request was not let through.
+type Reason string
+
+// The reasons of a refusal. None of these requests was sent to the target.
+const (
+	ReasonDraining Reason = "draining"  // the target is leaving or gone
+	ReasonExpired  Reason = "expired"   // its deadline passed in the queue
+	ReasonTooLong  Reason = "too_long"  // the wait would be longer than the sender accepts
+	ReasonFull     Reason = "full"      // the queue is full of work at least as important
+	ReasonNoTarget Reason = "no_target" // no target is known here
+)
+
+// Request is one request that wants a slot.
+type Request struct {
+	ID         uint64
+	Importance int           // lower goes first
+	Deadline   time.Duration // when the wait is of no more use
+	MaxWait    time.Duration // longest expected wait that the sender accepts; 0: any
+}
+
+// Decision tells the driver to send a request or to refuse it.
+type Decision struct {
+	ID     uint64
+	Send   bool
+	Reason Reason
+	Waited time.Duration
+}
+
+// Load is what a gate tells the senders.
+type Load struct {
+	Slots   int
+	Running int
+	Waiting int
+	// Hold is the mean time that a request keeps a slot.
+	Hold time.Duration
+}
+
+// Wait is the expected wait for a slot of a request that arrives now.
+func (l Load) Wait() time.Duration {
+	if l.Slots <= 0 || l.Running < l.Slots {
+		return 0
+	}
+	return l.Hold * time.Duration(l.Waiting+1) / time.Duration(l.Slots)
+}
+
+type waiting struct {
+	request Request
+	arrived time.Duration
+}
+
+// Gate is the state of one target. It is not safe for concurrent use.
+type Gate struct {
+	slots    int
+	running  map[uint64]time.Duration // when sent
+	queue    []waiting
+	hold     float64 // moving mean, ns
+	draining bool
+}
+
+// holdWeight is the weight of one request in the mean hold time.
+const holdWeight = 0.05
+
+// firstHold is assumed until a request has ended.
+const firstHold = 20 * time.Millisecond
+
+// queueFactor bounds the queue as a multiple of the slots.
+const queueFactor = 8
+
+// New makes a gate for a target with so many slots.
+func New(slots int) *Gate {
+	return &Gate{slots: max(slots, 1), running: map[uint64]time.Duration{}, hold: float64(firstHold)}
+}
+
+// SetSlots changes the number of slots.
+func (g *Gate) SetSlots(now time.Duration, slots int) []Decision {
+	g.slots = max(slots, 1)
+	return g.fill(now, nil)
+}
+
+// Load describes the gate now.
+func (g *Gate) Load() Load {
+	return Load{Slots: g.slots, Running: len(g.running), Waiting: len(g.queue), Hold: time.Duration(g.hold)}
+}
+
+// Draining tells whether the gate refuses all new work.
+func (g *Gate) Draining() bool { return g.draining }
+
+// Arrive takes in a request; the decisions may be about others that it displaces.
+func (g *Gate) Arrive(now time.Duration, request Request) []Decision {
+	if g.draining {
+		return []Decision{{ID: request.ID, Reason: ReasonDraining}}
+	}
+	if now >= request.Deadline {
+		return []Decision{{ID: request.ID, Reason: ReasonExpired}}
+	}
+	if len(g.running) < g.slots && len(g.queue) == 0 {
+		g.running[request.ID] = now
+		return []Decision{{ID: request.ID, Send: true}}
+	}
+	place := g.place(request)
+	wait := g.expectedWait(place)
+	if request.MaxWait > 0 && wait > request.MaxWait {
+		return []Decision{{ID: request.ID, Reason: ReasonTooLong}}
+	}
+	if now+wait >= request.Deadline {
+		return []Decision{{ID: request.ID, Reason: ReasonTooLong}}
+	}
+	g.queue = append(g.queue, waiting{})
+	copy(g.queue[place+1:], g.queue[place:])
+	g.queue[place] = waiting{request: request, arrived: now}
+	decisions := g.fill(now, nil)
+	if len(g.queue) > queueFactor*g.slots {
+		last := g.queue[len(g.queue)-1]
+		g.queue = g.queue[:len(g.queue)-1]
+		decisions = append(decisions, Decision{ID: last.request.ID, Reason: ReasonFull, Waited: now - last.arrived})
+	}
+	return decisions
+}
+
+// place gives the position in the queue: by importance, then first come.
+func (g *Gate) place(request Request) int {
+	return sort.Search(len(g.queue), func(i int) bool { return g.queue[i].request.Importance > request.Importance })
+}
+
+func (g *Gate) expectedWait(place int) time.Duration {
+	return time.Duration(g.hold * float64(place+1) / float64(g.slots))
+}
+
+// Finish gives the slot of a request back. learn tells whether its time at the
+// target says something of the target's speed.
+func (g *Gate) Finish(now time.Duration, id uint64, learn bool) []Decision {
+	sent, present := g.running[id]
+	if !present {
+		return nil
+	}
+	delete(g.running, id)
+	if learn {
+		g.hold += holdWeight * (float64(now-sent) - g.hold)
+	}
+	return g.fill(now, nil)
+}
+
+// Withdraw takes a request out of the queue; it gives false when the request
+// does not wait there.
+func (g *Gate) Withdraw(id uint64) bool {
+	for index, item := range g.queue {
+		if item.request.ID == id {
+			g.queue = append(g.queue[:index], g.queue[index+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Tick refuses what has waited past its deadline. Call it while anything waits.
+func (g *Gate) Tick(now time.Duration) []Decision { return g.fill(now, nil) }
+
+// Drain refuses everything that waits and all that comes; what is at the target
+// goes on.
+func (g *Gate) Drain(now time.Duration) []Decision {
+	g.draining = true
+	var decisions []Decision
+	for _, item := range g.queue {
+		decisions = append(decisions, Decision{ID: item.request.ID, Reason: ReasonDraining, Waited: now - item.arrived})
+	}
+	g.queue = nil
+	return decisions
+}
+
+// fill drops what has expired and hands out the free slots.
+func (g *Gate) fill(now time.Duration, decisions []Decision) []Decision {
+	kept := g.queue[:0]
+	for _, item := range g.queue {
+		if now >= item.request.Deadline {
+			decisions = append(decisions, Decision{ID: item.request.ID, Reason: ReasonExpired, Waited: now - item.arrived})
+			continue
+		}
+		kept = append(kept, item)
+	}
+	g.queue = kept
+	for len(g.queue) > 0 && len(g.running) < g.slots {
+		next := g.queue[0]
+		g.queue = g.queue[1:]
+		g.running[next.request.ID] = now
+		decisions = append(decisions, Decision{ID: next.request.ID, Send: true, Waited: now - next.arrived})
+	}
+	return decisions
+}
--- /dev/null
+++ b/internal/sidecar/egress.go
@@ -0,0 +1,278 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/intent"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// egress takes requests of the clients on the machine and of the target there.
+type egress struct {
+	node *Node
+}
+
+// exchange is one request and what it takes to have it answered.
+type exchange struct {
+	node       *Node
+	writer     http.ResponseWriter
+	request    *http.Request
+	id         string
+	intent     *intent.Intent
+	route      *intent.Route
+	service    string
+	parent     *running // request of the target that made this one; nil for a client's
+	importance int
+	repeat     bool
+	header     http.Header
+	body       *payload
+	started    time.Duration
+	arrivals   int  // sendings that reached a target
+	mayRun     bool // one of them may have run
+}
+
+// Times of a request.
+const (
+	defaultDeadline = 10 * time.Second // of a sender that names none
+	maxBounces      = 8                // sendings that no target saw
+	bodyGrace       = 50 * time.Millisecond
+)
+
+// ServeHTTP takes a request.
+func (e *egress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer e.node.begin(w)()
+	names := e.node.options.Headers
+	x := &exchange{node: e.node, writer: w, request: r, id: r.Header.Get(names.RequestID), intent: e.node.intent.Load(), started: e.node.now()}
+	switch {
+	case x.intent == nil:
+		x.refuse(http.StatusServiceUnavailable, reasonNoIntent, unreadyRetryAfter)
+		return
+	case x.id == "":
+		x.refuse(http.StatusBadRequest, reasonBadMessage, 0)
+		return
+	}
+	x.route = x.intent.Match(r.Host, pathOf(r))
+	if x.route == nil {
+		x.refuse(http.StatusNotFound, reasonNoRoute, 0)
+		return
+	}
+	x.serve()
+}
+
+// uriOf gives path and query as they were sent.
+func uriOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func pathOf(r *http.Request) string {
+	path, _, _ := strings.Cut(uriOf(r), "?")
+	return path
+}
+
+// holdTime is the longest time that the request may be held.
+func (x *exchange) holdTime() time.Duration {
+	hold := defaultDeadline
+	if text := x.request.Header.Get(x.node.options.Headers.Deadline); text != "" {
+		if milliseconds, err := strconv.ParseFloat(text, 64); err == nil && milliseconds >= 0 {
+			hold = time.Duration(milliseconds * float64(time.Millisecond))
+		}
+	}
+	if x.route.Timeout > 0 {
+		hold = min(hold, x.route.Timeout)
+	}
+	return hold
+}
+
+func (x *exchange) serve() {
+	hold := x.holdTime()
+	ctx, cancel := context.WithTimeout(x.request.Context(), hold)
+	defer cancel()
+	x.findParent()
+	if x.parent != nil {
+		stop := context.AfterFunc(x.parent.ctx, cancel)
+		defer stop()
+	}
+	if x.request.ContentLength != 0 {
+		_ = http.NewResponseController(x.writer).SetReadDeadline(time.Now().Add(hold + bodyGrace))
+	}
+	body, err := receive(x.request)
+	if err != nil {
+		x.refuse(http.StatusRequestTimeout, reasonCancelled, 0)
+		return
+	}
+	x.body = body
+	x.header = endToEnd(x.request.Header)
+	x.service = x.node.splitter.choose(x.route)
+	x.node.services.get(x.service).count(x.node.now())
+	x.send(ctx)
+}
+
+// findParent looks for the request at the target for which this one is made. The
+// id of a call is the id of the request that made it, a dot and a part of its
+// own; where ids look otherwise the request stands for itself.
+func (x *exchange) findParent() {
+	x.importance = x.route.Priority*importanceStep + importanceFresh
+	dot := strings.LastIndexByte(x.id, '.')
+	if dot <= 0 {
+		return
+	}
+	parent := x.node.ingress.running.find(x.id[:dot])
+	if parent == nil {
+		return
+	}
+	x.parent = parent
+	x.importance = parent.importance - parent.importance%importanceStep + importanceOfCall
+	x.repeat = parent.repeat
+}
+
+// Importance within one priority: calls of running work go before fresh work.
+const (
+	importanceStep   = 4
+	importanceOfCall = 0
+	importanceFresh  = 2
+)
+
+// send tries targets until one answers or nothing more can be tried.
+func (x *exchange) send(ctx context.Context) {
+	target := x.node.services.get(x.service)
+	excluded := map[string]bool{}
+	last := notRun(reasonNoTarget)
+	for bounces := 0; bounces < maxBounces && ctx.Err() == nil; {
+		choice := target.pick(x.node.now(), excluded)
+		if choice == nil {
+			break
+		}
+		last.close()
+		last = x.attempt(ctx, choice, bounces)
+		choice.done(x.node.now(), last)
+		if last.arrived {
+			x.arrivals++
+		} else {
+			bounces++
+		}
+		if last.outcome == Unknown {
+			x.mayRun = true
+		}
+		if last.outcome == Answered {
+			x.answer(last)
+			return
+		}
+		excluded[choice.node] = true
+		if !x.again(target, last) {
+			break
+		}
+	}
+	x.giveUp(ctx, last)
+}
+
+// again tells whether another target may be tried after a sending that brought
+// no answer.
+func (x *exchange) again(target *service, last *reply) bool {
+	if !x.body.replayable() {
+		return false
+	}
+	if !last.arrived {
+		return true
+	}
+	if last.outcome == Unknown && !x.route.Kind.Repeatable() {
+		return false
+	}
+	if x.arrivals >= max(x.route.MaxAttempts, 1) || x.repeat {
+		return false
+	}
+	return target.repeat(x.node.now())
+}
+
+// attempt sends the request to one target.
+func (x *exchange) attempt(ctx context.Context, choice *choice, bounces int) *reply {
+	deadline, _ := ctx.Deadline()
+	call := &wire.SidecarCall{
+		RequestID: x.id, Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Service: x.service, Route: x.route.Name,
+		Caller: x.node.caller(), From: x.node.settings.Node, Importance: x.importance, Repeatable: x.route.Kind.Repeatable(),
+		Repeat: x.repeat || x.arrivals > 0, Attempt: x.arrivals, Remaining: time.Until(deadline).Microseconds(),
+		MaxWait: choice.maxWait.Microseconds(), Version: int64(x.intent.Version),
+	}
+	if choice.node == x.node.settings.Node {
+		answer := x.node.ingress.serve(ctx, call, x.header.Clone(), x.body)
+		return answer
+	}
+	return x.node.peers.call(ctx, choice.address, call, x.header, x.body)
+}
+
+// answer gives the target's answer to the sender.
+func (x *exchange) answer(given *reply) {
+	defer given.close()
+	if x.parent != nil {
+		x.parent.add(append(given.needs, wire.Need{Service: x.service, Calls: 1, Wait: given.load.Wait().Microseconds()}))
+	}
+	header := x.writer.Header()
+	for name, values := range given.header {
+		header[name] = values
+	}
+	withoutGuess(header)
+	if given.stream == nil {
+		header.Set("Content-Length", strconv.Itoa(len(given.body)))
+		x.writer.WriteHeader(given.status)
+		_, _ = x.writer.Write(given.body)
+		return
+	}
+	if given.length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(given.length, 10))
+	}
+	x.writer.WriteHeader(given.status)
+	if _, err := io.Copy(x.writer, given.stream); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Times after which a refused sender may come back.
+const (
+	unreadyRetryAfter  = 500 * time.Millisecond
+	overloadRetryAfter = 400 * time.Millisecond
+)
+
+// giveUp writes the final answer of a request that no target answered. "Not run"
+// is said only where no sending may have run.
+func (x *exchange) giveUp(ctx context.Context, last *reply) {
+	defer last.close()
+	if x.request.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case !x.mayRun:
+		x.refuse(http.StatusServiceUnavailable, last.reason, jittered(overloadRetryAfter))
+	case ctx.Err() != nil:
+		x.refuse(http.StatusGatewayTimeout, reasonTimeout, 0)
+	default:
+		x.refuse(http.StatusBadGateway, last.reason, 0)
+	}
+}
+
+func jittered(span time.Duration) time.Duration {
+	return span + time.Duration(rand.Int64N(int64(span)))
+}
+
+// refuse writes an answer of the node's own.
+func (x *exchange) refuse(status int, reason Reason, retryAfter time.Duration) {
+	header := x.writer.Header()
+	if x.id != "" {
+		header.Set(x.node.options.Headers.RequestID, x.id)
+	}
+	if retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+	}
+	header.Set("Content-Type", "text/plain")
+	header.Set("Content-Length", strconv.Itoa(len(reason)))
+	x.writer.WriteHeader(status)
+	_, _ = io.WriteString(x.writer, string(reason))
+	x.node.note(x, status, reason)
+}
--- /dev/null
+++ b/internal/sidecar/ingress.go
@@ -0,0 +1,294 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/core/slots"
+	"github.com/landingmast/landingmast/internal/sidecar/targetlink"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// running is a request at the target. Calls that the target makes for it find it
+// by its id.
+type running struct {
+	ctx        context.Context
+	importance int
+	repeat     bool
+
+	mutex sync.Mutex
+	needs map[string]wire.Need
+}
+
+// add notes what a call of the target needed below.
+func (r *running) add(needs []wire.Need) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, need := range needs {
+		sum := r.needs[need.Service]
+		sum.Service = need.Service
+		sum.Calls += need.Calls
+		sum.Wait = max(sum.Wait, need.Wait)
+		r.needs[need.Service] = sum
+	}
+}
+
+func (r *running) below() []wire.Need {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	needs := make([]wire.Need, 0, len(r.needs)+1)
+	for _, need := range r.needs {
+		needs = append(needs, need)
+	}
+	return needs
+}
+
+// runningTable holds the requests at the target by id.
+type runningTable struct {
+	mutex    sync.Mutex
+	requests map[string]*running
+}
+
+func (t *runningTable) add(id string, request *running) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.requests[id] = request
+}
+
+func (t *runningTable) remove(id string, request *running) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.requests[id] == request {
+		delete(t.requests, id)
+	}
+}
+
+func (t *runningTable) find(id string) *running {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.requests[id]
+}
+
+// ingress takes requests for the target beside the node.
+type ingress struct {
+	node    *Node
+	running runningTable
+}
+
+// ServeHTTP takes a request of another node.
+func (i *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer i.node.begin(w)()
+	call, err := wire.SidecarCallCodec.DecodeHeader(r.Header.Get(wire.HeaderSidecarCall))
+	if err != nil {
+		i.write(w, notRun(reasonBadMessage))
+		return
+	}
+	remaining := time.Duration(call.Remaining) * time.Microsecond
+	ctx, cancel := context.WithTimeout(r.Context(), remaining)
+	defer cancel()
+	body, err := receive(r)
+	if err != nil {
+		i.write(w, notRun(reasonCancelled))
+		return
+	}
+	i.write(w, i.serve(ctx, call, endToEnd(r.Header), body))
+}
+
+// receive reads the body of a request, whole unless it is long.
+func receive(r *http.Request) (*payload, error) {
+	if r.ContentLength == 0 {
+		return &payload{}, nil
+	}
+	data, rest, err := readWhole(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	if rest != nil {
+		return &payload{stream: rest, length: r.ContentLength}, nil
+	}
+	return &payload{data: data}, nil
+}
+
+// write sends a reply to the node that asked. An answer that breaks off cuts the
+// connection, so that it never passes for a whole one.
+func (i *ingress) write(w http.ResponseWriter, answer *reply) {
+	defer answer.close()
+	answer.incarnation = i.node.incarnation
+	answer.version = i.node.version()
+	head, err := wire.SidecarResultCodec.EncodeHeader(answer.result())
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	header := w.Header()
+	for name, values := range answer.header {
+		header[name] = values
+	}
+	header.Set(wire.HeaderSidecarResult, head)
+	withoutGuess(header)
+	if answer.stream == nil {
+		header.Set("Content-Length", strconv.Itoa(len(answer.body)))
+		_, _ = w.Write(answer.body)
+		return
+	}
+	if answer.length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(answer.length, 10))
+	}
+	if _, err := io.Copy(w, answer.stream); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// withoutGuess keeps net/http from adding headers that the target did not send.
+func withoutGuess(header http.Header) {
+	if _, present := header["Content-Type"]; !present {
+		header["Content-Type"] = nil
+	}
+	if _, present := header["Date"]; !present {
+		header["Date"] = nil
+	}
+}
+
+// serve waits for a slot and has the target run the request.
+func (i *ingress) serve(ctx context.Context, call *wire.SidecarCall, header http.Header, body *payload) *reply {
+	gate := i.node.target.current()
+	switch {
+	case gate == nil:
+		return notRun(reasonNoTarget)
+	case gate.service != call.Service:
+		return notRun(reasonWrongService)
+	case call.Incarnation != "" && call.Incarnation != i.node.incarnation:
+		return notRun(reasonIncarnation)
+	}
+	deadline, _ := ctx.Deadline()
+	load, _ := gate.load()
+	now := i.node.now()
+	id, decision := gate.enter(ctx, slots.Request{
+		Importance: call.Importance, Deadline: now + time.Until(deadline) - load.Hold/2, MaxWait: time.Duration(call.MaxWait) * time.Microsecond,
+	})
+	var answer *reply
+	if decision.Send {
+		answer = i.run(ctx, gate, id, call, header, body)
+	} else {
+		answer = notRun(Reason(decision.Reason))
+		if ctx.Err() != nil {
+			answer.reason = reasonCancelled
+		}
+	}
+	answer.load, _ = gate.load()
+	return answer
+}
+
+// run sends the request to the target and reads its answer.
+func (i *ingress) run(ctx context.Context, gate *gate, id uint64, call *wire.SidecarCall, header http.Header, body *payload) *reply {
+	request := &running{ctx: ctx, importance: call.Importance, repeat: call.Repeat, needs: map[string]wire.Need{}}
+	i.running.add(call.RequestID, request)
+	answer := i.exchange(ctx, gate, call, header, body)
+	i.running.remove(call.RequestID, request)
+	learn := answer.outcome == Answered
+	if answer.stream == nil {
+		gate.leave(id, learn)
+	} else {
+		answer.stream = &leaving{ReadCloser: answer.stream, leave: func() { gate.leave(id, learn) }}
+	}
+	answer.needs = request.below()
+	return answer
+}
+
+// leaving gives the slot back when a long answer was read.
+type leaving struct {
+	io.ReadCloser
+	once  sync.Once
+	leave func()
+}
+
+func (l *leaving) Close() error {
+	defer l.once.Do(l.leave)
+	return l.ReadCloser.Close()
+}
+
+func (i *ingress) exchange(ctx context.Context, gate *gate, call *wire.SidecarCall, header http.Header, body *payload) *reply {
+	names := i.node.options.Headers
+	deadline, _ := ctx.Deadline()
+	remaining := time.Until(deadline).Milliseconds()
+	if remaining < 1 {
+		return notRun(reasonTimeout)
+	}
+	header.Set(names.RequestID, call.RequestID)
+	header.Set(names.Deadline, strconv.FormatInt(remaining, 10))
+	header.Set(names.ExpectInstance, gate.instance)
+	header.Set(names.Caller, call.Caller)
+	answer, err := gate.links.Do(ctx, &targetlink.Request{
+		ID: call.RequestID, Method: call.Method, URI: call.URI, Host: call.Host, Header: header,
+		Body: body.data, Stream: body.stream, Length: body.length,
+	})
+	if err != nil {
+		return i.failed(ctx, err)
+	}
+	return i.judge(ctx, gate, answer)
+}
+
+func (i *ingress) failed(ctx context.Context, err error) *reply {
+	switch {
+	case errors.Is(err, targetlink.ErrNotSent):
+		return notRun(reasonUnreachable)
+	case ctx.Err() != nil:
+		return unknown(endOf(ctx))
+	case errors.Is(err, targetlink.ErrSpoiled):
+		return unknown(reasonSpoiled)
+	default:
+		return unknown(reasonLost)
+	}
+}
+
+// endOf tells the end of a request's time from the end of its sender's interest.
+func endOf(ctx context.Context) Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return reasonTimeout
+	}
+	return reasonCancelled
+}
+
+// judge tells what the target's answer is worth.
+func (i *ingress) judge(ctx context.Context, gate *gate, answer *targetlink.Answer) *reply {
+	names := i.node.options.Headers
+	if answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(names.NotRun) != "" {
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, keepBytes))
+		_ = answer.Body.Close()
+		declined := notRun(reasonTargetShed)
+		declined.arrived = true
+		if answer.Status == http.StatusMisdirectedRequest {
+			declined.reason = reasonMisdirected
+			if other := answer.Header.Get(names.Instance); other != "" && other != gate.instance {
+				i.node.target.replaced(gate.instance)
+			}
+		}
+		return declined
+	}
+	if answer.Header.Get(names.Signature) == "" && answer.Status < http.StatusBadRequest || answer.Header.Get("Content-Encoding") != "" {
+		_ = answer.Body.Close()
+		return unknown(reasonSpoiled)
+	}
+	data, rest, err := readWhole(answer.Body)
+	if err != nil {
+		_ = answer.Body.Close()
+		if ctx.Err() != nil {
+			return unknown(endOf(ctx))
+		}
+		return unknown(reasonLost)
+	}
+	given := &reply{outcome: Answered, reason: reasonNone, arrived: true, status: answer.Status, header: endToEnd(answer.Header), body: data, length: answer.Length}
+	if rest == nil {
+		_ = answer.Body.Close()
+		return given
+	}
+	given.stream = struct {
+		io.Reader
+		io.Closer
+	}{rest, answer.Body}
+	return given
+}
--- /dev/null
+++ b/internal/sidecar/peers.go
@@ -0,0 +1,135 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// Bounds of the connections between nodes.
+const (
+	peerDialTimeout = 500 * time.Millisecond
+	peerIdle        = 30 * time.Second
+	peerConnections = 256
+	peerBuffer      = 4 << 10
+)
+
+// Paths between nodes.
+const callPath = "/call"
+
+// peerClient sends requests to other nodes.
+type peerClient struct {
+	transport *http.Transport
+}
+
+func newPeerClient(dial Dialer) *peerClient {
+	return &peerClient{transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
+			defer cancel()
+			return dial(ctx, network, address)
+		},
+		MaxIdleConnsPerHost: peerConnections, IdleConnTimeout: peerIdle, DisableCompression: true,
+		ReadBufferSize: peerBuffer, WriteBufferSize: peerBuffer,
+	}}
+}
+
+// opaqueBody hides from net/http what a body is, so that it never sends a
+// request a second time of its own accord.
+type opaqueBody struct{ io.Reader }
+
+func (opaqueBody) Close() error { return nil }
+
+// hideKeys renames the headers by which net/http takes a request for repeatable
+// to lower case; names are case-insensitive to the receiver.
+func hideKeys(header http.Header) {
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if values, present := header[name]; present {
+			delete(header, name)
+			header[strings.ToLower(name)] = values
+		}
+	}
+}
+
+// call sends one request to the node at an address. The reply's stream, if it has
+// one, must be closed.
+func (p *peerClient) call(ctx context.Context, address string, call *wire.SidecarCall, header http.Header, body *payload) *reply {
+	head, err := wire.SidecarCallCodec.EncodeHeader(call)
+	if err != nil {
+		return notRun(reasonBadMessage)
+	}
+	request := (&http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: callPath}, Host: address,
+		Header: header.Clone(), ProtoMajor: 1, ProtoMinor: 1,
+	})
+	hideKeys(request.Header)
+	request.Header.Set(wire.HeaderSidecarCall, head)
+	if _, present := request.Header["User-Agent"]; !present {
+		request.Header["User-Agent"] = []string{""}
+	}
+	switch {
+	case body.stream != nil:
+		request.Body, request.ContentLength = opaqueBody{body.stream}, body.length
+	case len(body.data) > 0:
+		request.Body, request.ContentLength = opaqueBody{newReader(body.data)}, int64(len(body.data))
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err := p.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		return unanswered(ctx, connected.Load())
+	}
+	return readReply(ctx, response)
+}
+
+// unanswered sorts a failed round trip: without a connection nothing was sent.
+func unanswered(ctx context.Context, connected bool) *reply {
+	switch {
+	case !connected && ctx.Err() != nil:
+		return notRun(endOf(ctx))
+	case !connected:
+		return notRun(reasonUnreachable)
+	case ctx.Err() != nil:
+		return unknown(endOf(ctx))
+	default:
+		return unknown(reasonLost)
+	}
+}
+
+// readReply reads the head of a reply and its body, whole unless it is long.
+func readReply(ctx context.Context, response *http.Response) *reply {
+	result, err := wire.SidecarResultCodec.DecodeHeader(response.Header.Get(wire.HeaderSidecarResult))
+	if err != nil {
+		_ = response.Body.Close()
+		return unknown(reasonBadMessage)
+	}
+	answer := replyOf(result)
+	data, rest, err := readWhole(response.Body)
+	if err != nil {
+		_ = response.Body.Close()
+		lost := unknown(reasonLost)
+		if ctx.Err() != nil {
+			lost.reason = endOf(ctx)
+		}
+		return lost
+	}
+	answer.header, answer.body = endToEnd(response.Header), data
+	if rest == nil {
+		_ = response.Body.Close()
+		return answer
+	}
+	answer.body = nil
+	answer.stream = struct {
+		io.Reader
+		io.Closer
+	}{rest, response.Body}
+	return answer
+}
--- /dev/null
+++ b/internal/sidecar/reply.go
@@ -0,0 +1,117 @@
+package sidecar
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/slots"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// Outcome is how the sending of a request ended, as far as it can be proved.
+type Outcome string
+
+// The outcomes.
+const (
+	// Answered means that the target gave its whole answer.
+	Answered Outcome = "answered"
+	// NotRun means that the target did not run the request and never will.
+	NotRun Outcome = "not_run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+)
+
+// Reason says why a sending ended as it did; a fixed word for logs and metrics.
+type Reason string
+
+// The reasons besides those of package slots.
+const (
+	reasonNone         Reason = "none"
+	reasonNoIntent     Reason = "no_configuration"
+	reasonNoRoute      Reason = "no_route"
+	reasonNoTarget     Reason = "no_target"
+	reasonWrongService Reason = "wrong_service"  // another service's target stands there
+	reasonIncarnation  Reason = "node_restarted" // the node there is another process
+	reasonUnreachable  Reason = "unreachable"    // no connection
+	reasonTargetShed   Reason = "target_shed"    // the target declined
+	reasonMisdirected  Reason = "misdirected"    // another target has the address
+	reasonLost         Reason = "lost"           // connection broke, answer missing
+	reasonSpoiled      Reason = "spoiled"        // bytes that are no answer
+	reasonTimeout      Reason = "timeout"        // time of the request was up
+	reasonCancelled    Reason = "cancelled"      // nobody waits any more
+	reasonBadMessage   Reason = "bad_message"    // node protocol not understood
+	reasonSilent       Reason = "silent"         // the node there gives no sign of life
+	reasonSheds        Reason = "overload"       // refused where the chain starts
+	reasonStopping     Reason = "stopping"
+)
+
+// reply is what became of one sending of a request.
+type reply struct {
+	outcome     Outcome
+	reason      Reason
+	arrived     bool // the request reached the target
+	status      int
+	header      http.Header
+	body        []byte        // the whole body, when stream is nil
+	stream      io.ReadCloser // a long body; it must be closed
+	length      int64         // of the stream; -1: unknown
+	load        slots.Load
+	incarnation string
+	version     uint64 // of the configuration at the node that replied
+	needs       []wire.Need
+}
+
+func notRun(reason Reason) *reply  { return &reply{outcome: NotRun, reason: reason} }
+func unknown(reason Reason) *reply { return &reply{outcome: Unknown, reason: reason, arrived: true} }
+
+func (r *reply) close() {
+	if r.stream != nil {
+		_ = r.stream.Close()
+		r.stream = nil
+	}
+}
+
+// payload is the body of a request: whole, or a stream that can be sent once.
+type payload struct {
+	data   []byte
+	stream io.Reader
+	length int64
+}
+
+func (p *payload) replayable() bool { return p.stream == nil }
+
+// keepBytes is the longest body that is read whole before it is passed on, so
+// that one that breaks off can be asked for again.
+const keepBytes = 64 << 10
+
+// readWhole reads up to keepBytes. When there is more, rest gives all of it.
+func readWhole(source io.Reader) (data []byte, rest io.Reader, err error) {
+	data, err = io.ReadAll(io.LimitReader(source, keepBytes+1))
+	if err != nil || len(data) <= keepBytes {
+		return data, nil, err
+	}
+	return nil, io.MultiReader(newReader(data), source), nil
+}
+
+// result writes the head of the reply for the node that asked.
+func (r *reply) result() *wire.SidecarResult {
+	length := int64(len(r.body))
+	if r.stream != nil {
+		length = r.length
+	}
+	return &wire.SidecarResult{
+		Outcome: string(r.outcome), Reason: string(r.reason), Arrived: r.arrived, Status: r.status, Length: length,
+		Incarnation: r.incarnation, Version: int64(r.version), Slots: r.load.Slots, Running: r.load.Running, Waiting: r.load.Waiting,
+		Hold: r.load.Hold.Microseconds(), Below: r.needs,
+	}
+}
+
+// replyOf reads the head of a reply.
+func replyOf(result *wire.SidecarResult) *reply {
+	return &reply{
+		outcome: Outcome(result.Outcome), reason: Reason(result.Reason), arrived: result.Arrived, status: result.Status,
+		length: result.Length, incarnation: result.Incarnation, version: uint64(max(result.Version, 0)), needs: result.Below,
+		load: slots.Load{Slots: result.Slots, Running: result.Running, Waiting: result.Waiting, Hold: time.Duration(result.Hold) * time.Microsecond},
+	}
+}
--- /dev/null
+++ b/internal/sidecar/routes.go
@@ -0,0 +1,172 @@
+package sidecar
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/balancer"
+	"github.com/landingmast/landingmast/internal/core/intent"
+	"github.com/landingmast/landingmast/internal/core/repeats"
+	"github.com/landingmast/landingmast/internal/core/slots"
+)
+
+// services holds what the node knows of each service: its targets and the budget
+// for repeats. It is safe for concurrent use.
+type services struct {
+	node   string
+	zone   string
+	now    func() time.Duration
+	config repeats.Config
+
+	mutex   sync.Mutex
+	byName  map[string]*service
+	members int
+}
+
+// service is one service as this node sees it.
+type service struct {
+	mutex    sync.Mutex
+	balancer *balancer.Balancer
+	budget   *repeats.Budget
+}
+
+type globalRandom struct{}
+
+func (globalRandom) Float64() float64 { return rand.Float64() }
+
+func newServices(node, zone string, now func() time.Duration, config repeats.Config) *services {
+	return &services{node: node, zone: zone, now: now, config: config, byName: map[string]*service{}, members: 1}
+}
+
+// get gives a service, also one without targets.
+func (s *services) get(name string) *service {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.getLocked(name)
+}
+
+func (s *services) getLocked(name string) *service {
+	known := s.byName[name]
+	if known == nil {
+		config := s.config
+		config.Allowance = s.config.Allowance / float64(s.members)
+		known = &service{
+			balancer: balancer.New(balancer.DefaultConfig(), s.node, s.zone, globalRandom{}),
+			budget:   repeats.New(config),
+		}
+		s.byName[name] = known
+	}
+	return known
+}
+
+// update sets the targets of every service and the number of nodes.
+func (s *services) update(targets map[string][]balancer.Target, members int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.members = max(members, 1)
+	for name := range targets {
+		s.getLocked(name)
+	}
+	for name, known := range s.byName {
+		known.mutex.Lock()
+		known.balancer.Update(targets[name])
+		known.budget.SetAllowance(s.config.Allowance / float64(s.members))
+		known.mutex.Unlock()
+	}
+}
+
+// choice is the target that a sending goes to.
+type choice struct {
+	service  *service
+	endpoint *balancer.Endpoint
+	node     string
+	address  string
+	maxWait  time.Duration
+}
+
+// pick chooses a target; nil when there is none.
+func (s *service) pick(now time.Duration, excluded map[string]bool) *choice {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	endpoint, _, _ := s.balancer.Pick(now, excluded, true)
+	if endpoint == nil {
+		return nil
+	}
+	s.balancer.Sent(endpoint)
+	return &choice{service: s, endpoint: endpoint, node: endpoint.Node, address: endpoint.Address}
+}
+
+// done takes in what became of a sending.
+func (c *choice) done(now time.Duration, answer *reply) {
+	s := c.service
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.balancer.Done(c.endpoint)
+	if answer.load.Slots > 0 {
+		s.balancer.Report(now, c.endpoint, answer.load)
+	}
+	switch answer.reason {
+	case reasonUnreachable, reasonSilent:
+		s.balancer.Suspect(now, c.endpoint)
+	case Reason(slots.ReasonDraining), reasonNoTarget, reasonWrongService, reasonStopping, reasonIncarnation, reasonMisdirected:
+		s.balancer.Refused(now, c.endpoint)
+	}
+}
+
+func (s *service) count(now time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.budget.Request(now, 1)
+}
+
+// repeat takes a repeat out of the budget, if there is one.
+func (s *service) repeat(now time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.budget.Allows(now, 1) {
+		return false
+	}
+	s.budget.Spend(now, 1)
+	return true
+}
+
+// splitter keeps the shares of a route's parts close to their weights.
+type splitter struct {
+	mutex  sync.Mutex
+	credit map[string][]float64 // by route
+}
+
+// choose gives the service that a request of the route goes to: each part gains
+// its weight's share of credit with each request, the richest is taken.
+func (s *splitter) choose(route *intent.Route) string {
+	if len(route.Parts) == 1 {
+		return route.Parts[0].Service
+	}
+	total := 0
+	for _, part := range route.Parts {
+		total += part.Weight
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	credit := s.credit[route.Name]
+	if len(credit) != len(route.Parts) {
+		credit = make([]float64, len(route.Parts))
+		for index := range credit {
+			credit[index] = rand.Float64()
+		}
+		s.credit[route.Name] = credit
+	}
+	best := -1
+	for index, part := range route.Parts {
+		if part.Weight == 0 {
+			continue
+		}
+		credit[index] += float64(part.Weight) / float64(total)
+		if best < 0 || credit[index] > credit[best] {
+			best = index
+		}
+	}
+	credit[best]--
+	return route.Parts[best].Service
+}
--- /dev/null
+++ b/internal/sidecar/settings/settings.go
@@ -0,0 +1,201 @@
+// Package settings holds the settings of a sidecar node: YAML, checked at start
+// and at each reload, unknown keys refused.
+package settings
+
+import (
+	"bytes"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/bundle"
+	"github.com/landingmast/landingmast/internal/failure"
+	"go.yaml.in/yaml/v3"
+)
+
+// Settings are what a sidecar node is told at its start.
+type Settings struct {
+	// Node is the name of the machine, unique in the deployment.
+	Node string `yaml:"node"`
+	// Zone is the failure zone of the machine.
+	Zone string `yaml:"zone"`
+	// Target is the application beside the node.
+	Target Target `yaml:"target"`
+	// Listen holds the addresses that the node listens on, IP:port.
+	Listen Listen `yaml:"listen"`
+	// Store is the key-value service that holds what must last.
+	Store Store `yaml:"store"`
+	// Bounds are what the operators promise their users.
+	Bounds Bounds `yaml:"bounds"`
+	// Retries bounds repeated requests.
+	Retries Retries `yaml:"retries"`
+	// Log sets the log.
+	Log Log `yaml:"log"`
+}
+
+// Target is the application beside the node.
+type Target struct {
+	// Service is the application's service.
+	Service string `yaml:"service"`
+	// Address of the application, IP:port.
+	Address string `yaml:"address"`
+}
+
+// Listen holds the addresses of a node.
+type Listen struct {
+	// Outbound is where local clients and the target send requests.
+	Outbound string `yaml:"outbound"`
+	// Inbound is where other nodes send requests for the target.
+	Inbound string `yaml:"inbound"`
+	// Ready is where readiness is asked for.
+	Ready string `yaml:"ready"`
+	// Control is where the target sends its heartbeats.
+	Control string `yaml:"control"`
+	// Metrics is where metrics are served; empty: nowhere.
+	Metrics string `yaml:"metrics"`
+}
+
+// Store is the key-value service.
+type Store struct {
+	// Address of the service, IP:port; empty: no store.
+	Address string `yaml:"address"`
+	// Lease is how long the record of a silent node lasts; default 20s.
+	Lease bundle.Duration `yaml:"lease"`
+}
+
+// Bounds are times that the operators promise.
+type Bounds struct {
+	// Drain is how long after the acknowledgement a leaving target may get new work; default 2s.
+	Drain bundle.Duration `yaml:"drain"`
+	// Grace is the time between SIGTERM and SIGKILL; default 6s.
+	Grace bundle.Duration `yaml:"grace"`
+}
+
+// Retries bounds repeated requests over all nodes.
+type Retries struct {
+	// Ratio is the share of a service's requests that may be repeats; default 0.2.
+	Ratio float64 `yaml:"ratio"`
+	// Allowance is the number of repeats in a window besides; default 50.
+	Allowance float64 `yaml:"allowance"`
+	// Window is the sliding window; default 10s.
+	Window bundle.Duration `yaml:"window"`
+}
+
+// Log sets the log.
+type Log struct {
+	// Level is debug, info, warning or error; default info.
+	Level string `yaml:"level"`
+}
+
+// Defaults of the settings.
+const (
+	DefaultLease     = 20 * time.Second
+	DefaultDrain     = 2 * time.Second
+	DefaultGrace     = 6 * time.Second
+	DefaultRatio     = 0.2
+	DefaultAllowance = 50
+	DefaultWindow    = 10 * time.Second
+)
+
+// Load reads a settings file and checks it.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.BadInput, "name a readable file with --settings", "settings file %s", path)
+	}
+	settings, err := Parse(data)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.BadInput, "", "settings file %s", path)
+	}
+	return settings, nil
+}
+
+// Parse reads settings and checks them.
+func Parse(data []byte) (*Settings, error) {
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	settings := &Settings{}
+	if err := decoder.Decode(settings); err != nil {
+		return nil, failure.Wrap(err, failure.BadInput, "correct the named line; keys are listed in docs/SIDECAR.md", "settings cannot be read")
+	}
+	settings.setDefaults()
+	return settings, settings.Validate()
+}
+
+func orDefault(value *bundle.Duration, otherwise time.Duration) {
+	if *value == 0 {
+		*value = bundle.Duration(otherwise)
+	}
+}
+
+func (s *Settings) setDefaults() {
+	orDefault(&s.Store.Lease, DefaultLease)
+	orDefault(&s.Bounds.Drain, DefaultDrain)
+	orDefault(&s.Bounds.Grace, DefaultGrace)
+	orDefault(&s.Retries.Window, DefaultWindow)
+	if s.Retries.Ratio == 0 {
+		s.Retries.Ratio = DefaultRatio
+	}
+	if s.Retries.Allowance == 0 {
+		s.Retries.Allowance = DefaultAllowance
+	}
+	if s.Log.Level == "" {
+		s.Log.Level = "info"
+	}
+}
+
+func bad(key, remedy, format string, arguments ...any) error {
+	return failure.New(failure.BadInput, remedy, "settings: "+key+": "+format, arguments...)
+}
+
+// Validate checks every rule and names the key of the first that is broken.
+func (s *Settings) Validate() error {
+	for _, name := range []struct{ key, value string }{{"node", s.Node}, {"zone", s.Zone}, {"target.service", s.Target.Service}} {
+		if name.value == "" || strings.ContainsAny(name.value, " \t\n") {
+			return bad(name.key, "give it a name without spaces", "%q is not usable", name.value)
+		}
+	}
+	for _, address := range []struct {
+		key, value string
+		optional   bool
+	}{
+		{"target.address", s.Target.Address, false},
+		{"listen.outbound", s.Listen.Outbound, false},
+		{"listen.inbound", s.Listen.Inbound, false},
+		{"listen.ready", s.Listen.Ready, false},
+		{"listen.control", s.Listen.Control, false},
+		{"listen.metrics", s.Listen.Metrics, true},
+		{"store.address", s.Store.Address, true},
+	} {
+		if address.value == "" && address.optional {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(address.value); err != nil {
+			return bad(address.key, "write it as IP:port", "address %q is not usable", address.value)
+		}
+	}
+	return s.validateNumbers()
+}
+
+func (s *Settings) validateNumbers() error {
+	for _, span := range []struct {
+		key   string
+		value bundle.Duration
+	}{{"store.lease", s.Store.Lease}, {"bounds.drain", s.Bounds.Drain}, {"bounds.grace", s.Bounds.Grace}, {"retries.window", s.Retries.Window}} {
+		if value := time.Duration(span.value); value < 100*time.Millisecond || value > 10*time.Minute {
+			return bad(span.key, "use 100ms to 10m", "%s is out of range", value)
+		}
+	}
+	if s.Retries.Ratio < 0 || s.Retries.Ratio > 1 {
+		return bad("retries.ratio", "use 0 to 1", "%g is out of range", s.Retries.Ratio)
+	}
+	if s.Retries.Allowance < 0 {
+		return bad("retries.allowance", "use 0 or more", "%g is negative", s.Retries.Allowance)
+	}
+	switch s.Log.Level {
+	case "debug", "info", "warning", "error":
+		return nil
+	}
+	return bad("log.level", "use debug, info, warning or error", "%q is unknown", s.Log.Level)
+}
--- /dev/null
+++ b/internal/sidecar/socket.go
@@ -0,0 +1,27 @@
+package sidecar
+
+import (
+	"log"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+)
+
+// silenceLimit is how long sent bytes may stay unacknowledged before the
+// connection counts as dead, in milliseconds.
+const silenceLimit = 3000
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux.
+const tcpUserTimeout = 0x12
+
+// boundSilence has a connection to a machine that says nothing fail by itself.
+func boundSilence(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(descriptor uintptr) {
+		_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, silenceLimit)
+	})
+}
+
+// quietLog takes what net/http says of single connections at debug level.
+func quietLog(entry *logrus.Entry) *log.Logger {
+	return log.New(entry.WriterLevel(logrus.DebugLevel), "", 0)
+}
--- /dev/null
+++ b/internal/wire/sidecar.go
@@ -0,0 +1,99 @@
+package wire
+
+// Names of the headers between sidecar nodes.
+const (
+	HeaderSidecarCall   = "Landingmast-Sidecar-Call"
+	HeaderSidecarResult = "Landingmast-Sidecar-Result"
+)
+
+// SidecarCall is the head of a request from the node where it began to the node
+// beside the target. Method, path and host of the request are in the head; its
+// headers travel as they are.
+type SidecarCall struct {
+	RequestID   string `avro:"request_id"`
+	Method      string `avro:"method"`
+	URI         string `avro:"uri"`
+	Host        string `avro:"host"`
+	Service     string `avro:"service"`
+	Route       string `avro:"route"`
+	Caller      string `avro:"caller"` // service of the machine where the request began
+	From        string `avro:"from"`
+	Incarnation string `avro:"incarnation"` // of the receiver, as the sender knows it; empty: any
+	Importance  int    `avro:"importance"`  // lower goes first
+	Repeatable  bool   `avro:"repeatable"`
+	Repeat      bool   `avro:"repeat"`       // this request, or one above it, has been sent before
+	Attempt     int    `avro:"attempt"`      // number of this sending, from 0
+	Remaining   int64  `avro:"remaining_us"` // until the request is given up
+	MaxWait     int64  `avro:"max_wait_us"`  // longest expected wait accepted; 0: any
+	Version     int64  `avro:"version"`      // of the configuration that the sender has
+}
+
+// SidecarResult is the head of the answer.
+type SidecarResult struct {
+	Outcome     string `avro:"outcome"`
+	Reason      string `avro:"reason"`
+	Arrived     bool   `avro:"arrived"` // the request reached the target
+	Status      int    `avro:"status"`
+	Length      int64  `avro:"length"` // of the body; -1: unknown
+	RetryAfter  int64  `avro:"retry_after_ms"`
+	Incarnation string `avro:"incarnation"`
+	Version     int64  `avro:"version"`
+	Slots       int    `avro:"slots"`
+	Running     int    `avro:"running"`
+	Waiting     int    `avro:"waiting"`
+	Hold        int64  `avro:"hold_us"`
+	Below       []Need `avro:"below"` // what the request needed of other services
+}
+
+// Need is what one request, with all calls below it, needed of a service.
+type Need struct {
+	Service string `avro:"service"`
+	Calls   int    `avro:"calls"`
+	Wait    int64  `avro:"wait_us"` // longest mean wait for a slot that was seen there
+}
+
+// NodeRecord is what a sidecar node tells the others of itself.
+type NodeRecord struct {
+	Node        string `avro:"node"`
+	Incarnation string `avro:"incarnation"` // of the node's process
+	Sequence    int64  `avro:"sequence"`    // rises with each change within an incarnation
+	Started     int64  `avro:"started_ms"`  // wall clock at the start of the process, to order incarnations
+	Address     string `avro:"address"`     // for other nodes
+	Zone        string `avro:"zone"`
+	Service     string `avro:"service"`
+	Instance    string `avro:"instance"` // of the target; empty: none is known
+	Slots       int    `avro:"slots"`
+	Serving     bool   `avro:"serving"` // takes new work
+	Cold        int64  `avro:"cold_ms"` // how much longer the target is slow, from the writing on
+}
+
+const (
+	sidecarCallSchema = `{"type":"record","name":"SidecarCall","fields":[
+{"name":"request_id","type":"string"},{"name":"method","type":"string"},{"name":"uri","type":"string"},
+{"name":"host","type":"string"},{"name":"service","type":"string"},{"name":"route","type":"string","default":""},
+{"name":"caller","type":"string","default":""},{"name":"from","type":"string","default":""},
+{"name":"incarnation","type":"string","default":""},{"name":"importance","type":"int","default":0},
+{"name":"repeatable","type":"boolean","default":false},{"name":"repeat","type":"boolean","default":false},
+{"name":"attempt","type":"int","default":0},{"name":"remaining_us","type":"long"},
+{"name":"max_wait_us","type":"long","default":0},{"name":"version","type":"long","default":0}]}`
+	sidecarResultSchema = `{"type":"record","name":"SidecarResult","fields":[
+{"name":"outcome","type":"string"},{"name":"reason","type":"string"},{"name":"arrived","type":"boolean","default":false},
+{"name":"status","type":"int","default":0},{"name":"length","type":"long","default":-1},
+{"name":"retry_after_ms","type":"long","default":0},{"name":"incarnation","type":"string","default":""},
+{"name":"version","type":"long","default":0},{"name":"slots","type":"int","default":0},
+{"name":"running","type":"int","default":0},{"name":"waiting","type":"int","default":0},{"name":"hold_us","type":"long","default":0},
+{"name":"below","type":{"type":"array","items":{"type":"record","name":"Need","fields":[
+{"name":"service","type":"string"},{"name":"calls","type":"int"},{"name":"wait_us","type":"long","default":0}]}},"default":[]}]}`
+	nodeRecordSchema = `{"type":"record","name":"NodeRecord","fields":[
+{"name":"node","type":"string"},{"name":"incarnation","type":"string"},{"name":"sequence","type":"long"},
+{"name":"started_ms","type":"long","default":0},{"name":"address","type":"string"},{"name":"zone","type":"string"},
+{"name":"service","type":"string"},{"name":"instance","type":"string","default":""},{"name":"slots","type":"int","default":0},
+{"name":"serving","type":"boolean","default":false},{"name":"cold_ms","type":"long","default":0}]}`
+)
+
+// Codecs of the messages between sidecar nodes.
+var (
+	SidecarCallCodec   = NewCodec[SidecarCall](maxHeaderMessage, sidecarCallSchema)
+	SidecarResultCodec = NewCodec[SidecarResult](maxHeaderMessage, sidecarResultSchema)
+	NodeRecordCodec    = NewCodec[NodeRecord](maxHeaderMessage, nodeRecordSchema)
+)
