--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -20,6 +20,8 @@
 	Node string `yaml:"node"`
 	// Zone is the failure zone of the machine.
 	Zone string `yaml:"zone"`
+	// FirstStart is true only when the whole deployment starts for the first time.
+	FirstStart bool `yaml:"first_start"`
 	// Target is the application beside the node.
 	Target Target `yaml:"target"`
 	// Listen holds the addresses that the node listens on, IP:port.
