Refuse where the chain starts, by the occupancy of the services that it needs

Change: share admitted in proportion to the mean occupancy that answers carry back along the chain, per service and priority; 95% of a target's slots are used. Conclusion: proportion settles by itself, since a chain waits for its calls.

--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -26,8 +26,10 @@
 
 // Config sets the balancer.
 type Config struct {
-	// FarCost is added to the cost of a target in another zone.
-	FarCost time.Duration
+	// FarFactor is the factor on the cost of a target in another zone, FarCost is
+	// added to it.
+	FarFactor float64
+	FarCost   time.Duration
 	// LocalGain is taken off the cost of the target beside the node itself.
 	LocalGain time.Duration
 	// Noise is the relative spread put on costs, so that senders with the same
@@ -44,7 +46,7 @@
 // DefaultConfig gives the values that docs/PLATFORM.md was measured with.
 func DefaultConfig() Config {
 	return Config{
-		FarCost: 2 * time.Millisecond, LocalGain: time.Millisecond, Noise: 0.1, ReportLife: 2 * time.Second,
+		FarFactor: 1.5, FarCost: 2 * time.Millisecond, LocalGain: time.Millisecond, Noise: 0.1, ReportLife: 2 * time.Second,
 		SuspectFor: time.Second, RefusedFor: 500 * time.Millisecond,
 	}
 }
@@ -166,7 +168,7 @@
 	case e.Node == b.node:
 		estimate -= b.config.LocalGain
 	case e.Zone != b.zone:
-		estimate += b.config.FarCost
+		estimate = time.Duration(b.config.FarFactor*float64(estimate)) + b.config.FarCost
 	}
 	return estimate
 }
--- /dev/null
+++ b/internal/core/balancer/balancer_test.go
@@ -0,0 +1,79 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/slots"
+	. "github.com/onsi/gomega"
+)
+
+type noRandom struct{}
+
+func (noRandom) Float64() float64 { return 0 }
+
+func pair() *Balancer {
+	b := New(DefaultConfig(), "me", "a", noRandom{})
+	b.Update([]Target{
+		{Node: "near", Zone: "a", Instance: "1", Slots: 10},
+		{Node: "far", Zone: "b", Instance: "2", Slots: 10},
+	})
+	return b
+}
+
+const hold = 20 * time.Millisecond
+
+func report(b *Balancer, node string, running, waiting int) {
+	b.Report(time.Second, b.Endpoint(node), slots.Load{Slots: 10, Running: running, Waiting: waiting, Hold: hold})
+}
+
+func TestNearTargetIsTakenWhileItCostsNothing(t *testing.T) {
+	g := NewWithT(t)
+	b := pair()
+	report(b, "near", 3, 0)
+	report(b, "far", 1, 0)
+	best, _, _ := b.Pick(time.Second, nil, false)
+	g.Expect(best.Node).To(Equal("near"))
+}
+
+func TestFullTargetIsLeftForAFreeOne(t *testing.T) {
+	g := NewWithT(t)
+	b := pair()
+	report(b, "near", 10, 4)
+	report(b, "far", 2, 0)
+	best, _, _ := b.Pick(time.Second, nil, false)
+	g.Expect(best.Node).To(Equal("far"))
+}
+
+func TestOwnSendingsCountUntilTheNextReport(t *testing.T) {
+	g := NewWithT(t)
+	b := pair()
+	report(b, "near", 5, 0)
+	report(b, "far", 5, 0)
+	for range 8 {
+		b.Sent(b.Endpoint("near"))
+	}
+	best, _, _ := b.Pick(time.Second, nil, false)
+	g.Expect(best.Node).To(Equal("far"))
+}
+
+func TestSuspectIsChosenOnlyWhenNothingElseIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	b := pair()
+	b.Suspect(time.Second, b.Endpoint("near"))
+	best, _, _ := b.Pick(time.Second, nil, true)
+	g.Expect(best.Node).To(Equal("far"))
+	best, _, _ = b.Pick(time.Second, map[string]bool{"far": true}, true)
+	g.Expect(best.Node).To(Equal("near"))
+	best, _, _ = b.Pick(time.Second, map[string]bool{"far": true}, false)
+	g.Expect(best).To(BeNil())
+}
+
+func TestAnotherInstanceIsNoSuspect(t *testing.T) {
+	g := NewWithT(t)
+	b := pair()
+	b.Suspect(time.Second, b.Endpoint("near"))
+	b.Update([]Target{{Node: "near", Zone: "a", Instance: "3", Slots: 10}, {Node: "far", Zone: "b", Instance: "2", Slots: 10}})
+	best, _, _ := b.Pick(time.Second, nil, false)
+	g.Expect(best.Node).To(Equal("near"))
+}
--- a/internal/core/intent/intent.go
+++ b/internal/core/intent/intent.go
@@ -70,7 +70,8 @@
 	Services map[string]Service
 	Limits   Limits
 
-	byHost map[string][]*Route // longest prefix first
+	byHost        map[string][]*Route // longest prefix first
+	leastPriority int
 }
 
 // Seal checks the intent and builds its index. It gives a failure of kind
@@ -81,6 +82,7 @@
 		if err := i.check(route); err != nil {
 			return err
 		}
+		i.leastPriority = max(i.leastPriority, route.Priority)
 		host := normalHost(route.Host)
 		i.byHost[host] = append(i.byHost[host], route)
 	}
@@ -119,6 +121,9 @@
 	return nil
 }
 
+// LeastPriority gives the highest number that a route has as its priority.
+func (i *Intent) LeastPriority() int { return i.leastPriority }
+
 // Match gives the route of a request, or nil when none fits.
 func (i *Intent) Match(host, path string) *Route {
 	for _, route := range i.byHost[normalHost(host)] {
--- /dev/null
+++ b/internal/core/overload/overload.go
@@ -0,0 +1,150 @@
+// Package overload decides where a chain of calls starts whether a request is
+// let in. Every answer tells how full the services were that the request needed,
+// down the whole chain; a request is refused with a probability that follows the
+// fullest of them. The least important requests go first: each priority has an
+// occupancy of its own from which it is refused. It is a state machine without
+// locks, clocks or randomness of its own.
+//
+// Refusing at the start, not in the middle, and only what needs the scarce
+// service, is what docs/PLATFORM.md measures against queues alone.
+package overload
+
+import (
+	"math"
+	"time"
+)
+
+// Config sets a controller.
+type Config struct {
+	// Start is the mean occupancy (requests at the targets and waiting, over
+	// slots) at which the least important requests begin to be refused; Width
+	// above it only Least of them are let in.
+	Start, Width float64
+	// Step is added to Start for each priority above the least.
+	Step float64
+	// Smoothing is the time constant of the mean occupancy.
+	Smoothing time.Duration
+	// Least is the admitted share that always remains, so that news of the
+	// service keeps coming.
+	Least float64
+	// Forget is the time constant with which an occupancy without news fades.
+	Forget time.Duration
+}
+
+// DefaultConfig gives the values that docs/PLATFORM.md was measured with.
+func DefaultConfig() Config {
+	return Config{Start: 1.5, Width: 2, Step: 2.5, Smoothing: 250 * time.Millisecond, Least: 0.03, Forget: time.Second}
+}
+
+// Need is what one request needs of a service: calls there, with all below it.
+type Need struct {
+	Service   string
+	Calls     int
+	Occupancy float64 // mean occupancy that was seen there; below 0: unknown
+}
+
+// Controller holds the state of one node. It is not safe for concurrent use.
+type Controller struct {
+	config   Config
+	services map[string]*pressure
+	routes   map[string]map[string]float64 // mean calls by service, by route
+}
+
+type pressure struct {
+	occupancy float64
+	seen      time.Duration
+}
+
+// New makes a controller that admits everything.
+func New(config Config) *Controller {
+	return &Controller{config: config, services: map[string]*pressure{}, routes: map[string]map[string]float64{}}
+}
+
+// needWeight is the weight of one answer in a route's mean needs; needLeast is
+// the mean below which a service does not count.
+const (
+	needWeight = 0.05
+	needLeast  = 0.05
+)
+
+// Observe takes in the occupancy of a service.
+func (c *Controller) Observe(now time.Duration, service string, occupancy float64) {
+	if occupancy < 0 || math.IsNaN(occupancy) {
+		return
+	}
+	p := c.services[service]
+	if p == nil {
+		c.services[service] = &pressure{occupancy: occupancy, seen: now}
+		return
+	}
+	elapsed := now - p.seen
+	weight := 1 - math.Exp(-float64(elapsed)/float64(c.config.Smoothing))
+	p.occupancy += max(weight, sampleWeight) * (occupancy - p.occupancy)
+	p.seen = now
+}
+
+// sampleWeight is the least weight of one observation.
+const sampleWeight = 0.02
+
+// Learn takes in what an answered request of a route needed.
+func (c *Controller) Learn(route string, needs []Need) {
+	means := c.routes[route]
+	if means == nil {
+		means = map[string]float64{}
+		c.routes[route] = means
+		for _, need := range needs {
+			means[need.Service] = float64(need.Calls)
+		}
+		return
+	}
+	for service := range means {
+		means[service] *= 1 - needWeight
+	}
+	for _, need := range needs {
+		means[need.Service] += needWeight * float64(need.Calls)
+	}
+}
+
+// Calls gives the mean number of calls that a request of the route makes to a
+// service, itself included.
+func (c *Controller) Calls(route, service string) float64 { return c.routes[route][service] }
+
+// Share gives the share of a route's requests that is admitted now, and the
+// service that decides it. steps is how many priorities the route stands above
+// the least important one.
+func (c *Controller) Share(now time.Duration, route string, steps int) (float64, string) {
+	lowest, decisive := 1.0, ""
+	for service, calls := range c.routes[route] {
+		if calls < needLeast {
+			continue
+		}
+		if admitted := c.admitted(now, service, steps); admitted < lowest {
+			lowest, decisive = admitted, service
+		}
+	}
+	return lowest, decisive
+}
+
+// Occupancy gives the mean occupancy of a service; 0 when nothing is known.
+func (c *Controller) Occupancy(service string) float64 {
+	if p := c.services[service]; p != nil {
+		return p.occupancy
+	}
+	return 0
+}
+
+// admitted gives the share that one service leaves. Chains wait for their calls,
+// so that the occupancy grows no faster than chains come: a share in proportion
+// to it settles without memory of its own.
+func (c *Controller) admitted(now time.Duration, service string, steps int) float64 {
+	p := c.services[service]
+	if p == nil {
+		return 1
+	}
+	occupancy := p.occupancy
+	if silence := now - p.seen; silence > c.config.Forget {
+		occupancy *= math.Exp(-float64(silence-c.config.Forget) / float64(c.config.Forget))
+	}
+	excess := occupancy - c.config.Start - float64(steps)*c.config.Step
+	return min(max(1-excess/c.config.Width, c.config.Least), 1)
+}
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -46,6 +46,14 @@
 	Hold time.Duration
 }
 
+// Occupancy is the share of the slots that is in use or waited for.
+func (l Load) Occupancy() float64 {
+	if l.Slots <= 0 {
+		return 0
+	}
+	return float64(l.Running+l.Waiting) / float64(l.Slots)
+}
+
 // Wait is the expected wait for a slot of a request that arrives now.
 func (l Load) Wait() time.Duration {
 	if l.Slots <= 0 || l.Running < l.Slots {
@@ -77,14 +85,20 @@
 // queueFactor bounds the queue as a multiple of the slots.
 const queueFactor = 8
 
+// usableShare is the share of a target's slots that is used: some targets turn
+// slow when they are nearly full.
+const usableShare = 0.95
+
+func usable(slots int) int { return max(int(float64(slots)*usableShare), 1) }
+
 // New makes a gate for a target with so many slots.
 func New(slots int) *Gate {
-	return &Gate{slots: max(slots, 1), running: map[uint64]time.Duration{}, hold: float64(firstHold)}
+	return &Gate{slots: usable(slots), running: map[uint64]time.Duration{}, hold: float64(firstHold)}
 }
 
 // SetSlots changes the number of slots.
 func (g *Gate) SetSlots(now time.Duration, slots int) []Decision {
-	g.slots = max(slots, 1)
+	g.slots = usable(slots)
 	return g.fill(now, nil)
 }
 
--- /dev/null
+++ b/internal/core/slots/slots_test.go
@@ -0,0 +1,126 @@
+package slots
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func request(id uint64, importance int) Request {
+	return Request{ID: id, Importance: importance, Deadline: time.Hour}
+}
+
+func TestNoMoreThanTheUsableSlotsAreSent(t *testing.T) {
+	g := NewWithT(t)
+	gate := New(20)
+	sent := 0
+	for id := uint64(1); id <= 40; id++ {
+		for _, decision := range gate.Arrive(0, request(id, 0)) {
+			if decision.Send {
+				sent++
+			}
+		}
+	}
+	g.Expect(sent).To(Equal(19))
+	g.Expect(gate.Load().Waiting).To(Equal(21))
+}
+
+func TestImportantRequestsGoFirst(t *testing.T) {
+	g := NewWithT(t)
+	gate := New(1)
+	gate.Arrive(0, request(1, 0))
+	gate.Arrive(0, request(2, 5))
+	gate.Arrive(0, request(3, 1))
+	decisions := gate.Finish(1, 1, true)
+	g.Expect(decisions).To(HaveLen(1))
+	g.Expect(decisions[0].ID).To(Equal(uint64(3)))
+}
+
+func TestWaitBeyondWhatTheSenderAcceptsIsRefusedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	gate := New(1)
+	gate.Arrive(0, request(1, 0))
+	impatient := request(2, 0)
+	impatient.MaxWait = firstHold / 2
+	g.Expect(gate.Arrive(0, impatient)).To(Equal([]Decision{{ID: 2, Reason: ReasonTooLong}}))
+}
+
+func TestExpiredRequestsNeverCostASlot(t *testing.T) {
+	g := NewWithT(t)
+	gate := New(1)
+	gate.Arrive(0, request(1, 0))
+	short := request(2, 0)
+	short.Deadline = time.Second
+	gate.Arrive(0, short)
+	decisions := gate.Finish(2*time.Second, 1, true)
+	g.Expect(decisions).To(HaveLen(1))
+	g.Expect(decisions[0].Send).To(BeFalse())
+	g.Expect(decisions[0].Reason).To(Equal(ReasonExpired))
+}
+
+func TestDrainRefusesWhatWaitsAndAllThatComes(t *testing.T) {
+	g := NewWithT(t)
+	gate := New(1)
+	gate.Arrive(0, request(1, 0))
+	gate.Arrive(0, request(2, 0))
+	g.Expect(gate.Drain(1)).To(Equal([]Decision{{ID: 2, Reason: ReasonDraining, Waited: 1}}))
+	g.Expect(gate.Arrive(2, request(3, 0))).To(Equal([]Decision{{ID: 3, Reason: ReasonDraining}}))
+	g.Expect(gate.Finish(3, 1, true)).To(BeEmpty())
+}
+
+// Whatever comes in which order: each request gets one decision at most, no more
+// run than there are slots, and a draining gate sends nothing.
+func TestGateOverRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gate := New(rapid.IntRange(1, 5).Draw(t, "slots"))
+		decided := map[uint64]bool{}
+		atTarget := map[uint64]bool{}
+		now := time.Duration(0)
+		take := func(decisions []Decision) {
+			for _, decision := range decisions {
+				if decided[decision.ID] {
+					t.Fatalf("request %d was decided twice", decision.ID)
+				}
+				decided[decision.ID] = true
+				if decision.Send {
+					atTarget[decision.ID] = true
+				}
+			}
+		}
+		for id := uint64(1); id <= 60; id++ {
+			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * time.Millisecond
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				drained := gate.Drain(now)
+				for _, decision := range drained {
+					if decision.Send {
+						t.Fatalf("drain sent request %d", decision.ID)
+					}
+				}
+				take(drained)
+			case 1, 2, 3:
+				for running := range atTarget {
+					delete(atTarget, running)
+					take(gate.Finish(now, running, true))
+					break
+				}
+			case 4:
+				take(gate.Tick(now))
+			default:
+				one := request(id, rapid.IntRange(0, 3).Draw(t, "importance"))
+				one.Deadline = now + time.Duration(rapid.IntRange(1, 200).Draw(t, "time"))*time.Millisecond
+				draining := gate.Draining()
+				decisions := gate.Arrive(now, one)
+				if draining && (len(decisions) != 1 || decisions[0].Send) {
+					t.Fatalf("a draining gate decided %v", decisions)
+				}
+				take(decisions)
+			}
+			if load := gate.Load(); load.Running > load.Slots || load.Running != len(atTarget) {
+				t.Fatalf("%d at the target, %d counted, %d slots", len(atTarget), load.Running, load.Slots)
+			}
+		}
+	})
+}
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -113,9 +113,39 @@
 	x.header = endToEnd(x.request.Header)
 	x.service = x.node.splitter.choose(x.route)
 	x.node.services.get(x.service).count(x.node.now())
+	if !x.admitted() {
+		x.refuse(http.StatusServiceUnavailable, reasonSheds, x.comeBack(hold))
+		return
+	}
 	x.send(ctx)
 }
 
+// admitted decides whether a client's request is let in. Calls of requests that
+// are running always are: work has gone into them.
+func (x *exchange) admitted() bool {
+	return x.parent != nil || x.node.overload.admit(x.route)
+}
+
+// comeBackShare is the part of its time after which a refused client comes back:
+// as late as clients wait, when the shortage may be over, with most of it left.
+const comeBackShare = 3
+
+func (x *exchange) comeBack(hold time.Duration) time.Duration {
+	return jittered(hold / (2 * comeBackShare))
+}
+
+// learn takes in what a sending told of the services down the chain.
+func (x *exchange) learn(answer *reply) {
+	needs := answer.needs
+	if answer.load.Slots > 0 {
+		needs = append(needs, wire.Need{Service: x.service, Calls: 1, Occupancy: int(answer.load.Occupancy() * occupancyScale)})
+	}
+	if x.parent != nil {
+		x.parent.add(needs)
+	}
+	x.node.overload.learn(x.route, needs, answer.outcome == Answered && answer.status < http.StatusBadRequest && x.parent == nil)
+}
+
 // findParent looks for the request at the target for which this one is made. The
 // id of a call is the id of the request that made it, a dot and a part of its
 // own; where ids look otherwise the request stands for itself.
@@ -154,6 +184,7 @@
 		last.close()
 		last = x.attempt(ctx, choice, bounces)
 		choice.done(x.node.now(), last)
+		x.learn(last)
 		if last.arrived {
 			x.arrivals++
 		} else {
@@ -211,9 +242,6 @@
 // answer gives the target's answer to the sender.
 func (x *exchange) answer(given *reply) {
 	defer given.close()
-	if x.parent != nil {
-		x.parent.add(append(given.needs, wire.Need{Service: x.service, Calls: 1, Wait: given.load.Wait().Microseconds()}))
-	}
 	header := x.writer.Header()
 	for name, values := range given.header {
 		header[name] = values
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -33,7 +33,7 @@
 		sum := r.needs[need.Service]
 		sum.Service = need.Service
 		sum.Calls += need.Calls
-		sum.Wait = max(sum.Wait, need.Wait)
+		sum.Occupancy = need.Occupancy // the newest
 		r.needs[need.Service] = sum
 	}
 }
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -21,6 +21,7 @@
 	retryAtMost    = time.Second
 	keepShare      = 3 // a lease is renewed each third of its time
 	spreadOfWrites = 300 * time.Millisecond
+	restOfRecords  = 500 * time.Millisecond
 )
 
 // membership keeps the node's own record in the store and the records of the
@@ -192,7 +193,7 @@
 // watch follows the records of the other nodes.
 func (m *membership) watch(ctx context.Context) {
 	prefix := m.node.options.NodePrefix
-	follow(ctx, m.node, prefix, func(items []store.Item, whole bool) {
+	follow(ctx, m.node, prefix, restOfRecords, func(items []store.Item, whole bool) {
 		seen := map[string]bool{}
 		for _, item := range items {
 			name := strings.TrimPrefix(item.Key, prefix)
@@ -225,7 +226,10 @@
 
 // follow reads everything below a prefix and then watches it; where the history
 // is gone it reads anew.
-func follow(ctx context.Context, node *Node, prefix string, take func(items []store.Item, whole bool)) {
+//
+// rest is the time between an event and the next watch: events that come in a
+// row are then fetched with one call.
+func follow(ctx context.Context, node *Node, prefix string, rest time.Duration, take func(items []store.Item, whole bool)) {
 	at := int64(-1)
 	for ctx.Err() == nil {
 		if at < 0 {
@@ -252,6 +256,9 @@
 			at = max(at, revision)
 			node.storeWorks()
 			take(events, false)
+			if len(events) > 0 {
+				pause(ctx, rest)
+			}
 		}
 	}
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -56,6 +56,7 @@
 	intent      atomic.Pointer[intent.Intent]
 	services    *services
 	splitter    *splitter
+	overload    *overloadControl
 	target      *localTarget
 	ingress     *ingress
 	egress      *egress
@@ -82,6 +83,7 @@
 		startedWall: time.Now(), store: options.Store, splitter: &splitter{credit: map[string][]float64{}},
 	}
 	n.log = newLog(settings, options.Output)
+	n.overload = newOverloadControl(n)
 	n.services = newServices(settings.Node, settings.Zone, n.now, repeats.Config{
 		Ratio: settings.Retries.Ratio, Allowance: settings.Retries.Allowance, Window: time.Duration(settings.Retries.Window),
 	})
@@ -193,9 +195,12 @@
 	return nil
 }
 
+// restOfConfiguration bounds the calls while configurations come in quick succession.
+const restOfConfiguration = 100 * time.Millisecond
+
 // watchConfiguration follows the operators' configuration.
 func (n *Node) watchConfiguration(ctx context.Context) {
-	follow(ctx, n, n.options.ConfigurationKey, func(items []store.Item, _ bool) {
+	follow(ctx, n, n.options.ConfigurationKey, restOfConfiguration, func(items []store.Item, _ bool) {
 		for _, item := range items {
 			if item.Key == n.options.ConfigurationKey && !item.Gone {
 				n.install(item.Value)
--- /dev/null
+++ b/internal/sidecar/overload.go
@@ -0,0 +1,60 @@
+package sidecar
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"github.com/landingmast/landingmast/internal/core/intent"
+	"github.com/landingmast/landingmast/internal/core/overload"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// occupancyScale is the factor of occupancies in messages.
+const occupancyScale = 1000
+
+// overloadControl drives the overload controller. It is safe for concurrent use.
+type overloadControl struct {
+	node  *Node
+	mutex sync.Mutex
+	core  *overload.Controller
+}
+
+func newOverloadControl(node *Node) *overloadControl {
+	return &overloadControl{node: node, core: overload.New(overload.DefaultConfig())}
+}
+
+// admit decides whether a client's request on the route is let in.
+func (o *overloadControl) admit(route *intent.Route) bool {
+	o.mutex.Lock()
+	share, _ := o.core.Share(o.node.now(), route.Name, o.stepsAboveLeast(route))
+	o.mutex.Unlock()
+	return share >= 1 || rand.Float64() < share
+}
+
+// stepsAboveLeast is how many priorities the route stands above the least
+// important one that the configuration has.
+func (o *overloadControl) stepsAboveLeast(route *intent.Route) int {
+	current := o.node.intent.Load()
+	if current == nil {
+		return 0
+	}
+	return current.LeastPriority() - route.Priority
+}
+
+// learn takes in what a sending told; whole tells that needs are those of a
+// request that was served.
+func (o *overloadControl) learn(route *intent.Route, needs []wire.Need, whole bool) {
+	now := o.node.now()
+	read := make([]overload.Need, 0, len(needs))
+	for _, need := range needs {
+		read = append(read, overload.Need{Service: need.Service, Calls: need.Calls, Occupancy: float64(need.Occupancy) / occupancyScale})
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, need := range read {
+		o.core.Observe(now, need.Service, need.Occupancy)
+	}
+	if whole {
+		o.core.Learn(route.Name, read)
+	}
+}
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -47,9 +47,9 @@
 
 // Need is what one request, with all calls below it, needed of a service.
 type Need struct {
-	Service string `avro:"service"`
-	Calls   int    `avro:"calls"`
-	Wait    int64  `avro:"wait_us"` // longest mean wait for a slot that was seen there
+	Service   string `avro:"service"`
+	Calls     int    `avro:"calls"`
+	Occupancy int    `avro:"occupancy"` // requests at the target and waiting, in thousandths of its slots; -1: unknown
 }
 
 // NodeRecord is what a sidecar node tells the others of itself.
@@ -83,7 +83,7 @@
 {"name":"version","type":"long","default":0},{"name":"slots","type":"int","default":0},
 {"name":"running","type":"int","default":0},{"name":"waiting","type":"int","default":0},{"name":"hold_us","type":"long","default":0},
 {"name":"below","type":{"type":"array","items":{"type":"record","name":"Need","fields":[
-{"name":"service","type":"string"},{"name":"calls","type":"int"},{"name":"wait_us","type":"long","default":0}]}},"default":[]}]}`
+{"name":"service","type":"string"},{"name":"calls","type":"int"},{"name":"occupancy","type":"int","default":-1}]}},"default":[]}]}`
 	nodeRecordSchema = `{"type":"record","name":"NodeRecord","fields":[
 {"name":"node","type":"string"},{"name":"incarnation","type":"string"},{"name":"sequence","type":"long"},
 {"name":"started_ms","type":"long","default":0},{"name":"address","type":"string"},{"name":"zone","type":"string"},
