--- a/internal/core/intent/intent.go
+++ b/internal/core/intent/intent.go
@@ -69,6 +69,7 @@
 	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
+	Source   []byte // what it was read from, for other nodes
 
 	byHost        map[string][]*Route // longest prefix first
 	leastPriority int
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -105,9 +105,17 @@
 	}
 }
 
-// Calls gives the mean number of calls that a request of the route makes to a
-// service, itself included.
-func (c *Controller) Calls(route, service string) float64 { return c.routes[route][service] }
+// Needs gives the mean number of calls that a request of the route makes to each
+// service, itself included. The map is the caller's own.
+func (c *Controller) Needs(route string) map[string]float64 {
+	needs := make(map[string]float64, len(c.routes[route]))
+	for service, calls := range c.routes[route] {
+		if calls >= needLeast {
+			needs[service] = calls
+		}
+	}
+	return needs
+}
 
 // Share gives the share of a route's requests that is admitted now, and the
 // service that decides it. steps is how many priorities the route stands above
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/wire"
 )
@@ -33,8 +34,9 @@
 	header     http.Header
 	body       *payload
 	started    time.Duration
-	arrivals   int  // sendings that reached a target
-	mayRun     bool // one of them may have run
+	arrivals   int    // sendings that reached a target
+	mayRun     bool   // one of them may have run
+	failed     *reply // a target's own failure, kept while another is tried
 }
 
 // Times of a request.
@@ -112,7 +114,9 @@
 	x.body = body
 	x.header = endToEnd(x.request.Header)
 	x.service = x.node.splitter.choose(x.route)
-	x.node.services.get(x.service).count(x.node.now())
+	if x.parent == nil {
+		x.node.services.get(x.service).count(x.node.now())
+	}
 	if !x.admitted() {
 		x.refuse(http.StatusServiceUnavailable, reasonSheds, x.comeBack(hold))
 		return
@@ -143,7 +147,7 @@
 	if x.parent != nil {
 		x.parent.add(needs)
 	}
-	x.node.overload.learn(x.route, needs, answer.outcome == Answered && answer.status < http.StatusBadRequest && x.parent == nil)
+	x.node.overload.learn(x.route, needs, answer.outcome == Answered && answer.status < http.StatusBadRequest)
 }
 
 // findParent looks for the request at the target for which this one is made. The
@@ -193,21 +197,34 @@
 		if last.outcome == Unknown {
 			x.mayRun = true
 		}
-		if last.outcome == Answered {
+		if last.outcome == Answered && !x.worthRepeating(last) {
 			x.answer(last)
 			return
 		}
+		if last.outcome == Answered {
+			x.failed = last
+		}
 		excluded[choice.node] = true
-		if !x.again(target, last) {
+		if !x.again(last) {
 			break
 		}
 	}
+	if x.failed != nil {
+		x.answer(x.failed)
+		return
+	}
 	x.giveUp(ctx, last)
 }
 
+// worthRepeating tells a failure of one target, which another may not have, from
+// an answer: nothing below it failed, and the request may run again.
+func (x *exchange) worthRepeating(answer *reply) bool {
+	return answer.status == http.StatusInternalServerError && x.route.Kind.Repeatable() && answer.stream == nil && len(answer.needs) == 0
+}
+
 // again tells whether another target may be tried after a sending that brought
 // no answer.
-func (x *exchange) again(target *service, last *reply) bool {
+func (x *exchange) again(last *reply) bool {
 	if !x.body.replayable() {
 		return false
 	}
@@ -220,25 +237,69 @@
 	if x.arrivals >= max(x.route.MaxAttempts, 1) || x.repeat {
 		return false
 	}
-	return target.repeat(x.node.now())
+	return x.node.repeat(x.route, x.service)
 }
 
 // attempt sends the request to one target.
 func (x *exchange) attempt(ctx context.Context, choice *choice, bounces int) *reply {
 	deadline, _ := ctx.Deadline()
+	repeatable := x.route.Kind.Repeatable()
 	call := &wire.SidecarCall{
 		RequestID: x.id, Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Service: x.service, Route: x.route.Name,
-		Caller: x.node.caller(), From: x.node.settings.Node, Importance: x.importance, Repeatable: x.route.Kind.Repeatable(),
+		Caller: x.node.caller(), From: x.node.settings.Node, Importance: x.importance, Repeatable: repeatable,
 		Repeat: x.repeat || x.arrivals > 0, Attempt: x.arrivals, Remaining: time.Until(deadline).Microseconds(),
 		MaxWait: choice.maxWait.Microseconds(), Version: int64(x.intent.Version),
 	}
 	if choice.node == x.node.settings.Node {
-		answer := x.node.ingress.serve(ctx, call, x.header.Clone(), x.body)
-		return answer
+		return x.node.ingress.serve(ctx, call, x.header.Clone(), x.body)
+	}
+	if repeatable {
+		return x.sendRepeatable(ctx, choice, call)
+	}
+	return x.sendOnce(ctx, choice, call)
+}
+
+// sendRepeatable sends to another node, and gives up when that node shows no
+// sign of life.
+func (x *exchange) sendRepeatable(ctx context.Context, choice *choice, call *wire.SidecarCall) *reply {
+	ctx, abandon := context.WithCancelCause(ctx)
+	watched := x.node.liveness.begin(choice.node, choice.address, abandon)
+	answer := x.node.peers.call(ctx, choice.address, call, x.header, x.body)
+	watched.end(answer.incarnation != "")
+	if answer.outcome == Unknown && errors.Is(context.Cause(ctx), errSilent) {
+		answer.reason = reasonSilent
+	}
+	if answer.stream == nil {
+		abandon(nil)
+	}
+	return answer
+}
+
+// sendOnce sends a request that may run at most once. When the connection to the
+// node breaks, the node is asked what became of the request.
+func (x *exchange) sendOnce(ctx context.Context, choice *choice, call *wire.SidecarCall) *reply {
+	call.Key = strconv.FormatUint(rand.Uint64(), 36)
+	call.Incarnation = x.node.membership.incarnation(choice.node)
+	watched := x.node.liveness.begin(choice.node, choice.address, nil)
+	defer func() { watched.end(false) }()
+	answer := x.node.peers.call(ctx, choice.address, call, x.header, x.body)
+	for range settleTries {
+		if answer.outcome != Unknown || answer.reason != reasonLost || call.Incarnation == "" || ctx.Err() != nil {
+			break
+		}
+		deadline, _ := ctx.Deadline()
+		call.Remaining = time.Until(deadline).Microseconds()
+		answer = x.node.peers.settle(ctx, choice.address, call)
 	}
-	return x.node.peers.call(ctx, choice.address, call, x.header, x.body)
+	if answer.reason == reasonIncarnation {
+		x.node.membership.restarted(choice.node, answer.incarnation)
+	}
+	return answer
 }
 
+// settleTries is how often a node is asked what became of a request.
+const settleTries = 3
+
 // answer gives the target's answer to the sender.
 func (x *exchange) answer(given *reply) {
 	defer given.close()
--- /dev/null
+++ b/internal/sidecar/exchange.go
@@ -0,0 +1,138 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/landingmast/landingmast/internal/failure"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// Times and sizes of the exchange between nodes.
+const (
+	exchangeEvery   = time.Second
+	exchangeTimeout = 500 * time.Millisecond
+	maxExchange     = 4 << 20
+)
+
+// exchangePath takes what another node knows.
+const exchangePath = "/exchange"
+
+// exchanger has the nodes tell each other what they know of members and
+// configuration, so that one that the store refuses goes on with what the others
+// know, and one that comes back with nothing is told by those who knew it. Each
+// node asks one other, chosen at random, each second; wholes are sent only where
+// digests differ, so that the traffic of a node does not grow with their number.
+type exchanger struct {
+	node *Node
+}
+
+// run exchanges until ctx ends.
+func (e *exchanger) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, exchangeEvery/2+time.Duration(rand.Int64N(int64(exchangeEvery))))
+		if address := e.node.membership.anyAddress(); address != "" {
+			e.with(ctx, address)
+		}
+	}
+}
+
+// with exchanges with the node at an address. A first message carries digests,
+// a second one, when they differ, everything that the other lacks.
+func (e *exchanger) with(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	asked := e.digests()
+	answer, err := e.send(ctx, address, asked)
+	if err != nil {
+		return
+	}
+	e.take(answer)
+	if answer.Digest != asked.Digest || answer.Version < asked.Version {
+		told := e.digests()
+		told.Records = e.node.membership.all()
+		if answer.Version < told.Version {
+			told.Configuration = e.node.configuration()
+		}
+		_, _ = e.send(ctx, address, told)
+	}
+}
+
+func (e *exchanger) digests() *wire.Exchange {
+	return &wire.Exchange{Digest: e.node.membership.digest(), Version: int64(e.node.version()), Records: []wire.NodeRecord{}}
+}
+
+func (e *exchanger) send(ctx context.Context, address string, message *wire.Exchange) (*wire.Exchange, error) {
+	data, err := wire.ExchangeCodec.Encode(message)
+	if err != nil {
+		return nil, err
+	}
+	request := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: exchangePath}, Host: address,
+		Header: http.Header{"User-Agent": {""}}, Body: io.NopCloser(bytes.NewReader(data)), ContentLength: int64(len(data)),
+	}
+	response, err := e.node.peers.transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Unavailable, "none; another node is asked next", "exchange with %s", address)
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(io.LimitReader(response.Body, maxExchange))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Unavailable, "none; another node is asked next", "exchange with %s", address)
+	}
+	return wire.ExchangeCodec.Decode(read)
+}
+
+// take learns what another node told.
+func (e *exchanger) take(message *wire.Exchange) {
+	for index := range message.Records {
+		record := message.Records[index]
+		e.node.membership.learnFromPeer(&record)
+	}
+	if len(message.Configuration) > 0 {
+		e.node.install(message.Configuration)
+	}
+}
+
+// ServeHTTP answers the message of another node.
+func (e *exchanger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxExchange))
+	if err != nil {
+		return
+	}
+	message, err := wire.ExchangeCodec.Decode(data)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.take(message)
+	answer := e.digests()
+	if message.Digest != answer.Digest {
+		answer.Records = e.node.membership.all()
+	}
+	if message.Version < answer.Version {
+		answer.Configuration = e.node.configuration()
+	}
+	encoded, err := wire.ExchangeCodec.Encode(answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	header := w.Header()
+	header["Date"] = nil
+	header["Content-Type"] = nil
+	header.Set("Content-Length", strconv.Itoa(len(encoded)))
+	_, _ = w.Write(encoded)
+}
+
+// recordDigest sums up one record; the digest of many is the exclusive or.
+func recordDigest(record *wire.NodeRecord) int64 {
+	return int64(xxhash.Sum64String(record.Node + "\x00" + record.Incarnation + "\x00" + strconv.FormatInt(record.Sequence, 36)))
+}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -78,6 +78,13 @@
 type ingress struct {
 	node    *Node
 	running runningTable
+	once    *onceGate
+}
+
+func newIngress(node *Node) *ingress {
+	i := &ingress{node: node, running: runningTable{requests: map[string]*running{}}}
+	i.once = newOnceGate(i)
+	return i
 }
 
 // ServeHTTP takes a request of another node.
@@ -153,16 +160,27 @@
 	}
 }
 
-// serve waits for a slot and has the target run the request.
+// serve has the target run a request, once at most where it may not be repeated.
 func (i *ingress) serve(ctx context.Context, call *wire.SidecarCall, header http.Header, body *payload) *reply {
+	switch {
+	case call.Incarnation != "" && call.Incarnation != i.node.incarnation:
+		return notRun(reasonIncarnation)
+	case call.Repeatable || call.Key == "":
+		return i.admit(ctx, call, header, body, nil)
+	default:
+		return i.once.serve(ctx, call, header, body)
+	}
+}
+
+// admit waits for a slot and has the target run the request. maySend is asked
+// right before the request is sent; nil: it may.
+func (i *ingress) admit(ctx context.Context, call *wire.SidecarCall, header http.Header, body *payload, maySend func() bool) *reply {
 	gate := i.node.target.current()
 	switch {
 	case gate == nil:
 		return notRun(reasonNoTarget)
 	case gate.service != call.Service:
 		return notRun(reasonWrongService)
-	case call.Incarnation != "" && call.Incarnation != i.node.incarnation:
-		return notRun(reasonIncarnation)
 	}
 	deadline, _ := ctx.Deadline()
 	load, _ := gate.load()
@@ -171,13 +189,16 @@
 		Importance: call.Importance, Deadline: now + time.Until(deadline) - load.Hold/2, MaxWait: time.Duration(call.MaxWait) * time.Microsecond,
 	})
 	var answer *reply
-	if decision.Send {
-		answer = i.run(ctx, gate, id, call, header, body)
-	} else {
+	switch {
+	case !decision.Send && ctx.Err() != nil:
+		answer = notRun(endOf(ctx))
+	case !decision.Send:
 		answer = notRun(Reason(decision.Reason))
-		if ctx.Err() != nil {
-			answer.reason = reasonCancelled
-		}
+	case maySend != nil && !maySend():
+		gate.leave(id, false)
+		answer = notRun(reasonFenced)
+	default:
+		answer = i.run(ctx, gate, id, call, header, body)
 	}
 	answer.load, _ = gate.load()
 	return answer
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -31,20 +31,21 @@
 
 	mutex    sync.Mutex
 	records  map[string]*wire.NodeRecord // by node
-	sequence int64
-	wake     chan struct{} // the own record has changed
+	dropped  map[string]*wire.NodeRecord // the last of nodes that the store has dropped
+	sequence int64                       // of the own record
+	wake     chan struct{}               // the own record has changed
 }
 
 func newMembership(node *Node) *membership {
-	return &membership{node: node, records: map[string]*wire.NodeRecord{}, wake: make(chan struct{}, 1)}
+	return &membership{node: node, records: map[string]*wire.NodeRecord{}, dropped: map[string]*wire.NodeRecord{}, wake: make(chan struct{}, 1)}
 }
 
 // changed has the own record written anew.
 func (m *membership) changed() {
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
+	m.mutex.Lock()
+	m.sequence++
+	m.mutex.Unlock()
+	m.wakeUp()
 	m.apply()
 }
 
@@ -60,7 +61,6 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.sequence++
 	record.Sequence = m.sequence
 	return record
 }
@@ -90,14 +90,99 @@
 	}
 }
 
-// forget drops the record of a node whose lease is over.
-func (m *membership) forget(node string) {
+// learnFromPeer takes in a record that another node knows. One that the store
+// has dropped is not brought back by a node that has not heard of it yet.
+func (m *membership) learnFromPeer(record *wire.NodeRecord) {
+	if record.Node == m.node.settings.Node {
+		return
+	}
 	m.mutex.Lock()
-	delete(m.records, node)
+	dropped := m.dropped[record.Node]
+	m.mutex.Unlock()
+	if dropped != nil && !newer(record, dropped) {
+		return
+	}
+	m.learn(record)
+}
+
+// forget drops a record, unless another one has taken its place.
+func (m *membership) forget(record *wire.NodeRecord) {
+	m.mutex.Lock()
+	if m.records[record.Node] == record {
+		m.dropped[record.Node] = record
+		delete(m.records, record.Node)
+	}
 	m.mutex.Unlock()
 	m.apply()
 }
 
+// put takes in a record as the store has it; the store's order decides.
+func (m *membership) put(record *wire.NodeRecord) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.records[record.Node] = record
+}
+
+// restarted notes that a node is another process than its record says.
+func (m *membership) restarted(node, incarnation string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if record := m.records[node]; record != nil && incarnation != "" {
+		changed := *record
+		changed.Incarnation = incarnation
+		m.records[node] = &changed
+	}
+}
+
+// incarnation gives the process that the record of a node names.
+func (m *membership) incarnation(node string) string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if record := m.records[node]; record != nil {
+		return record.Incarnation
+	}
+	return ""
+}
+
+// anyAddress gives the address of another node, chosen at random.
+func (m *membership) anyAddress() string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for name, record := range m.records {
+		if name != m.node.settings.Node {
+			return record.Address // the order of a map is random
+		}
+	}
+	return ""
+}
+
+// all gives the records of all nodes, the own one among them.
+func (m *membership) all() []wire.NodeRecord {
+	own := m.own()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	records := make([]wire.NodeRecord, 0, len(m.records)+1)
+	for name, record := range m.records {
+		if name != own.Node {
+			records = append(records, *record)
+		}
+	}
+	return append(records, *own)
+}
+
+// digest sums up the records of all nodes.
+func (m *membership) digest() int64 {
+	sum := recordDigest(m.own())
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for name, record := range m.records {
+		if name != m.node.settings.Node {
+			sum ^= recordDigest(record)
+		}
+	}
+	return sum
+}
+
 // apply brings the records into routing.
 func (m *membership) apply() {
 	targets := map[string][]balancer.Target{}
@@ -199,29 +284,69 @@
 			name := strings.TrimPrefix(item.Key, prefix)
 			seen[name] = true
 			if item.Gone {
-				m.forget(name)
+				m.lapsed(ctx, name)
 				continue
 			}
 			if record, err := wire.NodeRecordCodec.Decode(item.Value); err == nil {
-				m.learn(record)
+				m.put(record)
 			}
 		}
 		if whole {
-			m.forgetOthers(seen)
+			m.lapsedOthers(ctx, seen)
 		}
+		m.apply()
 	})
 }
 
-// forgetOthers drops the records that the store no longer has.
-func (m *membership) forgetOthers(seen map[string]bool) {
+// lapsedOthers handles the records that the store no longer has.
+func (m *membership) lapsedOthers(ctx context.Context, seen map[string]bool) {
 	m.mutex.Lock()
+	var missing []string
 	for name := range m.records {
 		if !seen[name] {
-			delete(m.records, name)
+			missing = append(missing, name)
 		}
 	}
 	m.mutex.Unlock()
-	m.apply()
+	for _, name := range missing {
+		m.lapsed(ctx, name)
+	}
+}
+
+// lapsed handles the end of a node's lease. It is a hint, no proof: while the
+// node answers, its record stays. The node's own record is written anew.
+func (m *membership) lapsed(ctx context.Context, name string) {
+	if name == m.node.settings.Node {
+		m.wakeUp()
+		return
+	}
+	m.mutex.Lock()
+	record := m.records[name]
+	m.mutex.Unlock()
+	if record == nil {
+		return
+	}
+	m.node.background.Go(func() {
+		for range lapsedPings {
+			call, cancel := context.WithTimeout(ctx, callTimeout)
+			err := m.node.peers.pingPeer(call, record.Address)
+			cancel()
+			if err == nil || ctx.Err() != nil {
+				return
+			}
+		}
+		m.forget(record)
+	})
+}
+
+// lapsedPings is how often a node whose lease is over is pinged.
+const lapsedPings = 2
+
+func (m *membership) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
 }
 
 // follow reads everything below a prefix and then watches it; where the history
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -62,6 +62,8 @@
 	egress      *egress
 	peers       *peerClient
 	membership  *membership
+	exchanger   *exchanger
+	liveness    *liveness
 	stopping    atomic.Bool
 	inFlight    atomic.Int64
 	storeDown   atomic.Bool
@@ -87,10 +89,12 @@
 	n.services = newServices(settings.Node, settings.Zone, n.now, repeats.Config{
 		Ratio: settings.Retries.Ratio, Allowance: settings.Retries.Allowance, Window: time.Duration(settings.Retries.Window),
 	})
-	n.ingress = &ingress{node: n, running: runningTable{requests: map[string]*running{}}}
+	n.ingress = newIngress(n)
 	n.egress = &egress{node: n}
 	n.peers = newPeerClient(options.Dial)
 	n.membership = newMembership(n)
+	n.exchanger = &exchanger{node: n}
+	n.liveness = newLiveness(n.now, n.peers.pingPeer, n.services.suspect)
 	n.target = &localTarget{now: n.now, roster: roster.New(), changed: n.membership.changed, link: n.newLink, identify: n.identify}
 	return n, n.listen()
 }
@@ -143,7 +147,7 @@
 		handler      http.Handler
 	}{
 		{"listen.control", n.settings.Listen.Control, n.options.Control(&Targets{n.target})},
-		{"listen.inbound", n.settings.Listen.Inbound, n.ingress},
+		{"listen.inbound", n.settings.Listen.Inbound, n.inbound()},
 		{"listen.outbound", n.settings.Listen.Outbound, n.egress},
 		{"listen.ready", n.settings.Listen.Ready, n.options.Ready(n.ready)},
 	} {
@@ -159,6 +163,24 @@
 	return nil
 }
 
+// inbound serves what other nodes ask.
+func (n *Node) inbound() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST "+callPath, n.ingress)
+	mux.Handle("POST "+settlePath, n.ingress.once)
+	mux.Handle("POST "+exchangePath, n.exchanger)
+	mux.HandleFunc("GET "+pingPath, func(w http.ResponseWriter, _ *http.Request) { w.Header()["Date"] = nil })
+	return mux
+}
+
+// configuration gives the configuration in force in the operators' form.
+func (n *Node) configuration() []byte {
+	if current := n.intent.Load(); current != nil {
+		return current.Source
+	}
+	return nil
+}
+
 func (n *Node) ready() bool { return n.intent.Load() != nil && !n.stopping.Load() }
 
 // begin counts a request as in flight; the function that it gives ends that.
@@ -185,6 +207,7 @@
 		n.background.Go(func() { n.membership.watch(background) })
 		n.background.Go(func() { n.watchConfiguration(background) })
 	}
+	n.background.Go(func() { n.exchanger.run(background) })
 	n.log.WithField("incarnation", n.incarnation).Info("started")
 	select {
 	case err := <-failed:
@@ -216,6 +239,7 @@
 		n.log.WithError(err).Error("configuration refused")
 		return
 	}
+	read.Source = data
 	for {
 		current := n.intent.Load()
 		if current != nil && current.Version >= read.Version {
--- a/internal/sidecar/overload.go
+++ b/internal/sidecar/overload.go
@@ -41,6 +41,13 @@
 	return current.LeastPriority() - route.Priority
 }
 
+// needs gives the mean number of calls of a route's request to each service.
+func (o *overloadControl) needs(route *intent.Route) map[string]float64 {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.core.Needs(route.Name)
+}
+
 // learn takes in what a sending told; whole tells that needs are those of a
 // request that was served.
 func (o *overloadControl) learn(route *intent.Route, needs []wire.Need, whole bool) {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -23,7 +23,10 @@
 )
 
 // Paths between nodes.
-const callPath = "/call"
+const (
+	callPath   = "/call"
+	settlePath = "/settle"
+)
 
 // peerClient sends requests to other nodes.
 type peerClient struct {
@@ -90,6 +93,26 @@
 	return readReply(ctx, response)
 }
 
+// settle asks a node what became of a request that was sent to it.
+func (p *peerClient) settle(ctx context.Context, address string, call *wire.SidecarCall) *reply {
+	head, err := wire.SidecarCallCodec.EncodeHeader(call)
+	if err != nil {
+		return unknown(reasonBadMessage)
+	}
+	request := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: settlePath}, Host: address,
+		Header: http.Header{"User-Agent": {""}, wire.HeaderSidecarCall: {head}},
+	}
+	response, err := p.transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		if ctx.Err() != nil {
+			return unknown(endOf(ctx))
+		}
+		return unknown(reasonLost)
+	}
+	return readReply(ctx, response)
+}
+
 // unanswered sorts a failed round trip: without a connection nothing was sent.
 func unanswered(ctx context.Context, connected bool) *reply {
 	switch {
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -43,6 +43,7 @@
 	reasonBadMessage   Reason = "bad_message"    // node protocol not understood
 	reasonSilent       Reason = "silent"         // the node there gives no sign of life
 	reasonSheds        Reason = "overload"       // refused where the chain starts
+	reasonFenced       Reason = "fenced"         // never sent, on the word of the gate
 	reasonStopping     Reason = "stopping"
 )
 
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -114,23 +114,62 @@
 	}
 }
 
+// suspect leaves the target beside a node alone that gives no sign of life.
+func (s *services) suspect(node string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, known := range s.byName {
+		known.mutex.Lock()
+		if endpoint := known.balancer.Endpoint(node); endpoint != nil {
+			known.balancer.Suspect(s.now(), endpoint)
+		}
+		known.mutex.Unlock()
+	}
+}
+
 func (s *service) count(now time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.budget.Request(now, 1)
 }
 
-// repeat takes a repeat out of the budget, if there is one.
-func (s *service) repeat(now time.Duration) bool {
+// repeat takes a repeat out of the budgets of all services that it would reach:
+// the calls of a run that is a repeat are repeats themselves. It gives false,
+// and takes nothing, when one of them has none left.
+func (s *services) repeat(needs map[string]float64) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if !s.budget.Allows(now, 1) {
-		return false
+	now := s.now()
+	for name, calls := range needs {
+		if !s.getLocked(name).allows(now, calls) {
+			return false
+		}
+	}
+	for name, calls := range needs {
+		s.getLocked(name).spend(now, calls)
 	}
-	s.budget.Spend(now, 1)
 	return true
 }
 
+func (s *service) allows(now time.Duration, calls float64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.budget.Allows(now, calls)
+}
+
+func (s *service) spend(now time.Duration, calls float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.budget.Spend(now, calls)
+}
+
+// repeat takes a repeat of a route's request out of the budgets.
+func (n *Node) repeat(route *intent.Route, service string) bool {
+	needs := n.overload.needs(route)
+	needs[service] = max(needs[service], 1)
+	return n.services.repeat(needs)
+}
+
 // splitter keeps the shares of a route's parts close to their weights.
 type splitter struct {
 	mutex  sync.Mutex
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -23,6 +23,7 @@
 	Repeatable  bool   `avro:"repeatable"`
 	Repeat      bool   `avro:"repeat"`       // this request, or one above it, has been sent before
 	Attempt     int    `avro:"attempt"`      // number of this sending, from 0
+	Key         string `avro:"key"`          // of this sending, for requests that may run at most once
 	Remaining   int64  `avro:"remaining_us"` // until the request is given up
 	MaxWait     int64  `avro:"max_wait_us"`  // longest expected wait accepted; 0: any
 	Version     int64  `avro:"version"`      // of the configuration that the sender has
@@ -67,14 +68,26 @@
 	Cold        int64  `avro:"cold_ms"` // how much longer the target is slow, from the writing on
 }
 
+// Exchange is what nodes tell each other of members and configuration.
+type Exchange struct {
+	Digest        int64        `avro:"digest"`  // of the records that the sender has
+	Version       int64        `avro:"version"` // of the configuration that it has
+	Records       []NodeRecord `avro:"records"`
+	Configuration []byte       `avro:"configuration"` // in the operators' form; empty: none is sent
+}
+
 const (
+	exchangeSchema = `{"type":"record","name":"Exchange","fields":[
+{"name":"digest","type":"long"},{"name":"version","type":"long"},
+{"name":"records","type":{"type":"array","items":` + nodeRecordSchema + `},"default":[]},
+{"name":"configuration","type":"bytes","default":""}]}`
 	sidecarCallSchema = `{"type":"record","name":"SidecarCall","fields":[
 {"name":"request_id","type":"string"},{"name":"method","type":"string"},{"name":"uri","type":"string"},
 {"name":"host","type":"string"},{"name":"service","type":"string"},{"name":"route","type":"string","default":""},
 {"name":"caller","type":"string","default":""},{"name":"from","type":"string","default":""},
 {"name":"incarnation","type":"string","default":""},{"name":"importance","type":"int","default":0},
 {"name":"repeatable","type":"boolean","default":false},{"name":"repeat","type":"boolean","default":false},
-{"name":"attempt","type":"int","default":0},{"name":"remaining_us","type":"long"},
+{"name":"attempt","type":"int","default":0},{"name":"key","type":"string","default":""},{"name":"remaining_us","type":"long"},
 {"name":"max_wait_us","type":"long","default":0},{"name":"version","type":"long","default":0}]}`
 	sidecarResultSchema = `{"type":"record","name":"SidecarResult","fields":[
 {"name":"outcome","type":"string"},{"name":"reason","type":"string"},{"name":"arrived","type":"boolean","default":false},
@@ -91,9 +104,13 @@
 {"name":"serving","type":"boolean","default":false},{"name":"cold_ms","type":"long","default":0}]}`
 )
 
+// maxExchange bounds an Exchange, in bytes.
+const maxExchange = 4 << 20
+
 // Codecs of the messages between sidecar nodes.
 var (
 	SidecarCallCodec   = NewCodec[SidecarCall](maxHeaderMessage, sidecarCallSchema)
 	SidecarResultCodec = NewCodec[SidecarResult](maxHeaderMessage, sidecarResultSchema)
+	ExchangeCodec      = NewCodec[Exchange](maxExchange, exchangeSchema)
 	NodeRecordCodec    = NewCodec[NodeRecord](maxHeaderMessage, nodeRecordSchema)
 )
