Tell a cut watch to its caller instead of repeating it in silence

Cause: platform_compact cuts the watches after a change that they did not hear; net/http repeats a GET on a reused connection by itself, and the repeated watch waited for the next change. Ruled out: the store answering the watch with nothing (a trial with a log line at each answer: the watch of 17.7 s came back at 28.0 s only); a stale read. Change: watches have connections of their own, with keep-alive probes.

--- a/cmd/landingmastd/sidecar.go
+++ b/cmd/landingmastd/sidecar.go
@@ -38,7 +38,7 @@
 		return nil
 	}
 	node, err := sidecar.New(checked, sidecar.Options{
-		Headers: platform.Headers(), Store: platform.NewStore(checked.Store.Address, nil),
+		Headers: platform.Headers(), Store: platform.NewStore(checked.Store.Address, sidecar.DialAlive),
 		ConfigurationKey: platform.ConfigurationKey, NodePrefix: platform.NodePrefix, ReadIntent: platform.ReadIntent,
 		Control: func(targets *sidecar.Targets) http.Handler { return platform.Heartbeats(targets) },
 		Ready:   platform.Readiness, Output: os.Stdout,
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -114,9 +114,7 @@
 	x.body = body
 	x.header = endToEnd(x.request.Header)
 	x.service = x.node.splitter.choose(x.route)
-	if x.parent == nil {
-		x.node.services.get(x.service).count(x.node.now())
-	}
+	x.node.services.get(x.service).count(x.node.now())
 	if !x.admitted() {
 		x.refuse(http.StatusServiceUnavailable, reasonSheds, x.comeBack(hold))
 		return
--- a/internal/sidecar/socket.go
+++ b/internal/sidecar/socket.go
@@ -1,8 +1,11 @@
 package sidecar
 
 import (
+	"context"
 	"log"
+	"net"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -21,6 +24,21 @@
 	})
 }
 
+// DialAlive opens a connection on which the silence of the other side is noticed
+// also while nothing is sent: for calls that wait long for their answers.
+func DialAlive(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{
+		Timeout: aliveDialTimeout, Control: boundSilence,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: aliveProbe, Interval: aliveProbe, Count: 2},
+	}
+	return dialer.DialContext(ctx, network, address)
+}
+
+const (
+	aliveDialTimeout = time.Second
+	aliveProbe       = time.Second
+)
+
 // quietLog takes what net/http says of single connections at debug level.
 func quietLog(entry *logrus.Entry) *log.Logger {
 	return log.New(entry.WriterLevel(logrus.DebugLevel), "", 0)
