--- a/cmd/landingmastd/sidecar.go
+++ b/cmd/landingmastd/sidecar.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"os"
@@ -47,7 +46,6 @@
 		return err
 	}
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return node.Run(ctx)
+	ctx, hurry := stopSignals()
+	return node.Run(ctx, hurry)
 }
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -186,6 +186,7 @@
 		last.close()
 		last = x.attempt(ctx, choice, bounces)
 		choice.done(x.node.now(), last)
+		x.tellIfLost(choice, last)
 		x.learn(last)
 		if last.arrived {
 			x.arrivals++
@@ -257,6 +258,13 @@
 	return x.sendOnce(ctx, choice, call)
 }
 
+// tellIfLost helps a node that replied without knowing any configuration.
+func (x *exchange) tellIfLost(choice *choice, answer *reply) {
+	if answer.incarnation != "" && answer.version == 0 && choice.node != x.node.settings.Node {
+		x.node.exchanger.tell(choice.address)
+	}
+}
+
 // sendRepeatable sends to another node, and gives up when that node shows no
 // sign of life.
 func (x *exchange) sendRepeatable(ctx context.Context, choice *choice, call *wire.SidecarCall) *reply {
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,7 +32,20 @@
 // node asks one other, chosen at random, each second; wholes are sent only where
 // digests differ, so that the traffic of a node does not grow with their number.
 type exchanger struct {
-	node *Node
+	node    *Node
+	telling sync.Map // addresses of nodes that are being told everything
+}
+
+// tell exchanges at once with a node that has shown that it knows nothing, as one
+// does that came back while the store refuses it.
+func (e *exchanger) tell(address string) {
+	if _, busy := e.telling.LoadOrStore(address, true); busy {
+		return
+	}
+	e.node.background.Go(func() {
+		defer e.telling.Delete(address)
+		e.with(context.Background(), address)
+	})
 }
 
 // run exchanges until ctx ends.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -193,8 +193,9 @@
 	return func() { n.inFlight.Add(-1) }
 }
 
-// Run serves until ctx ends, then stops as planned.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until ctx ends, then stops as planned; the end of hurry ends the
+// wait for requests in flight.
+func (n *Node) Run(ctx, hurry context.Context) error {
 	failed := make(chan error, len(n.servers))
 	for index, server := range n.servers {
 		go func() { failed <- server.Serve(n.listeners[index]) }()
@@ -214,7 +215,7 @@
 		return failure.Wrap(err, failure.Internal, "look at the machine", "a listener stopped")
 	case <-ctx.Done():
 	}
-	n.stop()
+	n.stop(hurry)
 	return nil
 }
 
@@ -261,18 +262,20 @@
 
 // stop is the planned stop: not ready at once, requests are still served, and
 // the process ends when none is in flight.
-func (n *Node) stop() {
+func (n *Node) stop(hurry context.Context) {
 	n.stopping.Store(true)
 	n.membership.changed()
 	n.log.Info("stopping")
 	began := time.Now()
 	latest := began.Add(time.Duration(n.settings.Bounds.Grace) - stopReserve)
-	for time.Now().Before(latest) && (time.Since(began) < stopLeast || n.inFlight.Load() > 0) {
-		time.Sleep(stopPoll)
+	for hurry.Err() == nil && time.Now().Before(latest) && (time.Since(began) < stopLeast || n.inFlight.Load() > 0) {
+		pause(hurry, stopPoll)
 	}
-	for _, listener := range n.listeners {
-		_ = listener.Close()
+	for _, server := range n.servers {
+		_ = server.Close()
 	}
+	n.peers.transport.CloseIdleConnections()
+	n.target.close()
 	n.log.WithField("in_flight", n.inFlight.Load()).Info("stopped")
 }
 
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -121,7 +121,7 @@
 	if err := decoder.Decode(settings); err != nil {
 		return nil, failure.Wrap(err, failure.BadInput, "correct the named line; keys are listed in docs/SIDECAR.md", "settings cannot be read")
 	}
-	settings.setDefaults()
+	settings.SetDefaults()
 	return settings, settings.Validate()
 }
 
@@ -131,7 +131,8 @@
 	}
 }
 
-func (s *Settings) setDefaults() {
+// SetDefaults fills in what is not given.
+func (s *Settings) SetDefaults() {
 	orDefault(&s.Store.Lease, DefaultLease)
 	orDefault(&s.Bounds.Drain, DefaultDrain)
 	orDefault(&s.Bounds.Grace, DefaultGrace)
--- a/internal/sidecar/socket.go
+++ b/internal/sidecar/socket.go
@@ -39,7 +39,15 @@
 	aliveProbe       = time.Second
 )
 
+type debugWriter struct{ entry *logrus.Entry }
+
+// Write implements io.Writer.
+func (d debugWriter) Write(line []byte) (int, error) {
+	d.entry.Debug(string(line))
+	return len(line), nil
+}
+
 // quietLog takes what net/http says of single connections at debug level.
 func quietLog(entry *logrus.Entry) *log.Logger {
-	return log.New(entry.WriterLevel(logrus.DebugLevel), "", 0)
+	return log.New(debugWriter{entry}, "", 0)
 }
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -216,6 +216,7 @@
 	left := t.roster.Left(instance)
 	if left && t.gate != nil {
 		t.gate.drain()
+		t.gate.links.Close()
 		t.gate = nil
 	}
 	t.mutex.Unlock()
@@ -225,6 +226,15 @@
 	return nil
 }
 
+// close ends the connections to the target.
+func (t *localTarget) close() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.gate != nil {
+		t.gate.links.Close()
+	}
+}
+
 // replaced notes that the target's address belongs to another instance.
 func (t *localTarget) replaced(instance string) {
 	_ = t.Leave(instance)
@@ -237,6 +247,7 @@
 	if t.gate == nil || t.gate.instance != report.Instance || t.gate.service != report.Service {
 		if t.gate != nil {
 			t.gate.drain()
+			t.gate.links.Close()
 		}
 		t.gate = newGate(t.now, report, t.link())
 	}
