--- a/cmd/landingmastd/sidecar.go
+++ b/cmd/landingmastd/sidecar.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/landingmast/landingmast/internal/sidecar"
 	"github.com/landingmast/landingmast/internal/sidecar/settings"
@@ -19,6 +21,35 @@
 // sidecarCollectorPercent keeps the heap of a sidecar small.
 const sidecarCollectorPercent = 50
 
+// settingsEvery is how often the settings file is looked at for changes that no
+// signal announces.
+const settingsEvery = time.Second
+
+// followSettings puts changed settings in force, on SIGHUP and without.
+func followSettings(settingsFile string, node *sidecar.Node) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	before, _ := os.ReadFile(settingsFile)
+	ticker := time.NewTicker(settingsEvery)
+	for {
+		select {
+		case <-hangups:
+		case <-ticker.C:
+		}
+		now, err := os.ReadFile(settingsFile)
+		if err != nil || bytes.Equal(now, before) {
+			continue
+		}
+		before = now
+		changed, err := settings.Parse(now)
+		if err != nil {
+			node.ReloadFailed(err)
+			continue
+		}
+		node.Reload(changed)
+	}
+}
+
 // runSidecar runs a sidecar node on the users' platform.
 func runSidecar(settingsFile, logLevel string, checkOnly bool) error {
 	debug.SetGCPercent(sidecarCollectorPercent)
@@ -45,7 +76,8 @@
 	if err != nil {
 		return err
 	}
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE)
+	go followSettings(settingsFile, node)
 	ctx, hurry := stopSignals()
 	return node.Run(ctx, hurry)
 }
--- a/internal/core/repeats/repeats.go
+++ b/internal/core/repeats/repeats.go
@@ -36,8 +36,11 @@
 // New makes a budget.
 func New(config Config) *Budget { return &Budget{config: config} }
 
-// SetAllowance changes the node's part, as members come and go.
-func (b *Budget) SetAllowance(allowance float64) { b.config.Allowance = allowance }
+// SetBounds changes the ratio and the node's part of the allowance, as members
+// come and go and settings change. The window stays.
+func (b *Budget) SetBounds(ratio, allowance float64) {
+	b.config.Ratio, b.config.Allowance = ratio, allowance
+}
 
 func (b *Budget) slice(now time.Duration) int64 {
 	return int64(now / (b.config.Window / sliceCount))
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 	"github.com/landingmast/landingmast/internal/core/intent"
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
@@ -37,6 +38,13 @@
 	arrivals   int    // sendings that reached a target
 	mayRun     bool   // one of them may have run
 	failed     *reply // a target's own failure, kept while another is tried
+
+	// What the log tells of the request.
+	hold      time.Duration
+	share     float64
+	decisive  string
+	occupancy float64
+	sends     []eventlog.Send
 }
 
 // Times of a request.
@@ -96,6 +104,7 @@
 
 func (x *exchange) serve() {
 	hold := x.holdTime()
+	x.hold = hold
 	ctx, cancel := context.WithTimeout(x.request.Context(), hold)
 	defer cancel()
 	x.findParent()
@@ -125,7 +134,13 @@
 // admitted decides whether a client's request is let in. Calls of requests that
 // are running always are: work has gone into them.
 func (x *exchange) admitted() bool {
-	return x.parent != nil || x.node.overload.admit(x.route)
+	if x.parent != nil {
+		x.share = 1
+		return true
+	}
+	var admitted bool
+	admitted, x.share, x.decisive, x.occupancy = x.node.overload.admit(x.route)
+	return admitted
 }
 
 // comeBackShare is the part of its time after which a refused client comes back:
@@ -184,7 +199,9 @@
 			break
 		}
 		last.close()
+		began := x.node.now()
 		last = x.attempt(ctx, choice, bounces)
+		x.noteSend(choice, last, x.node.now()-began)
 		choice.done(x.node.now(), last)
 		x.tellIfLost(choice, last)
 		x.learn(last)
@@ -245,11 +262,11 @@
 	repeatable := x.route.Kind.Repeatable()
 	call := &wire.SidecarCall{
 		RequestID: x.id, Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Service: x.service, Route: x.route.Name,
-		Caller: x.node.caller(), From: x.node.settings.Node, Importance: x.importance, Repeatable: repeatable,
+		Caller: x.node.caller(), From: x.node.settings().Node, Importance: x.importance, Repeatable: repeatable,
 		Repeat: x.repeat || x.arrivals > 0, Attempt: x.arrivals, Remaining: time.Until(deadline).Microseconds(),
 		MaxWait: choice.maxWait.Microseconds(), Version: int64(x.intent.Version),
 	}
-	if choice.node == x.node.settings.Node {
+	if choice.node == x.node.settings().Node {
 		return x.node.ingress.serve(ctx, call, x.header.Clone(), x.body)
 	}
 	if repeatable {
@@ -258,9 +275,18 @@
 	return x.sendOnce(ctx, choice, call)
 }
 
+// noteSend keeps a sending for the log and counts it.
+func (x *exchange) noteSend(choice *choice, answer *reply, took time.Duration) {
+	x.node.metrics.Sends.WithLabelValues(x.service, string(answer.outcome), string(answer.reason)).Inc()
+	x.sends = append(x.sends, eventlog.Send{
+		Node: choice.node, Outcome: string(answer.outcome), Reason: string(answer.reason), Arrived: answer.arrived, Status: answer.status,
+		TookMS: milliseconds(took), Occupancy: answer.load.Occupancy(),
+	})
+}
+
 // tellIfLost helps a node that replied without knowing any configuration.
 func (x *exchange) tellIfLost(choice *choice, answer *reply) {
-	if answer.incarnation != "" && answer.version == 0 && choice.node != x.node.settings.Node {
+	if answer.incarnation != "" && answer.version == 0 && choice.node != x.node.settings().Node {
 		x.node.exchanger.tell(choice.address)
 	}
 }
@@ -318,6 +344,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(given.body)))
 		x.writer.WriteHeader(given.status)
 		_, _ = x.writer.Write(given.body)
+		x.ended(given.status, reasonNone, 0)
 		return
 	}
 	if given.length >= 0 {
@@ -325,8 +352,10 @@
 	}
 	x.writer.WriteHeader(given.status)
 	if _, err := io.Copy(x.writer, given.stream); err != nil {
+		x.ended(0, reasonLost, 0)
 		panic(http.ErrAbortHandler)
 	}
+	x.ended(given.status, reasonNone, 0)
 }
 
 // Times after which a refused sender may come back.
@@ -340,6 +369,7 @@
 func (x *exchange) giveUp(ctx context.Context, last *reply) {
 	defer last.close()
 	if x.request.Context().Err() != nil {
+		x.ended(0, reasonCancelled, 0)
 		panic(http.ErrAbortHandler)
 	}
 	switch {
@@ -369,5 +399,5 @@
 	header.Set("Content-Length", strconv.Itoa(len(reason)))
 	x.writer.WriteHeader(status)
 	_, _ = io.WriteString(x.writer, string(reason))
-	x.node.note(x, status, reason)
+	x.ended(status, reason, retryAfter)
 }
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -42,10 +42,10 @@
 	if _, busy := e.telling.LoadOrStore(address, true); busy {
 		return
 	}
-	e.node.background.Go(func() {
+	go func() {
 		defer e.telling.Delete(address)
 		e.with(context.Background(), address)
-	})
+	}()
 }
 
 // run exchanges until ctx ends.
@@ -111,7 +111,7 @@
 		e.node.membership.learnFromPeer(&record)
 	}
 	if len(message.Configuration) > 0 {
-		e.node.install(message.Configuration)
+		e.node.install(message.Configuration, sourcePeer)
 	}
 }
 
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -17,6 +17,7 @@
 // running is a request at the target. Calls that the target makes for it find it
 // by its id.
 type running struct {
+	id         string
 	ctx        context.Context
 	importance int
 	repeat     bool
@@ -175,19 +176,36 @@
 // admit waits for a slot and has the target run the request. maySend is asked
 // right before the request is sent; nil: it may.
 func (i *ingress) admit(ctx context.Context, call *wire.SidecarCall, header http.Header, body *payload, maySend func() bool) *reply {
-	gate := i.node.target.current()
+	one := &arrival{call: call, at: i.node.now()}
+	answer := i.gated(ctx, one, header, body, maySend)
+	i.noteRun(one, answer)
+	return answer
+}
+
+// arrival is a request at the gate, with what the log tells of it.
+type arrival struct {
+	call     *wire.SidecarCall
+	at       time.Duration
+	instance string
+	waited   time.Duration
+}
+
+func (i *ingress) gated(ctx context.Context, one *arrival, header http.Header, body *payload, maySend func() bool) *reply {
+	gate, call := i.node.target.current(), one.call
 	switch {
 	case gate == nil:
 		return notRun(reasonNoTarget)
 	case gate.service != call.Service:
 		return notRun(reasonWrongService)
 	}
+	one.instance = gate.instance
 	deadline, _ := ctx.Deadline()
 	load, _ := gate.load()
 	now := i.node.now()
 	id, decision := gate.enter(ctx, slots.Request{
 		Importance: call.Importance, Deadline: now + time.Until(deadline) - load.Hold/2, MaxWait: time.Duration(call.MaxWait) * time.Microsecond,
 	})
+	one.waited = decision.Waited
 	var answer *reply
 	switch {
 	case !decision.Send && ctx.Err() != nil:
@@ -206,7 +224,7 @@
 
 // run sends the request to the target and reads its answer.
 func (i *ingress) run(ctx context.Context, gate *gate, id uint64, call *wire.SidecarCall, header http.Header, body *payload) *reply {
-	request := &running{ctx: ctx, importance: call.Importance, repeat: call.Repeat, needs: map[string]wire.Need{}}
+	request := &running{id: call.RequestID, ctx: ctx, importance: call.Importance, repeat: call.Repeat, needs: map[string]wire.Need{}}
 	i.running.add(call.RequestID, request)
 	answer := i.exchange(ctx, gate, call, header, body)
 	i.running.remove(call.RequestID, request)
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 	"github.com/landingmast/landingmast/internal/core/balancer"
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/store"
 	"github.com/landingmast/landingmast/internal/wire"
 )
@@ -52,7 +53,7 @@
 // own gives the node's own record as it is now.
 func (m *membership) own() *wire.NodeRecord {
 	report, coldTill := m.node.target.report()
-	settings := m.node.settings
+	settings := m.node.settings()
 	record := &wire.NodeRecord{
 		Node: settings.Node, Incarnation: m.node.incarnation, Started: m.node.startedWall.UnixMilli(),
 		Address: settings.Listen.Inbound, Zone: settings.Zone, Service: report.Service, Instance: report.Instance, Slots: report.Slots,
@@ -86,14 +87,26 @@
 	}
 	m.mutex.Unlock()
 	if fresh {
+		m.note(record, "learned", sourcePeer)
 		m.apply()
 	}
 }
 
+// note logs a change of what is known of another node.
+func (m *membership) note(record *wire.NodeRecord, change, source string) {
+	if record.Node == m.node.settings().Node {
+		return
+	}
+	m.node.events.Add(eventlog.Member{
+		Member: record.Node, Change: change, Incarnation: record.Incarnation, Service: record.Service, Instance: record.Instance,
+		Serving: record.Serving, Source: source,
+	}, eventlog.State)
+}
+
 // learnFromPeer takes in a record that another node knows. One that the store
 // has dropped is not brought back by a node that has not heard of it yet.
 func (m *membership) learnFromPeer(record *wire.NodeRecord) {
-	if record.Node == m.node.settings.Node {
+	if record.Node == m.node.settings().Node {
 		return
 	}
 	m.mutex.Lock()
@@ -119,8 +132,12 @@
 // put takes in a record as the store has it; the store's order decides.
 func (m *membership) put(record *wire.NodeRecord) {
 	m.mutex.Lock()
-	defer m.mutex.Unlock()
+	known := m.records[record.Node]
 	m.records[record.Node] = record
+	m.mutex.Unlock()
+	if known == nil || known.Incarnation != record.Incarnation || known.Sequence != record.Sequence {
+		m.note(record, "learned", sourceStore)
+	}
 }
 
 // restarted notes that a node is another process than its record says.
@@ -144,12 +161,23 @@
 	return ""
 }
 
+// others gives the number of other nodes that are known.
+func (m *membership) others() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	count := len(m.records)
+	if m.records[m.node.settings().Node] != nil {
+		count--
+	}
+	return count
+}
+
 // anyAddress gives the address of another node, chosen at random.
 func (m *membership) anyAddress() string {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for name, record := range m.records {
-		if name != m.node.settings.Node {
+		if name != m.node.settings().Node {
 			return record.Address // the order of a map is random
 		}
 	}
@@ -176,7 +204,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for name, record := range m.records {
-		if name != m.node.settings.Node {
+		if name != m.node.settings().Node {
 			sum ^= recordDigest(record)
 		}
 	}
@@ -211,15 +239,13 @@
 
 // run keeps the own record and its lease in the store until ctx ends.
 func (m *membership) run(ctx context.Context) {
-	lifetime := time.Duration(m.node.settings.Store.Lease)
+	lifetime := time.Duration(m.node.settings().Store.Lease)
 	var lease store.Lease
-	written := false
 	pause(ctx, time.Duration(rand.Int64N(int64(spreadOfWrites))))
 	for ctx.Err() == nil {
-		err := m.write(ctx, &lease, written, lifetime)
-		written = err == nil
+		err := m.write(ctx, &lease, lifetime)
+		m.node.storeResult("record", err)
 		if err != nil {
-			m.node.storeTrouble("record", err)
 			pause(ctx, retryAtLeast+time.Duration(rand.Int64N(int64(retryAtMost))))
 			continue
 		}
@@ -230,7 +256,7 @@
 }
 
 // write writes the own record under a lease.
-func (m *membership) write(ctx context.Context, lease *store.Lease, written bool, lifetime time.Duration) error {
+func (m *membership) write(ctx context.Context, lease *store.Lease, lifetime time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if lease.ID == 0 {
@@ -244,7 +270,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = m.node.store.Put(ctx, store.Write{Key: m.node.options.NodePrefix + m.node.settings.Node, Value: value, Lease: lease.ID})
+	_, err = m.node.store.Put(ctx, store.Write{Key: m.node.options.NodePrefix + m.node.settings().Node, Value: value, Lease: lease.ID})
 	if errors.Is(err, store.ErrLeaseGone) {
 		*lease = store.Lease{}
 	}
@@ -266,12 +292,10 @@
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := m.node.store.Keep(call, lease.ID)
 		cancel()
+		m.node.storeResult("lease", err)
 		if errors.Is(err, store.ErrLeaseGone) {
 			return false
 		}
-		if err != nil {
-			m.node.storeTrouble("lease", err)
-		}
 	}
 }
 
@@ -316,7 +340,7 @@
 // lapsed handles the end of a node's lease. It is a hint, no proof: while the
 // node answers, its record stays. The node's own record is written anew.
 func (m *membership) lapsed(ctx context.Context, name string) {
-	if name == m.node.settings.Node {
+	if name == m.node.settings().Node {
 		m.wakeUp()
 		return
 	}
@@ -326,15 +350,20 @@
 	if record == nil {
 		return
 	}
+	m.note(record, "lapsed", sourceStore)
 	m.node.background.Go(func() {
 		for range lapsedPings {
 			call, cancel := context.WithTimeout(ctx, callTimeout)
 			err := m.node.peers.pingPeer(call, record.Address)
 			cancel()
+			if err == nil {
+				m.note(record, "kept", sourcePeer)
+			}
 			if err == nil || ctx.Err() != nil {
 				return
 			}
 		}
+		m.note(record, "forgotten", sourcePeer)
 		m.forget(record)
 	})
 }
@@ -361,25 +390,26 @@
 			call, cancel := context.WithTimeout(ctx, callTimeout)
 			items, revision, err := node.store.List(call, prefix)
 			cancel()
+			node.storeResult("read", err)
 			if err != nil {
-				node.storeTrouble("read "+prefix, err)
 				pause(ctx, retryAtLeast+time.Duration(rand.Int64N(int64(retryAtMost/4))))
 				continue
 			}
 			at = revision
-			node.storeWorks()
 			take(items, true)
 		}
 		events, revision, err := node.store.Watch(ctx, prefix, at, watchWait)
+		if ctx.Err() != nil {
+			return
+		}
+		node.storeResult("watch", err)
 		switch {
 		case errors.Is(err, store.ErrCompacted):
 			at = -1
 		case err != nil:
-			node.storeTrouble("watch "+prefix, err)
 			pause(ctx, retryAtLeast+time.Duration(rand.Int64N(int64(retryAtMost/4))))
 		default:
 			at = max(at, revision)
-			node.storeWorks()
 			take(events, false)
 			if len(events) > 0 {
 				pause(ctx, rest)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,10 +15,11 @@
 	"github.com/landingmast/landingmast/internal/core/repeats"
 	"github.com/landingmast/landingmast/internal/core/roster"
 	"github.com/landingmast/landingmast/internal/failure"
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+	"github.com/landingmast/landingmast/internal/sidecar/metrics"
 	"github.com/landingmast/landingmast/internal/sidecar/settings"
 	"github.com/landingmast/landingmast/internal/sidecar/targetlink"
 	"github.com/landingmast/landingmast/internal/store"
-	"github.com/sirupsen/logrus"
 )
 
 // Dialer opens a connection.
@@ -47,11 +46,12 @@
 // Node is one running sidecar node.
 type Node struct {
 	options     Options
-	settings    *settings.Settings
+	checked     atomic.Pointer[settings.Settings]
 	incarnation string
 	started     time.Time
 	startedWall time.Time
-	log         *logrus.Entry
+	events      *eventlog.Log
+	metrics     *metrics.Metrics
 	store       store.Store
 	intent      atomic.Pointer[intent.Intent]
 	services    *services
@@ -66,7 +66,7 @@
 	liveness    *liveness
 	stopping    atomic.Bool
 	inFlight    atomic.Int64
-	storeDown   atomic.Bool
+	storeHealth storeHealth
 	servers     []*http.Server
 	listeners   []net.Listener
 	background  sync.WaitGroup
@@ -81,41 +81,57 @@
 		options.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
 	n := &Node{
-		options: options, settings: settings, incarnation: strconv.FormatUint(rand.Uint64(), 36), started: time.Now(),
+		options: options, incarnation: strconv.FormatUint(rand.Uint64(), 36), started: time.Now(),
 		startedWall: time.Now(), store: options.Store, splitter: &splitter{credit: map[string][]float64{}},
 	}
-	n.log = newLog(settings, options.Output)
+	n.checked.Store(settings)
+	n.events = eventlog.New(settings.Node, options.Output)
+	n.metrics = metrics.New(n.gauges())
 	n.overload = newOverloadControl(n)
-	n.services = newServices(settings.Node, settings.Zone, n.now, repeats.Config{
-		Ratio: settings.Retries.Ratio, Allowance: settings.Retries.Allowance, Window: time.Duration(settings.Retries.Window),
-	})
+	n.services = newServices(settings.Node, settings.Zone, n.now, budget(settings))
 	n.ingress = newIngress(n)
 	n.egress = &egress{node: n}
 	n.peers = newPeerClient(options.Dial)
 	n.membership = newMembership(n)
 	n.exchanger = &exchanger{node: n}
-	n.liveness = newLiveness(n.now, n.peers.pingPeer, n.services.suspect)
-	n.target = &localTarget{now: n.now, roster: roster.New(), changed: n.membership.changed, link: n.newLink, identify: n.identify}
+	n.liveness = newLiveness(n.now, n.peers.pingPeer, n.silent)
+	n.target = &localTarget{now: n.now, roster: roster.New(), changed: n.targetChanged, link: n.newLink, identify: n.identify}
 	return n, n.listen()
 }
 
-func newLog(settings *settings.Settings, output io.Writer) *logrus.Entry {
-	log := logrus.New()
-	log.SetOutput(output)
-	log.SetFormatter(&logrus.JSONFormatter{DisableTimestamp: true})
-	if level, err := logrus.ParseLevel(settings.Log.Level); err == nil {
-		log.SetLevel(level)
-	}
-	return log.WithField("node", settings.Node)
-}
-
 func (n *Node) newLink() *targetlink.Link {
-	return targetlink.New(targetlink.Options{Address: n.settings.Target.Address, EchoHeader: n.options.Headers.RequestID,
+	return targetlink.New(targetlink.Options{Address: n.settings().Target.Address, EchoHeader: n.options.Headers.RequestID,
+		Opened: n.metrics.Connections.Inc,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return n.options.Dial(ctx, "tcp", address)
 		}})
 }
 
+// settings gives the settings in force.
+func (n *Node) settings() *settings.Settings { return n.checked.Load() }
+
+// Reload puts changed settings in force: the target's service and address, bounds
+// and budgets. Names and listening addresses stay until the next start.
+func (n *Node) Reload(changed *settings.Settings) {
+	before := n.settings()
+	merged := *changed
+	merged.Node, merged.Zone, merged.Listen, merged.Store, merged.FirstStart = before.Node, before.Zone, before.Listen, before.Store, before.FirstStart
+	n.checked.Store(&merged)
+	n.services.setBudget(budget(&merged))
+	n.events.Add(eventlog.Node{Change: "reloaded", Incarnation: n.incarnation}, eventlog.State)
+	n.membership.changed()
+}
+
+// ReloadFailed notes settings that were refused; those before stay in force.
+func (n *Node) ReloadFailed(err error) {
+	n.events.Add(eventlog.Node{Change: "reload refused", Incarnation: n.incarnation, Error: err.Error()}, eventlog.State)
+}
+
+// budget reads the bounds of repeats.
+func budget(settings *settings.Settings) repeats.Config {
+	return repeats.Config{Ratio: settings.Retries.Ratio, Allowance: settings.Retries.Allowance, Window: time.Duration(settings.Retries.Window)}
+}
+
 // now is the monotonic time since the start; the clock of the core.
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
@@ -131,7 +147,7 @@
 	if report, _ := n.target.report(); report.Service != "" {
 		return report.Service
 	}
-	return n.settings.Target.Service
+	return n.settings().Target.Service
 }
 
 // Bounds of the servers.
@@ -146,18 +162,22 @@
 		key, address string
 		handler      http.Handler
 	}{
-		{"listen.control", n.settings.Listen.Control, n.options.Control(&Targets{n.target})},
-		{"listen.inbound", n.settings.Listen.Inbound, n.inbound()},
-		{"listen.outbound", n.settings.Listen.Outbound, n.egress},
-		{"listen.ready", n.settings.Listen.Ready, n.options.Ready(n.ready)},
+		{"listen.control", n.settings().Listen.Control, n.options.Control(&Targets{n.target})},
+		{"listen.inbound", n.settings().Listen.Inbound, n.inbound()},
+		{"listen.outbound", n.settings().Listen.Outbound, n.egress},
+		{"listen.ready", n.settings().Listen.Ready, n.options.Ready(n.ready)},
+		{"listen.metrics", n.settings().Listen.Metrics, n.metricsHandler()},
 	} {
+		if one.address == "" {
+			continue
+		}
 		listener, err := n.options.Listen(one.address)
 		if err != nil {
 			return failure.Wrap(err, failure.BadInput, "name an address of this machine that is free", "settings: %s: %s", one.key, one.address)
 		}
 		n.listeners = append(n.listeners, listener)
 		n.servers = append(n.servers, &http.Server{
-			Handler: one.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: quietLog(n.log),
+			Handler: one.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: n.serverLog(),
 		})
 	}
 	return nil
@@ -209,7 +229,11 @@
 		n.background.Go(func() { n.watchConfiguration(background) })
 	}
 	n.background.Go(func() { n.exchanger.run(background) })
-	n.log.WithField("incarnation", n.incarnation).Info("started")
+	n.background.Go(func() { n.events.Run(background) })
+	if !n.settings().FirstStart {
+		n.background.Go(func() { n.findTarget(background) })
+	}
+	n.events.Add(eventlog.Node{Change: "started", Incarnation: n.incarnation}, eventlog.State)
 	select {
 	case err := <-failed:
 		return failure.Wrap(err, failure.Internal, "look at the machine", "a listener stopped")
@@ -219,40 +243,6 @@
 	return nil
 }
 
-// restOfConfiguration bounds the calls while configurations come in quick succession.
-const restOfConfiguration = 100 * time.Millisecond
-
-// watchConfiguration follows the operators' configuration.
-func (n *Node) watchConfiguration(ctx context.Context) {
-	follow(ctx, n, n.options.ConfigurationKey, restOfConfiguration, func(items []store.Item, _ bool) {
-		for _, item := range items {
-			if item.Key == n.options.ConfigurationKey && !item.Gone {
-				n.install(item.Value)
-			}
-		}
-	})
-}
-
-// install puts a configuration in force unless a newer one is.
-func (n *Node) install(data []byte) {
-	read, err := n.options.ReadIntent(data)
-	if err != nil {
-		n.log.WithError(err).Error("configuration refused")
-		return
-	}
-	read.Source = data
-	for {
-		current := n.intent.Load()
-		if current != nil && current.Version >= read.Version {
-			return
-		}
-		if n.intent.CompareAndSwap(current, read) {
-			n.log.WithField("version", read.Version).WithField("routes", len(read.Routes)).Info("configuration in force")
-			return
-		}
-	}
-}
-
 // Times of a planned stop.
 const (
 	stopLeast   = 2500 * time.Millisecond // until clients have seen that the node is not ready
@@ -265,9 +255,9 @@
 func (n *Node) stop(hurry context.Context) {
 	n.stopping.Store(true)
 	n.membership.changed()
-	n.log.Info("stopping")
+	n.events.Add(eventlog.Node{Change: "stopping", Incarnation: n.incarnation, InFlight: n.inFlight.Load()}, eventlog.State)
 	began := time.Now()
-	latest := began.Add(time.Duration(n.settings.Bounds.Grace) - stopReserve)
+	latest := began.Add(time.Duration(n.settings().Bounds.Grace) - stopReserve)
 	for hurry.Err() == nil && time.Now().Before(latest) && (time.Since(began) < stopLeast || n.inFlight.Load() > 0) {
 		pause(hurry, stopPoll)
 	}
@@ -276,64 +266,5 @@
 	}
 	n.peers.transport.CloseIdleConnections()
 	n.target.close()
-	n.log.WithField("in_flight", n.inFlight.Load()).Info("stopped")
-}
-
-// identify asks the target at the address who it is.
-func (n *Node) identify(ctx context.Context) (roster.Report, bool) {
-	current := n.intent.Load()
-	if current == nil {
-		return roster.Report{}, false
-	}
-	service := n.settings.Target.Service
-	path := current.Services[service].HealthPath
-	if path == "" {
-		return roster.Report{}, false
-	}
-	id := "identify-" + strconv.FormatUint(rand.Uint64(), 36)
-	link := n.newLink()
-	defer link.Close()
-	answer, err := link.Do(ctx, &targetlink.Request{ID: id, Method: http.MethodGet, URI: path, Host: n.settings.Target.Address,
-		Header: http.Header{n.options.Headers.RequestID: {id}}})
-	if err != nil {
-		return roster.Report{}, false
-	}
-	defer answer.Body.Close()
-	report := roster.Report{Instance: answer.Header.Get(n.options.Headers.Instance), Service: service, Address: n.settings.Target.Address}
-	if parts := strings.Split(answer.Header.Get(n.options.Headers.Load), ","); len(parts) == 3 {
-		report.Slots, _ = strconv.Atoi(strings.TrimSpace(parts[2]))
-	}
-	report.Draining = answer.Status != http.StatusOK
-	return report, report.Instance != ""
-}
-
-// storeTrouble logs the first of a row of failed calls.
-func (n *Node) storeTrouble(what string, err error) {
-	if n.storeDown.CompareAndSwap(false, true) {
-		n.log.WithError(err).WithField("call", what).Warning("store lost")
-	}
-}
-
-func (n *Node) storeWorks() {
-	if n.storeDown.CompareAndSwap(true, false) {
-		n.log.Info("store regained")
-	}
-}
-
-// note logs a request that ended without a target's answer.
-func (n *Node) note(x *exchange, status int, reason Reason) {
-	if !n.log.Logger.IsLevelEnabled(logrus.DebugLevel) {
-		return
-	}
-	fields := logrus.Fields{"request": x.id, "status": status, "reason": reason, "service": x.service, "took_ms": (n.now() - x.started).Milliseconds(), "arrivals": x.arrivals}
-	if x.route != nil {
-		fields["route"] = x.route.Name
-	}
-	n.log.WithFields(fields).Debug("refuse")
-}
-
-// Describe gives the state of the node as JSON, for people.
-func (n *Node) Describe() ([]byte, error) {
-	report, _ := n.target.report()
-	return json.Marshal(map[string]any{"node": n.settings.Node, "version": n.version(), "target": report.Instance, "in_flight": n.inFlight.Load()})
+	n.events.Add(eventlog.Node{Change: "stopped", Incarnation: n.incarnation, InFlight: n.inFlight.Load(), TookMS: milliseconds(time.Since(began))}, eventlog.State)
 }
--- /dev/null
+++ b/internal/sidecar/observe.go
@@ -0,0 +1,197 @@
+package sidecar
+
+import (
+	"bytes"
+	"log"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+	"github.com/landingmast/landingmast/internal/sidecar/metrics"
+	"github.com/landingmast/landingmast/internal/store"
+)
+
+func milliseconds(span time.Duration) float64 { return float64(span.Microseconds()) / 1000 }
+
+// gauges are the figures that are read when the metrics are.
+func (n *Node) gauges() metrics.Gauges {
+	return metrics.Gauges{
+		Version:  func() float64 { return float64(n.version()) },
+		Peers:    func() float64 { return float64(n.membership.others()) },
+		Slots:    func() float64 { return float64(n.gateLoad().Slots) },
+		Running:  func() float64 { return float64(n.gateLoad().Running) },
+		Waiting:  func() float64 { return float64(n.gateLoad().Waiting) },
+		InFlight: func() float64 { return float64(n.inFlight.Load()) },
+		StoreAge: func() float64 { return n.storeHealth.age().Seconds() },
+	}
+}
+
+func (n *Node) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", n.metrics.Handler())
+	return mux
+}
+
+// serverLog takes what net/http says: a panic is a fault of the program, the
+// rest is about single connections.
+func (n *Node) serverLog() *log.Logger { return log.New(panicWriter{n}, "", 0) }
+
+type panicWriter struct{ node *Node }
+
+// Write implements io.Writer.
+func (p panicWriter) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("panic")) {
+		p.node.events.Add(eventlog.Node{Change: "panic", Incarnation: p.node.incarnation, Error: string(line)}, eventlog.State)
+	}
+	return len(line), nil
+}
+
+// targetChanged logs what has become of the target and tells the other nodes.
+func (n *Node) targetChanged() {
+	report, _ := n.target.report()
+	change := "ready"
+	switch {
+	case report.Instance == "":
+		change = "left"
+	case report.Draining:
+		change = "draining"
+	}
+	n.events.Add(eventlog.Target{Instance: report.Instance, Service: report.Service, Change: change, Slots: report.Slots, Sequence: report.Sequence}, eventlog.State)
+	n.membership.changed()
+}
+
+// silent notes that another node gives no sign of life.
+func (n *Node) silent(node string) {
+	n.metrics.Silent.Inc()
+	n.services.suspect(node)
+	n.events.Add(eventlog.Member{Member: node, Change: "silent"}, eventlog.State)
+}
+
+// storeHealth follows whether the store answers.
+type storeHealth struct {
+	mutex  sync.Mutex
+	worked time.Time
+	lost   time.Time // zero: it answers
+}
+
+func (h *storeHealth) age() time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.worked.IsZero() {
+		return 0
+	}
+	return time.Since(h.worked)
+}
+
+// storeResult notes the end of a call of the store; the first failure of a row,
+// and the first success after it, are logged.
+func (n *Node) storeResult(call string, err error) {
+	n.metrics.StoreCalls.WithLabelValues(call, resultOf(err)).Inc()
+	h := &n.storeHealth
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := time.Now()
+	if err == nil || errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrLeaseGone) {
+		h.worked = now
+		if !h.lost.IsZero() {
+			n.events.Add(eventlog.Store{Change: "regained", Call: call, AwayMS: milliseconds(now.Sub(h.lost))}, eventlog.State)
+			h.lost = time.Time{}
+		}
+		return
+	}
+	if !h.lost.IsZero() {
+		return
+	}
+	h.lost = now
+	change := "lost"
+	if errors.Is(err, store.ErrLimited) {
+		change = "limited"
+	}
+	n.events.Add(eventlog.Store{Change: change, Call: call, Error: err.Error()}, eventlog.State)
+}
+
+// resultOf gives the word for the end of a call of the store.
+func resultOf(err error) string {
+	for _, one := range []struct {
+		is   error
+		word string
+	}{
+		{store.ErrCompacted, "compacted"}, {store.ErrLeaseGone, "lease_gone"}, {store.ErrLimited, "limited"},
+		{store.ErrUnavailable, "unavailable"}, {store.ErrConflict, "conflict"}, {store.ErrRefused, "refused"},
+	} {
+		if errors.Is(err, one.is) {
+			return one.word
+		}
+	}
+	if err != nil {
+		return "no_answer"
+	}
+	return "ok"
+}
+
+// ended notes the end of a request that began here.
+func (x *exchange) ended(status int, reason Reason, retryAfter time.Duration) {
+	took := x.node.now() - x.started
+	outcome := outcomeOf(status, reason)
+	service := x.service
+	if service == "" {
+		service = "none"
+	}
+	x.node.metrics.Requests.WithLabelValues(service, outcome, string(reason)).Inc()
+	x.node.metrics.Took.WithLabelValues(service).Observe(took.Seconds())
+	weight := eventlog.Success
+	if outcome != "ok" || len(x.sends) > 1 || (x.route != nil && x.route.Objective > 0 && took > x.route.Objective) {
+		weight = eventlog.Failure
+	}
+	if !x.node.events.Wants(eventlog.Request{}.Kind(), weight) {
+		return
+	}
+	event := eventlog.Request{
+		Request: x.id, Service: x.service, Version: x.node.version(), Importance: x.importance, Status: status, Reason: string(reason),
+		TookMS: milliseconds(took), HoldMS: milliseconds(x.hold), Share: x.share, Decisive: x.decisive, Occupancy: x.occupancy,
+		RetryAfterMS: milliseconds(retryAfter), Sends: x.sends,
+	}
+	if x.route != nil {
+		event.Route = x.route.Name
+	}
+	if x.parent != nil {
+		event.Parent = x.parent.id
+	}
+	x.node.events.Add(event, weight)
+}
+
+func outcomeOf(status int, reason Reason) string {
+	switch {
+	case status == 0:
+		return "left"
+	case reason != reasonNone && status == http.StatusServiceUnavailable:
+		return "refused"
+	case status >= http.StatusBadRequest:
+		return "failed"
+	default:
+		return "ok"
+	}
+}
+
+// noteRun notes the end of a request at the gate of the target.
+func (i *ingress) noteRun(one *arrival, answer *reply) {
+	waited, took := one.waited, i.node.now()-one.at
+	if answer.arrived {
+		i.node.metrics.Waited.Observe(waited.Seconds())
+		i.node.metrics.Held.Observe((took - waited).Seconds())
+	}
+	weight := eventlog.Success
+	if answer.outcome != Answered || answer.status >= http.StatusInternalServerError {
+		weight = eventlog.Failure
+	}
+	if !i.node.events.Wants(eventlog.Run{}.Kind(), weight) {
+		return
+	}
+	i.node.events.Add(eventlog.Run{
+		Request: one.call.RequestID, From: one.call.From, Service: one.call.Service, Instance: one.instance, Outcome: string(answer.outcome),
+		Reason: string(answer.reason), Status: answer.status, Importance: one.call.Importance, WaitMS: milliseconds(waited), TookMS: milliseconds(took),
+		LeftMS: float64(one.call.Remaining) / 1000, Running: answer.load.Running, Waiting: answer.load.Waiting, Slots: answer.load.Slots, Repeat: one.call.Repeat,
+	}, weight)
+}
--- a/internal/sidecar/once.go
+++ b/internal/sidecar/once.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/fence"
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
@@ -176,5 +177,6 @@
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(call.Remaining)*time.Microsecond)
 	defer cancel()
 	answer := *o.settle(ctx, call.Key) // the kept reply stays as it is
+	o.ingress.node.events.Add(eventlog.Settle{Request: call.RequestID, From: call.From, Outcome: string(answer.outcome), Reason: string(answer.reason)}, eventlog.Failure)
 	o.ingress.write(w, &answer)
 }
--- a/internal/sidecar/overload.go
+++ b/internal/sidecar/overload.go
@@ -23,12 +23,16 @@
 	return &overloadControl{node: node, core: overload.New(overload.DefaultConfig())}
 }
 
-// admit decides whether a client's request on the route is let in.
-func (o *overloadControl) admit(route *intent.Route) bool {
+// admit decides whether a client's request on the route is let in, and tells the
+// share that is, the service that decides it and that service's occupancy.
+func (o *overloadControl) admit(route *intent.Route) (admitted bool, share float64, decisive string, occupancy float64) {
 	o.mutex.Lock()
-	share, _ := o.core.Share(o.node.now(), route.Name, o.stepsAboveLeast(route))
+	share, decisive = o.core.Share(o.node.now(), route.Name, o.stepsAboveLeast(route))
+	if decisive != "" {
+		occupancy = o.core.Occupancy(decisive)
+	}
 	o.mutex.Unlock()
-	return share >= 1 || rand.Float64() < share
+	return share >= 1 || rand.Float64() < share, share, decisive, occupancy
 }
 
 // stepsAboveLeast is how many priorities the route stands above the least
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -71,7 +71,7 @@
 	for name, known := range s.byName {
 		known.mutex.Lock()
 		known.balancer.Update(targets[name])
-		known.budget.SetAllowance(s.config.Allowance / float64(s.members))
+		known.budget.SetBounds(s.config.Ratio, s.config.Allowance/float64(s.members))
 		known.mutex.Unlock()
 	}
 }
@@ -167,7 +167,33 @@
 func (n *Node) repeat(route *intent.Route, service string) bool {
 	needs := n.overload.needs(route)
 	needs[service] = max(needs[service], 1)
-	return n.services.repeat(needs)
+	if !n.services.repeat(needs) {
+		n.metrics.Denied.WithLabelValues(service).Inc()
+		return false
+	}
+	n.metrics.Repeats.WithLabelValues(service).Inc()
+	return true
+}
+
+// gateLoad is the load of the target beside the node.
+func (n *Node) gateLoad() slots.Load {
+	if gate := n.target.current(); gate != nil {
+		load, _ := gate.load()
+		return load
+	}
+	return slots.Load{}
+}
+
+// setBudget changes the bounds of repeats.
+func (s *services) setBudget(config repeats.Config) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.config = config
+	for _, known := range s.byName {
+		known.mutex.Lock()
+		known.budget.SetBounds(config.Ratio, config.Allowance/float64(s.members))
+		known.mutex.Unlock()
+	}
 }
 
 // splitter keeps the shares of a route's parts close to their weights.
--- a/internal/sidecar/socket.go
+++ b/internal/sidecar/socket.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"log"
 	"net"
 	"syscall"
 	"time"
-
-	"github.com/sirupsen/logrus"
 )
 
 // silenceLimit is how long sent bytes may stay unacknowledged before the
@@ -38,16 +35,3 @@
 	aliveDialTimeout = time.Second
 	aliveProbe       = time.Second
 )
-
-type debugWriter struct{ entry *logrus.Entry }
-
-// Write implements io.Writer.
-func (d debugWriter) Write(line []byte) (int, error) {
-	d.entry.Debug(string(line))
-	return len(line), nil
-}
-
-// quietLog takes what net/http says of single connections at debug level.
-func quietLog(entry *logrus.Entry) *log.Logger {
-	return log.New(debugWriter{entry}, "", 0)
-}
