Revert the repeat of a target's own 500: it fails again at the second target

Tried: a 500 of a request without calls below was repeated at another target. Conclusion: these failures belong to the request; a repeat is only load.

--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -37,7 +37,6 @@
 	started    time.Duration
 	arrivals   int    // sendings that reached a target
 	mayRun     bool   // one of them may have run
-	failed     *reply // a target's own failure, kept while another is tried
 
 	// What the log tells of the request.
 	hold      time.Duration
@@ -213,31 +212,18 @@
 		if last.outcome == Unknown {
 			x.mayRun = true
 		}
-		if last.outcome == Answered && !x.worthRepeating(last) {
+		if last.outcome == Answered {
 			x.answer(last)
 			return
 		}
-		if last.outcome == Answered {
-			x.failed = last
-		}
 		excluded[choice.node] = true
 		if !x.again(last) {
 			break
 		}
 	}
-	if x.failed != nil {
-		x.answer(x.failed)
-		return
-	}
 	x.giveUp(ctx, last)
 }
 
-// worthRepeating tells a failure of one target, which another may not have, from
-// an answer: nothing below it failed, and the request may run again.
-func (x *exchange) worthRepeating(answer *reply) bool {
-	return answer.status == http.StatusInternalServerError && x.route.Kind.Repeatable() && answer.stream == nil && len(answer.needs) == 0
-}
-
 // again tells whether another target may be tried after a sending that brought
 // no answer.
 func (x *exchange) again(last *reply) bool {
