--- a/internal/lab/memnet/memnet.go
+++ b/internal/lab/memnet/memnet.go
@@ -23,6 +23,7 @@
 	dark      map[string]bool
 	conns     map[*conn]bool
 	nextPort  int
+	closed    bool
 }
 
 type direction struct{ from, to string }
@@ -100,6 +101,9 @@
 		return nil, err
 	}
 	for n.blocked(from, host) || n.blocked(host, from) {
+		if n.isClosed() {
+			return nil, net.ErrClosed
+		}
 		if err := sleep(ctx, dialPoll); err != nil {
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: address(to), Err: err}
 		}
@@ -146,6 +150,12 @@
 	return near, far
 }
 
+func (n *Network) isClosed() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.closed
+}
+
 func (n *Network) blocked(from, to string) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -214,6 +224,7 @@
 // Close breaks every connection and closes every listener.
 func (n *Network) Close() {
 	n.mutex.Lock()
+	n.closed = true
 	var closing []*listener
 	for _, l := range n.listeners {
 		closing = append(closing, l)
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -35,8 +35,8 @@
 	header     http.Header
 	body       *payload
 	started    time.Duration
-	arrivals   int    // sendings that reached a target
-	mayRun     bool   // one of them may have run
+	arrivals   int  // sendings that reached a target
+	mayRun     bool // one of them may have run
 
 	// What the log tells of the request.
 	hold      time.Duration
