Learn what chains need from failed requests too

Cause: needs were learned from served requests only. After a restart in a shortage none is served, so nothing was refused at the start: the log of 36 to 42 s shows 954 of 988 claim lists at portals ending with 500, the gates of the scarce service refusing with a full queue, and share 1 for claim lists. Ruled out: repeats (2532 at that service, 3% of its arrivals). Change: an unserved request can raise what is known, not lower it. Tests: TestNeedsAreLearnedFromFailedRequests failed before.

--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -86,14 +86,17 @@
 // sampleWeight is the least weight of one observation.
 const sampleWeight = 0.02
 
-// Learn takes in what an answered request of a route needed.
-func (c *Controller) Learn(route string, needs []Need) {
+// Learn takes in what a request of a route needed. One that was not served has
+// made a part of its calls only: it can raise what is known, not lower it.
+func (c *Controller) Learn(route string, needs []Need, served bool) {
 	means := c.routes[route]
 	if means == nil {
 		means = map[string]float64{}
 		c.routes[route] = means
+	}
+	if len(means) == 0 || !served {
 		for _, need := range needs {
-			means[need.Service] = float64(need.Calls)
+			means[need.Service] = max(means[need.Service], float64(need.Calls))
 		}
 		return
 	}
--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -20,7 +20,7 @@
 func TestShortQueueRefusesNothing(t *testing.T) {
 	g := NewWithT(t)
 	c := New(DefaultConfig())
-	c.Learn("list", []Need{{Service: "deep", Calls: 10}})
+	c.Learn("list", []Need{{Service: "deep", Calls: 10}}, true)
 	now := settle(c, 0, "deep", 1.4)
 	share, _ := c.Share(now, "list", 0)
 	g.Expect(share).To(Equal(1.0))
@@ -29,8 +29,8 @@
 func TestOnlyRoutesThatNeedTheScarceServiceAreRefused(t *testing.T) {
 	g := NewWithT(t)
 	c := New(DefaultConfig())
-	c.Learn("list", []Need{{Service: "deep", Calls: 10}})
-	c.Learn("download", []Need{{Service: "files", Calls: 1}})
+	c.Learn("list", []Need{{Service: "deep", Calls: 10}}, true)
+	c.Learn("download", []Need{{Service: "files", Calls: 1}}, true)
 	now := settle(c, 0, "deep", 2.5)
 	share, service := c.Share(now, "list", 0)
 	g.Expect(share).To(BeNumerically("~", 0.5, 0.01))
@@ -42,8 +42,8 @@
 func TestLeastImportantGoesFirst(t *testing.T) {
 	g := NewWithT(t)
 	c := New(DefaultConfig())
-	c.Learn("list", []Need{{Service: "deep", Calls: 10}})
-	c.Learn("approve", []Need{{Service: "deep", Calls: 5}})
+	c.Learn("list", []Need{{Service: "deep", Calls: 10}}, true)
+	c.Learn("approve", []Need{{Service: "deep", Calls: 5}}, true)
 	now := settle(c, 0, "deep", 3.4)
 	list, _ := c.Share(now, "list", 0)
 	approve, _ := c.Share(now, "approve", 2)
@@ -54,7 +54,7 @@
 func TestOnePeakIsNoShortage(t *testing.T) {
 	g := NewWithT(t)
 	c := New(DefaultConfig())
-	c.Learn("list", []Need{{Service: "deep", Calls: 10}})
+	c.Learn("list", []Need{{Service: "deep", Calls: 10}}, true)
 	now := settle(c, 0, "deep", 0.8)
 	for range 3 {
 		now += step
@@ -64,10 +64,32 @@
 	g.Expect(share).To(Equal(1.0))
 }
 
+// After a restart under a shortage nothing is served, and what chains need must
+// be learned from those that fail; else none is ever refused and the collapse
+// stays. Found by hunt fa903fc0 on cphx-claims, trouble-1 --seed 28057288405.
+func TestNeedsAreLearnedFromFailedRequests(t *testing.T) {
+	g := NewWithT(t)
+	c := New(DefaultConfig())
+	c.Learn("list", []Need{{Service: "deep", Calls: 1}}, false)
+	now := settle(c, 0, "deep", 9)
+	share, _ := c.Share(now, "list", 0)
+	g.Expect(share).To(Equal(DefaultConfig().Least))
+}
+
+func TestFailedRequestsDoNotLowerWhatIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	c := New(DefaultConfig())
+	c.Learn("list", []Need{{Service: "deep", Calls: 10}}, true)
+	for range 100 {
+		c.Learn("list", []Need{{Service: "deep", Calls: 1}}, false)
+	}
+	g.Expect(c.Needs("list")["deep"]).To(Equal(10.0))
+}
+
 func TestOldNewsFades(t *testing.T) {
 	g := NewWithT(t)
 	c := New(DefaultConfig())
-	c.Learn("list", []Need{{Service: "deep", Calls: 1}})
+	c.Learn("list", []Need{{Service: "deep", Calls: 1}}, true)
 	now := settle(c, 0, "deep", 6)
 	share, _ := c.Share(now, "list", 0)
 	g.Expect(share).To(Equal(DefaultConfig().Least))
--- a/internal/sidecar/overload.go
+++ b/internal/sidecar/overload.go
@@ -52,9 +52,9 @@
 	return o.core.Needs(route.Name)
 }
 
-// learn takes in what a sending told; whole tells that needs are those of a
+// learn takes in what a sending told; served tells that needs are those of a
 // request that was served.
-func (o *overloadControl) learn(route *intent.Route, needs []wire.Need, whole bool) {
+func (o *overloadControl) learn(route *intent.Route, needs []wire.Need, served bool) {
 	now := o.node.now()
 	read := make([]overload.Need, 0, len(needs))
 	for _, need := range needs {
@@ -65,7 +65,5 @@
 	for _, need := range read {
 		o.core.Observe(now, need.Service, need.Occupancy)
 	}
-	if whole {
-		o.core.Learn(route.Name, read)
-	}
+	o.core.Learn(route.Name, read, served)
 }
