Repeat where chains start; leave queues for free slots; tell whole services' occupancy

Change: a request brings budget for the calls it will cause (half there, half at the nodes that make the calls); a queue costs more than its wait; occupancy is that of all targets of the service.

--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -139,6 +139,10 @@
 	busyShare  = 0.5
 	busyFactor = 0.6
 	coldFactor = 2.0
+	// A queue costs more than the wait in it: while it stands, free slots elsewhere
+	// go to waste.
+	queueCost   = 1.0
+	queueFactor = 2.0
 )
 
 // cost estimates the time until a request sent now would be done.
@@ -156,7 +160,7 @@
 	factor := 1.0
 	switch {
 	case share > 1:
-		factor = 1 + busyFactor*(1-busyShare) + share - 1 + 0.5
+		factor = 1 + busyFactor*(1-busyShare) + queueCost + queueFactor*(share-1)
 	case share > busyShare:
 		factor = 1 + busyFactor*(share-busyShare)
 	}
@@ -173,6 +177,22 @@
 	return estimate
 }
 
+// Occupancy gives the share of the slots of all targets with fresh reports that
+// is in use or waited for; false when there is none.
+func (b *Balancer) Occupancy(now time.Duration) (float64, bool) {
+	used, total := 0, 0
+	for _, e := range b.order {
+		if e.reportedAt > 0 && now-e.reportedAt < b.config.ReportLife && e.report.Slots > 0 {
+			used += e.report.Running + e.report.Waiting
+			total += e.report.Slots
+		}
+	}
+	if total == 0 {
+		return 0, false
+	}
+	return float64(used) / float64(total), true
+}
+
 // Sent notes that a request goes to the endpoint.
 func (b *Balancer) Sent(e *Endpoint) {
 	e.inFlight++
--- a/internal/core/balancer/balancer_test.go
+++ b/internal/core/balancer/balancer_test.go
@@ -45,6 +45,29 @@
 	g.Expect(best.Node).To(Equal("far"))
 }
 
+// A fast target with a queue is left for a slow one with free slots in another
+// zone: else requests are refused while slots are free. Found by incident inc-3fd7.
+func TestQueueAtAFastNearTargetLosesToFreeSlotsFarAway(t *testing.T) {
+	g := NewWithT(t)
+	b := pair()
+	b.Report(time.Second, b.Endpoint("near"), slots.Load{Slots: 13, Running: 13, Waiting: 13, Hold: 25 * time.Millisecond})
+	b.Report(time.Second, b.Endpoint("far"), slots.Load{Slots: 13, Running: 9, Hold: 57 * time.Millisecond})
+	best, _, _ := b.Pick(time.Second, nil, false)
+	g.Expect(best.Node).To(Equal("far"))
+}
+
+func TestOccupancyIsThatOfTheWholeService(t *testing.T) {
+	g := NewWithT(t)
+	b := pair()
+	_, known := b.Occupancy(time.Second)
+	g.Expect(known).To(BeFalse())
+	report(b, "near", 10, 10)
+	report(b, "far", 0, 0)
+	occupancy, known := b.Occupancy(time.Second)
+	g.Expect(known).To(BeTrue())
+	g.Expect(occupancy).To(Equal(1.0))
+}
+
 func TestOwnSendingsCountUntilTheNextReport(t *testing.T) {
 	g := NewWithT(t)
 	b := pair()
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -122,7 +122,7 @@
 	x.body = body
 	x.header = endToEnd(x.request.Header)
 	x.service = x.node.splitter.choose(x.route)
-	x.node.services.get(x.service).count(x.node.now())
+	x.node.countRequest(x.route, x.service, x.parent != nil)
 	if !x.admitted() {
 		x.refuse(http.StatusServiceUnavailable, reasonSheds, x.comeBack(hold))
 		return
@@ -153,8 +153,8 @@
 // learn takes in what a sending told of the services down the chain.
 func (x *exchange) learn(answer *reply) {
 	needs := answer.needs
-	if answer.load.Slots > 0 {
-		needs = append(needs, wire.Need{Service: x.service, Calls: 1, Occupancy: int(answer.load.Occupancy() * occupancyScale)})
+	if occupancy, known := x.node.services.get(x.service).occupancy(x.node.now()); known && answer.load.Slots > 0 {
+		needs = append(needs, wire.Need{Service: x.service, Calls: 1, Occupancy: int(occupancy * occupancyScale)})
 	}
 	if x.parent != nil {
 		x.parent.add(needs)
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -127,10 +127,39 @@
 	}
 }
 
-func (s *service) count(now time.Duration) {
+// occupancy gives that of all targets of the service; false when it is not known.
+func (s *service) occupancy(now time.Duration) (float64, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.budget.Request(now, 1)
+	return s.balancer.Occupancy(now)
+}
+
+func (s *service) count(now time.Duration, requests float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.budget.Request(now, requests)
+}
+
+// callShare is the part of the budget that calls bring to the node that makes
+// them; the rest they bring to the node where their chain starts, so that the
+// sum over all nodes stays within the whole.
+const callShare = 0.5
+
+// countRequest counts a request and the calls that will be made for it. Without
+// the latter a node where chains start could hardly ever repeat one: its repeats
+// take from the budgets of services that it sends nothing to itself.
+func (n *Node) countRequest(route *intent.Route, service string, isCall bool) {
+	now := n.now()
+	if isCall {
+		n.services.get(service).count(now, callShare)
+		return
+	}
+	n.services.get(service).count(now, 1)
+	for name, calls := range n.overload.needs(route) {
+		if name != service {
+			n.services.get(name).count(now, (1-callShare)*calls)
+		}
+	}
 }
 
 // repeat takes a repeat out of the budgets of all services that it would reach:
--- /dev/null
+++ b/internal/sidecar/routes_test.go
@@ -0,0 +1,60 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/intent"
+	"github.com/landingmast/landingmast/internal/core/overload"
+	"github.com/landingmast/landingmast/internal/core/repeats"
+	"github.com/landingmast/landingmast/internal/sidecar/metrics"
+	. "github.com/onsi/gomega"
+)
+
+func budgetNode(allowance float64) *Node {
+	n := &Node{started: time.Now(), splitter: &splitter{credit: map[string][]float64{}}}
+	n.services = newServices("me", "a", n.now, repeats.Config{Ratio: 0.2, Allowance: allowance, Window: 10 * time.Second})
+	n.overload = newOverloadControl(n)
+	zero := func() float64 { return 0 }
+	n.metrics = metrics.New(metrics.Gauges{Version: zero, Peers: zero, Slots: zero, Running: zero, Waiting: zero, InFlight: zero, StoreAge: zero})
+	return n
+}
+
+// A node where chains start sends nothing to the deep services itself; what its
+// requests cause there must count for it. Found by incident inc-3fd7: 72 log
+// reads whose answer was lost were not repeated.
+func TestStartOfAChainHasABudgetForTheServicesBelow(t *testing.T) {
+	g := NewWithT(t)
+	n := budgetNode(1)
+	route := &intent.Route{Name: "read", Kind: intent.Safe, Parts: []intent.Part{{Service: "front", Weight: 1}}}
+	n.overload.core.Learn("read", []overload.Need{{Service: "front", Calls: 1}, {Service: "deep", Calls: 4}}, true)
+	for range 100 {
+		n.countRequest(route, "front", false)
+	}
+	repeated := 0
+	for n.repeat(route, "front") {
+		repeated++
+	}
+	g.Expect(repeated).To(Equal(10)) // (0.2 * 100 * 4 * 0.5 + 1) / 4
+}
+
+func TestRepeatTakesNothingWhenOneServiceHasNoBudget(t *testing.T) {
+	g := NewWithT(t)
+	n := budgetNode(2)
+	route := &intent.Route{Name: "read", Kind: intent.Safe}
+	n.overload.core.Learn("read", []overload.Need{{Service: "front", Calls: 1}, {Service: "deep", Calls: 4}}, true)
+	g.Expect(n.repeat(route, "front")).To(BeFalse())
+	g.Expect(n.services.get("front").allows(n.now(), 2)).To(BeTrue())
+}
+
+func TestSplitKeepsToItsWeights(t *testing.T) {
+	g := NewWithT(t)
+	s := &splitter{credit: map[string][]float64{}}
+	route := &intent.Route{Name: "split", Parts: []intent.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
+	counts := map[string]int{}
+	for range 1000 {
+		counts[s.choose(route)]++
+	}
+	g.Expect(counts["a"]).To(BeNumerically("~", 900, 2))
+	g.Expect(counts["c"]).To(BeZero())
+}
