--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -40,6 +40,8 @@
 	s.registerNodes()
 	s.registerBundle()
 	s.registerKeys()
+	s.registerStory()
+	s.registerLogs()
 	return s.commands
 }
 
