--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build demo test check format generate generated-up-to-date model faults experiments bench capacity examples reference scale clean
+.PHONY: all build demo test days check format generate generated-up-to-date model faults experiments bench capacity examples reference scale clean
 
 all: build
 
@@ -18,13 +18,13 @@
 	$(GO) test -race -count=1 -timeout 300s ./...
 
 check: generated-up-to-date
-	@unformatted=$$($(GO) tool gofumpt -l cmd design internal); \
+	@unformatted=$$($(GO) tool gofumpt -l cmd design internal platform); \
 	if [ -n "$$unformatted" ]; then echo "not formatted (remedy: make format):"; echo "$$unformatted"; exit 1; fi
 	$(GO) vet ./...
-	$(GO) tool staticcheck ./cmd/... ./internal/...
+	$(GO) tool staticcheck ./cmd/... ./internal/... ./platform/...
 
 format:
-	$(GO) tool gofumpt -w cmd design internal
+	$(GO) tool gofumpt -w cmd design internal platform
 
 generate:
 	$(GO) tool goa gen github.com/landingmast/landingmast/design
@@ -39,7 +39,11 @@
 clean:
 	rm -rf $(BIN)
 
-# Model checks spec/claim.pml; needs spin and gcc.
+# Plays 200 random days of real nodes in virtual time against stand-ins of the platform.
+days:
+	$(GO) test -count=1 -timeout 1200s -run TestRandomDays ./platform/standin -days 200 -v | grep -v '^=== '
+
+# Model checks spec/claim.pml and spec/fence.pml; needs spin and gcc.
 model:
 	spec/run.sh
 
--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -37,6 +37,9 @@
 	Noise float64
 	// ReportLife is the age from which a gate's report no longer counts.
 	ReportLife time.Duration
+	// OccupancyLife is the age from which it no longer counts for the occupancy of
+	// the service: a peak that has passed must not be told on.
+	OccupancyLife time.Duration
 	// SuspectFor is how long a target that gave no sign is left alone.
 	SuspectFor time.Duration
 	// RefusedFor is how long a target is left alone that said it is leaving.
@@ -46,7 +49,7 @@
 // DefaultConfig gives the values that docs/PLATFORM.md was measured with.
 func DefaultConfig() Config {
 	return Config{
-		FarFactor: 1.5, FarCost: 2 * time.Millisecond, LocalGain: time.Millisecond, Noise: 0.1, ReportLife: 2 * time.Second,
+		FarFactor: 1.5, FarCost: 2 * time.Millisecond, LocalGain: time.Millisecond, Noise: 0.1, ReportLife: 2 * time.Second, OccupancyLife: 300 * time.Millisecond,
 		SuspectFor: time.Second, RefusedFor: 500 * time.Millisecond,
 	}
 }
@@ -182,7 +185,7 @@
 func (b *Balancer) Occupancy(now time.Duration) (float64, bool) {
 	used, total := 0, 0
 	for _, e := range b.order {
-		if e.reportedAt > 0 && now-e.reportedAt < b.config.ReportLife && e.report.Slots > 0 {
+		if e.reportedAt > 0 && now-e.reportedAt < b.config.OccupancyLife && e.report.Slots > 0 {
 			used += e.report.Running + e.report.Waiting
 			total += e.report.Slots
 		}
--- a/internal/sidecar/identify.go
+++ b/internal/sidecar/identify.go
@@ -26,8 +26,10 @@
 	id := "identify-" + strconv.FormatUint(rand.Uint64(), 36)
 	link := n.newLink()
 	defer link.Close()
-	answer, err := link.Do(ctx, &targetlink.Request{ID: id, Method: http.MethodGet, URI: path, Host: n.settings().Target.Address,
-		Header: http.Header{n.options.Headers.RequestID: {id}}})
+	answer, err := link.Do(ctx, &targetlink.Request{
+		ID: id, Method: http.MethodGet, URI: path, Host: n.settings().Target.Address,
+		Header: http.Header{n.options.Headers.RequestID: {id}},
+	})
 	if err != nil {
 		return roster.Report{}, false
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -100,11 +100,13 @@
 }
 
 func (n *Node) newLink() *targetlink.Link {
-	return targetlink.New(targetlink.Options{Address: n.settings().Target.Address, EchoHeader: n.options.Headers.RequestID,
+	return targetlink.New(targetlink.Options{
+		Address: n.settings().Target.Address, EchoHeader: n.options.Headers.RequestID,
 		Opened: n.metrics.Connections.Inc,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return n.options.Dial(ctx, "tcp", address)
-		}})
+		},
+	})
 }
 
 // settings gives the settings in force.
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -118,8 +118,12 @@
 		is   error
 		word string
 	}{
-		{store.ErrCompacted, "compacted"}, {store.ErrLeaseGone, "lease_gone"}, {store.ErrLimited, "limited"},
-		{store.ErrUnavailable, "unavailable"}, {store.ErrConflict, "conflict"}, {store.ErrRefused, "refused"},
+		{store.ErrCompacted, "compacted"},
+		{store.ErrLeaseGone, "lease_gone"},
+		{store.ErrLimited, "limited"},
+		{store.ErrUnavailable, "unavailable"},
+		{store.ErrConflict, "conflict"},
+		{store.ErrRefused, "refused"},
 	} {
 		if errors.Is(err, one.is) {
 			return one.word
