--- a/cmd/landingmast-lab/reference.go
+++ b/cmd/landingmast-lab/reference.go
@@ -6,15 +6,19 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/landingmast/landingmast/internal/reference"
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 )
 
 func registerReference(application *kingpin.Application) (string, func(context.Context) error) {
-	command := application.Command("reference", "Write docs/CONFIGURATION.md out of the structs' comments.")
+	command := application.Command("reference", "Write docs/CONFIGURATION.md and docs/LOGS.md out of the structs.")
 	return command.FullCommand(), func(context.Context) error {
 		page, err := reference.Page(".")
 		if err != nil {
 			return err
 		}
-		return os.WriteFile("docs/CONFIGURATION.md", []byte(page), 0o644)
+		if err := os.WriteFile("docs/CONFIGURATION.md", []byte(page), 0o644); err != nil {
+			return err
+		}
+		return os.WriteFile("docs/LOGS.md", []byte(eventlog.Reference()), 0o644)
 	}
 }
--- a/cmd/landingmastd/sidecar.go
+++ b/cmd/landingmastd/sidecar.go
@@ -51,18 +51,12 @@
 }
 
 // runSidecar runs a sidecar node on the users' platform.
-func runSidecar(settingsFile, logLevel string, checkOnly bool) error {
+func runSidecar(settingsFile, _ string, checkOnly bool) error {
 	debug.SetGCPercent(sidecarCollectorPercent)
 	checked, err := settings.Load(settingsFile)
 	if err != nil {
 		return err
 	}
-	if logLevel != "" {
-		checked.Log.Level = logLevel
-		if err := checked.Validate(); err != nil {
-			return err
-		}
-	}
 	if checkOnly {
 		fmt.Println("settings are usable")
 		return nil
--- a/internal/reference/reference_test.go
+++ b/internal/reference/reference_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"testing"
 
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	. "github.com/onsi/gomega"
 )
 
@@ -16,4 +17,12 @@
 	g.Expect(string(committed)).To(Equal(page), "remedy: make reference")
 	g.Expect(page).To(ContainSubstring("| `classes[].retries` |"))
 	g.Expect(page).To(ContainSubstring("| `platform.timeout` |"))
+	g.Expect(page).To(ContainSubstring("| `retries.allowance` |"))
+}
+
+func TestThePageOfLogLinesIsUpToDate(t *testing.T) {
+	g := NewWithT(t)
+	committed, err := os.ReadFile("../../docs/LOGS.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(committed)).To(Equal(eventlog.Reference()), "remedy: make reference")
 }
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -32,8 +32,6 @@
 	Bounds Bounds `yaml:"bounds"`
 	// Retries bounds repeated requests.
 	Retries Retries `yaml:"retries"`
-	// Log sets the log.
-	Log Log `yaml:"log"`
 }
 
 // Target is the application beside the node.
@@ -84,12 +82,6 @@
 	Window bundle.Duration `yaml:"window"`
 }
 
-// Log sets the log.
-type Log struct {
-	// Level is debug, info, warning or error; default info.
-	Level string `yaml:"level"`
-}
-
 // Defaults of the settings.
 const (
 	DefaultLease     = 20 * time.Second
@@ -119,7 +111,7 @@
 	decoder.KnownFields(true)
 	settings := &Settings{}
 	if err := decoder.Decode(settings); err != nil {
-		return nil, failure.Wrap(err, failure.BadInput, "correct the named line; keys are listed in docs/SIDECAR.md", "settings cannot be read")
+		return nil, failure.Wrap(err, failure.BadInput, "correct the named line; keys are listed in docs/CONFIGURATION.md", "settings cannot be read")
 	}
 	settings.SetDefaults()
 	return settings, settings.Validate()
@@ -143,9 +135,6 @@
 	if s.Retries.Allowance == 0 {
 		s.Retries.Allowance = DefaultAllowance
 	}
-	if s.Log.Level == "" {
-		s.Log.Level = "info"
-	}
 }
 
 func bad(key, remedy, format string, arguments ...any) error {
@@ -196,9 +185,5 @@
 	if s.Retries.Allowance < 0 {
 		return bad("retries.allowance", "use 0 or more", "%g is negative", s.Retries.Allowance)
 	}
-	switch s.Log.Level {
-	case "debug", "info", "warning", "error":
-		return nil
-	}
-	return bad("log.level", "use debug, info, warning or error", "%q is unknown", s.Log.Level)
+	return nil
 }
