Keep the budget of repeats in every window of the users' rule

Symptom: TestBudgetHoldsInEveryWindow failed once under the race detector (10 repeats, 49 requests). Cause: the budget looked at the requests of the last window; a burst paid for repeats that lie in later windows, which count none of it. Change: what the rule allows in the worst window that a repeat lies in.

--- a/internal/core/repeats/repeats.go
+++ b/internal/core/repeats/repeats.go
@@ -18,19 +18,27 @@
 
 // Budget counts requests and repeats of one service over a sliding window made
 // of slices. It is not safe for concurrent use.
+//
+// The users' rule counts repeats in every window, and against them the requests
+// in whichever has most: that window, the one before it, or the one half a window
+// before. A repeat now lies in windows that end up to a whole window later, in
+// which no further request may come: the budget is what the rule allows in the
+// worst of them.
 type Budget struct {
 	config   Config
 	requests slices
 	spent    slices
 }
 
-// sliceCount is the number of slices of a window. One more is kept, so that a
-// repeat counts until it is certainly out of every window.
-const sliceCount = 10
+// A window has windowSlices slices; the history is that of three windows.
+const (
+	windowSlices  = 10
+	historySlices = 3 * windowSlices
+)
 
 type slices struct {
-	counts [sliceCount + 1]float64
-	first  int64 // number of the newest slice
+	counts [historySlices + 1]float64
+	newest int64 // number of the newest slice
 }
 
 // New makes a budget.
@@ -43,7 +51,7 @@
 }
 
 func (b *Budget) slice(now time.Duration) int64 {
-	return int64(now / (b.config.Window / sliceCount))
+	return int64(now / (b.config.Window / windowSlices))
 }
 
 // Request counts a request.
@@ -52,34 +60,56 @@
 // Allows tells whether so many repeats fit.
 func (b *Budget) Allows(now time.Duration, count float64) bool {
 	slice := b.slice(now)
-	return b.spent.sum(slice)+count <= b.config.Ratio*b.requests.sum(slice)+b.config.Allowance
+	b.spent.advance(slice)
+	b.requests.advance(slice)
+	// One slice more of repeats and one less of requests than a window has: where
+	// in their slices they came is not known.
+	spent := b.spent.between(slice-windowSlices, slice)
+	return spent+count <= b.config.Ratio*b.worst(slice)+b.config.Allowance
+}
+
+// worst gives the requests that count in the window, of all that a repeat in the
+// slice lies in, in which fewest do.
+func (b *Budget) worst(slice int64) float64 {
+	least := -1.0
+	for end := slice; end <= slice+windowSlices; end++ {
+		most := 0.0
+		for _, shift := range [...]int64{0, windowSlices / 2, windowSlices} {
+			last := end - shift
+			most = max(most, b.requests.between(last-windowSlices+2, min(last, slice)))
+		}
+		if least < 0 || most < least {
+			least = most
+		}
+	}
+	return least
 }
 
 // Spend counts repeats.
 func (b *Budget) Spend(now time.Duration, count float64) { b.spent.add(b.slice(now), count) }
 
 func (s *slices) advance(slice int64) {
-	if slice-s.first > sliceCount {
-		s.counts = [sliceCount + 1]float64{}
-		s.first = slice
+	if slice-s.newest > historySlices {
+		s.counts = [historySlices + 1]float64{}
+		s.newest = slice
 		return
 	}
-	for s.first < slice {
-		s.first++
-		s.counts[s.first%(sliceCount+1)] = 0
+	for s.newest < slice {
+		s.newest++
+		s.counts[s.newest%(historySlices+1)] = 0
 	}
 }
 
 func (s *slices) add(slice int64, count float64) {
 	s.advance(slice)
-	s.counts[slice%(sliceCount+1)] += count
+	s.counts[slice%(historySlices+1)] += count
 }
 
-func (s *slices) sum(slice int64) float64 {
-	s.advance(slice)
+// between sums up the slices from first to last that are still held.
+func (s *slices) between(first, last int64) float64 {
 	total := 0.0
-	for _, count := range s.counts {
-		total += count
+	for slice := max(first, s.newest-historySlices, 0); slice <= min(last, s.newest); slice++ {
+		total += s.counts[slice%(historySlices+1)]
 	}
 	return total
 }
