--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -65,9 +65,6 @@
 	suspected  bool
 }
 
-// InFlight gives the requests of this node at the endpoint.
-func (e *Endpoint) InFlight() int { return e.inFlight }
-
 // Balancer holds the targets of one service. It is not safe for concurrent use.
 type Balancer struct {
 	config    Config
@@ -102,30 +99,22 @@
 	}
 }
 
-// Len gives the number of targets.
-func (b *Balancer) Len() int { return len(b.order) }
-
-// Pick chooses a target that is not excluded, and gives the second best cost for
-// comparison. It gives nil when there is none. Targets to avoid are chosen only
-// when no other is left and desperate is true.
-func (b *Balancer) Pick(now time.Duration, excluded map[string]bool, desperate bool) (best *Endpoint, cost, second time.Duration) {
-	second = -1
+// Pick chooses the cheapest target that is not excluded, nil when there is none.
+// Targets to avoid are chosen only when no other is left and desperate is true.
+func (b *Balancer) Pick(now time.Duration, excluded map[string]bool, desperate bool) (best *Endpoint) {
+	var cost time.Duration
 	for _, endpoint := range b.order {
 		if excluded[endpoint.Node] || now < endpoint.avoidUntil {
 			continue
 		}
-		estimate := b.cost(now, endpoint)
-		switch {
-		case best == nil || estimate < cost:
-			best, cost, second = endpoint, estimate, cost
-		case second < 0 || estimate < second:
-			second = estimate
+		if estimate := b.cost(now, endpoint); best == nil || estimate < cost {
+			best, cost = endpoint, estimate
 		}
 	}
 	if best == nil && desperate {
 		best = b.leastAvoided(excluded)
 	}
-	return best, cost, second
+	return best
 }
 
 func (b *Balancer) leastAvoided(excluded map[string]bool) (best *Endpoint) {
--- a/internal/core/balancer/balancer_test.go
+++ b/internal/core/balancer/balancer_test.go
@@ -32,7 +32,7 @@
 	b := pair()
 	report(b, "near", 3, 0)
 	report(b, "far", 1, 0)
-	best, _, _ := b.Pick(time.Second, nil, false)
+	best := b.Pick(time.Second, nil, false)
 	g.Expect(best.Node).To(Equal("near"))
 }
 
@@ -41,7 +41,7 @@
 	b := pair()
 	report(b, "near", 10, 4)
 	report(b, "far", 2, 0)
-	best, _, _ := b.Pick(time.Second, nil, false)
+	best := b.Pick(time.Second, nil, false)
 	g.Expect(best.Node).To(Equal("far"))
 }
 
@@ -52,7 +52,7 @@
 	b := pair()
 	b.Report(time.Second, b.Endpoint("near"), slots.Load{Slots: 13, Running: 13, Waiting: 13, Hold: 25 * time.Millisecond})
 	b.Report(time.Second, b.Endpoint("far"), slots.Load{Slots: 13, Running: 9, Hold: 57 * time.Millisecond})
-	best, _, _ := b.Pick(time.Second, nil, false)
+	best := b.Pick(time.Second, nil, false)
 	g.Expect(best.Node).To(Equal("far"))
 }
 
@@ -76,7 +76,7 @@
 	for range 8 {
 		b.Sent(b.Endpoint("near"))
 	}
-	best, _, _ := b.Pick(time.Second, nil, false)
+	best := b.Pick(time.Second, nil, false)
 	g.Expect(best.Node).To(Equal("far"))
 }
 
@@ -84,11 +84,11 @@
 	g := NewWithT(t)
 	b := pair()
 	b.Suspect(time.Second, b.Endpoint("near"))
-	best, _, _ := b.Pick(time.Second, nil, true)
+	best := b.Pick(time.Second, nil, true)
 	g.Expect(best.Node).To(Equal("far"))
-	best, _, _ = b.Pick(time.Second, map[string]bool{"far": true}, true)
+	best = b.Pick(time.Second, map[string]bool{"far": true}, true)
 	g.Expect(best.Node).To(Equal("near"))
-	best, _, _ = b.Pick(time.Second, map[string]bool{"far": true}, false)
+	best = b.Pick(time.Second, map[string]bool{"far": true}, false)
 	g.Expect(best).To(BeNil())
 }
 
@@ -97,6 +97,6 @@
 	b := pair()
 	b.Suspect(time.Second, b.Endpoint("near"))
 	b.Update([]Target{{Node: "near", Zone: "a", Instance: "3", Slots: 10}, {Node: "far", Zone: "b", Instance: "2", Slots: 10}})
-	best, _, _ := b.Pick(time.Second, nil, false)
+	best := b.Pick(time.Second, nil, false)
 	g.Expect(best.Node).To(Equal("near"))
 }
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -16,7 +16,7 @@
 const (
 	ReasonDraining Reason = "draining"  // the target is leaving or gone
 	ReasonExpired  Reason = "expired"   // its deadline passed in the queue
-	ReasonTooLong  Reason = "too_long"  // the wait would be longer than the sender accepts
+	ReasonTooLong  Reason = "too_long"  // it would wait past its deadline
 	ReasonFull     Reason = "full"      // the queue is full of work at least as important
 	ReasonNoTarget Reason = "no_target" // no target is known here
 )
@@ -26,7 +26,6 @@
 	ID         uint64
 	Importance int           // lower goes first
 	Deadline   time.Duration // when the wait is of no more use
-	MaxWait    time.Duration // longest expected wait that the sender accepts; 0: any
 }
 
 // Decision tells the driver to send a request or to refuse it.
@@ -54,14 +53,6 @@
 	return float64(l.Running+l.Waiting) / float64(l.Slots)
 }
 
-// Wait is the expected wait for a slot of a request that arrives now.
-func (l Load) Wait() time.Duration {
-	if l.Slots <= 0 || l.Running < l.Slots {
-		return 0
-	}
-	return l.Hold * time.Duration(l.Waiting+1) / time.Duration(l.Slots)
-}
-
 type waiting struct {
 	request Request
 	arrived time.Duration
@@ -124,9 +115,6 @@
 	}
 	place := g.place(request)
 	wait := g.expectedWait(place)
-	if request.MaxWait > 0 && wait > request.MaxWait {
-		return []Decision{{ID: request.ID, Reason: ReasonTooLong}}
-	}
 	if now+wait >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonTooLong}}
 	}
--- a/internal/core/slots/slots_test.go
+++ b/internal/core/slots/slots_test.go
@@ -38,12 +38,12 @@
 	g.Expect(decisions[0].ID).To(Equal(uint64(3)))
 }
 
-func TestWaitBeyondWhatTheSenderAcceptsIsRefusedAtOnce(t *testing.T) {
+func TestWaitPastTheDeadlineIsRefusedAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	gate := New(1)
 	gate.Arrive(0, request(1, 0))
 	impatient := request(2, 0)
-	impatient.MaxWait = firstHold / 2
+	impatient.Deadline = firstHold / 2
 	g.Expect(gate.Arrive(0, impatient)).To(Equal([]Decision{{ID: 2, Reason: ReasonTooLong}}))
 }
 
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -250,7 +250,7 @@
 		RequestID: x.id, Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Service: x.service, Route: x.route.Name,
 		Caller: x.node.caller(), From: x.node.settings().Node, Importance: x.importance, Repeatable: repeatable,
 		Repeat: x.repeat || x.arrivals > 0, Attempt: x.arrivals, Remaining: time.Until(deadline).Microseconds(),
-		MaxWait: choice.maxWait.Microseconds(), Version: int64(x.intent.Version),
+		Version: int64(x.intent.Version),
 	}
 	if choice.node == x.node.settings().Node {
 		return x.node.ingress.serve(ctx, call, x.header.Clone(), x.body)
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -203,7 +203,7 @@
 	load, _ := gate.load()
 	now := i.node.now()
 	id, decision := gate.enter(ctx, slots.Request{
-		Importance: call.Importance, Deadline: now + time.Until(deadline) - load.Hold/2, MaxWait: time.Duration(call.MaxWait) * time.Microsecond,
+		Importance: call.Importance, Deadline: now + time.Until(deadline) - load.Hold/2,
 	})
 	one.waited = decision.Waited
 	var answer *reply
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -5,7 +5,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -94,6 +93,3 @@
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
 }
-
-// Seconds gives a span in the unit of the histograms.
-func Seconds(span time.Duration) float64 { return span.Seconds() }
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -82,14 +82,13 @@
 	endpoint *balancer.Endpoint
 	node     string
 	address  string
-	maxWait  time.Duration
 }
 
 // pick chooses a target; nil when there is none.
 func (s *service) pick(now time.Duration, excluded map[string]bool) *choice {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	endpoint, _, _ := s.balancer.Pick(now, excluded, true)
+	endpoint := s.balancer.Pick(now, excluded, true)
 	if endpoint == nil {
 		return nil
 	}
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -25,7 +25,6 @@
 	Attempt     int    `avro:"attempt"`      // number of this sending, from 0
 	Key         string `avro:"key"`          // of this sending, for requests that may run at most once
 	Remaining   int64  `avro:"remaining_us"` // until the request is given up
-	MaxWait     int64  `avro:"max_wait_us"`  // longest expected wait accepted; 0: any
 	Version     int64  `avro:"version"`      // of the configuration that the sender has
 }
 
@@ -88,7 +87,7 @@
 {"name":"incarnation","type":"string","default":""},{"name":"importance","type":"int","default":0},
 {"name":"repeatable","type":"boolean","default":false},{"name":"repeat","type":"boolean","default":false},
 {"name":"attempt","type":"int","default":0},{"name":"key","type":"string","default":""},{"name":"remaining_us","type":"long"},
-{"name":"max_wait_us","type":"long","default":0},{"name":"version","type":"long","default":0}]}`
+{"name":"version","type":"long","default":0}]}`
 	sidecarResultSchema = `{"type":"record","name":"SidecarResult","fields":[
 {"name":"outcome","type":"string"},{"name":"reason","type":"string"},{"name":"arrived","type":"boolean","default":false},
 {"name":"status","type":"int","default":0},{"name":"length","type":"long","default":-1},
