Let a target's losses count against it in routing

Ruled out: budgets alone (502s 306 -> 119 with them). Change: a moving share of losses raises the cost, and fades in seconds. Tests: TestTargetThatLosesEverythingIsLeftForAnother failed to build before.

--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -4,6 +4,7 @@
 package balancer
 
 import (
+	"math"
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/slots"
@@ -63,6 +64,8 @@
 	inFlight   int
 	avoidUntil time.Duration
 	suspected  bool
+	lossShare  float64 // moving share of the sendings that the target lost
+	lossAt     time.Duration
 }
 
 // Balancer holds the targets of one service. It is not safe for concurrent use.
@@ -159,6 +162,7 @@
 	if now < e.Cold {
 		factor *= coldFactor
 	}
+	factor *= 1 + lossFactor*e.losses(now)
 	estimate := time.Duration(float64(hold) * factor * (1 + b.config.Noise*b.random.Float64()))
 	switch {
 	case e.Node == b.node:
@@ -185,6 +189,30 @@
 	return float64(used) / float64(total), true
 }
 
+// A target that loses requests costs more, in proportion to their share: never
+// so much that none is left when all lose some. The share fades without news, so
+// that the target is tried again.
+const (
+	lossFactor = 8.0
+	lossWeight = 0.1
+	lossFades  = 3 * time.Second
+)
+
+func (e *Endpoint) losses(now time.Duration) float64 {
+	return e.lossShare * math.Exp(-float64(now-e.lossAt)/float64(lossFades))
+}
+
+// Lost notes that the target took a request and broke off.
+func (b *Balancer) Lost(now time.Duration, e *Endpoint) { e.note(now, 1) }
+
+// Answered notes that the target gave a whole answer.
+func (b *Balancer) Answered(now time.Duration, e *Endpoint) { e.note(now, 0) }
+
+func (e *Endpoint) note(now time.Duration, loss float64) {
+	share := e.losses(now)
+	e.lossShare, e.lossAt = share+lossWeight*(loss-share), now
+}
+
 // Sent notes that a request goes to the endpoint.
 func (b *Balancer) Sent(e *Endpoint) {
 	e.inFlight++
--- a/internal/core/balancer/balancer_test.go
+++ b/internal/core/balancer/balancer_test.go
@@ -56,6 +56,32 @@
 	g.Expect(best.Node).To(Equal("far"))
 }
 
+// A target that breaks every request off at once has free slots and looks fast.
+// Found by incident inc-3340.
+func TestTargetThatLosesEverythingIsLeftForAnother(t *testing.T) {
+	g := NewWithT(t)
+	b := pair()
+	report(b, "near", 0, 0)
+	report(b, "far", 6, 0)
+	for range 20 {
+		b.Lost(time.Second, b.Endpoint("near"))
+	}
+	g.Expect(b.Pick(time.Second, nil, false).Node).To(Equal("far"))
+	g.Expect(b.Pick(time.Minute, nil, false).Node).To(Equal("near"), "losses are forgotten, so that it is tried again")
+}
+
+func TestOneLossInAWhileChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	b := pair()
+	report(b, "near", 0, 0)
+	report(b, "far", 0, 0)
+	b.Lost(time.Second, b.Endpoint("near"))
+	for range 5 {
+		b.Answered(time.Second, b.Endpoint("near"))
+	}
+	g.Expect(b.Pick(time.Second, nil, false).Node).To(Equal("near"))
+}
+
 func TestOccupancyIsThatOfTheWholeService(t *testing.T) {
 	g := NewWithT(t)
 	b := pair()
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -105,6 +105,12 @@
 	if answer.load.Slots > 0 {
 		s.balancer.Report(now, c.endpoint, answer.load)
 	}
+	switch {
+	case answer.outcome == Answered:
+		s.balancer.Answered(now, c.endpoint)
+	case answer.reason == reasonLost, answer.reason == reasonSpoiled:
+		s.balancer.Lost(now, c.endpoint)
+	}
 	switch answer.reason {
 	case reasonUnreachable, reasonSilent:
 		s.balancer.Suspect(now, c.endpoint)
