Keep the allowance of repeats over restarts and unknown members

Cause (by reading): each node took allowance/members of the shared budget from its start on. A process that came back had forgotten what the one before it spent in the same window, and one that knew no other node yet (store refusing it, mass restart) took the whole: 17 such nodes together 17 times the users' allowance. Ruled out: a ramp in proportion to the time since the start (a window over the restart would still hold both parts); half parts (two restarts break them). Change: repeats.Share: no part for a window after a restart, none before members are counted, parts of members that went are free after two windows. Tests: TestBudgetHoldsOverRestarts (random restarts of four nodes against the users' rule) fails with the first rule taken out; TestRestartedNodeHasNoAllowanceYet.

--- /dev/null
+++ b/internal/core/repeats/share_test.go
@@ -0,0 +1,96 @@
+package repeats
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestShareOfTheAllowance(t *testing.T) {
+	const window = 10 * time.Second
+	for _, tc := range []struct {
+		name    string
+		first   bool
+		counts  []int           // members, as they are learned
+		at      []time.Duration // when each count is learned
+		now     time.Duration
+		want    float64 // of an allowance of 60
+		because string
+	}{
+		{"nothing known", true, nil, nil, time.Second, 0, "a node that knows no other must not take the whole"},
+		{"first start", true, []int{6}, []time.Duration{0}, time.Second, 10, "no process of this node has spent anything before"},
+		{"restart", false, []int{6}, []time.Duration{0}, 9 * time.Second, 0, "the process before may have spent its part in this window"},
+		{"restart, a window later", false, []int{6}, []time.Duration{0}, 12 * time.Second, 10, "what the process before spent is out of every window"},
+		{"others join", true, []int{6, 12}, []time.Duration{0, time.Second}, time.Second, 5, "more members, less for each"},
+		{"others go", true, []int{6, 3}, []time.Duration{0, time.Second}, 12 * time.Second, 10, "those that went may have spent their parts"},
+		{"others are gone", true, []int{6, 3}, []time.Duration{0, time.Second}, 24 * time.Second, 20, "their parts are free after two windows"},
+		{"others come back", true, []int{6, 3, 6}, []time.Duration{0, time.Second, 5 * time.Second}, 24 * time.Second, 10, "they are there"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := NewShare(window, tc.first)
+			for i, n := range tc.counts {
+				s.Count(tc.at[i], n)
+			}
+			g.Expect(s.Of(tc.now, 60)).To(Equal(tc.want), tc.because)
+		})
+	}
+}
+
+// Nodes are killed and come back with nothing, at any moment and more than once:
+// the users' rule holds for all of them together in every window.
+func TestBudgetHoldsOverRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes, allowance, window = 4, 8.0, 10 * time.Second
+		type node struct {
+			b     *Budget
+			share *Share
+			since time.Duration
+		}
+		start := func(now time.Duration, first bool) *node {
+			n := &node{b: New(Config{Ratio: 0.2, Window: window}), share: NewShare(window, first), since: now}
+			n.share.Count(0, nodes)
+			return n
+		}
+		all := make([]*node, nodes)
+		for i := range all {
+			all[i] = start(0, true)
+		}
+		var requests, spent []time.Duration
+		now := time.Duration(0)
+		for range 400 {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond
+			i := rapid.IntRange(0, nodes-1).Draw(t, "node")
+			n := all[i]
+			switch rapid.IntRange(0, 19).Draw(t, "event") {
+			case 0:
+				all[i] = start(now, false)
+			case 1, 2, 3, 4, 5:
+				n.b.Request(now-n.since, 1)
+				requests = append(requests, now)
+			default:
+				n.b.SetBounds(0.2, n.share.Of(now-n.since, allowance))
+				if n.b.Allows(now-n.since, 1) {
+					n.b.Spend(now-n.since, 1)
+					spent = append(spent, now)
+				}
+			}
+		}
+		count := func(events []time.Duration, end time.Duration) (sum int) {
+			for _, at := range events {
+				if at <= end && at > end-window {
+					sum++
+				}
+			}
+			return sum
+		}
+		for end := time.Duration(0); end < now+2*window; end += 250 * time.Millisecond {
+			most := max(count(requests, end), count(requests, end-window/2), count(requests, end-window))
+			if got := count(spent, end); float64(got) > 0.2*float64(most)+allowance+1e-9 {
+				t.Fatalf("%d repeats against %d requests in the window that ends at %s", got, most, end)
+			}
+		}
+	})
+}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -36,6 +36,9 @@
 			}
 		}
 		if whole {
+			m.mutex.Lock()
+			m.listed = true
+			m.mutex.Unlock()
 			m.lapsedOthers(ctx, seen)
 		}
 		m.apply()
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -18,6 +18,7 @@
 	records  map[string]*wire.NodeRecord // by node
 	dropped  map[string]*wire.NodeRecord // the last of nodes that the store has dropped
 	sequence int64                       // of the own record
+	listed   bool                        // the store has told all records once
 	wake     chan struct{}               // the own record has changed
 }
 
@@ -210,13 +211,17 @@
 	}
 	own := m.own()
 	m.mutex.Lock()
-	members := len(m.records)
+	others, listed := 0, m.listed
 	for name, record := range m.records {
 		if name != own.Node {
+			others++
 			add(record)
 		}
 	}
 	m.mutex.Unlock()
 	add(own)
-	m.node.services.update(targets, max(members, 1))
+	m.node.services.update(targets)
+	if others > 0 || listed {
+		m.node.services.count(others + 1)
+	}
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -88,7 +88,7 @@
 	n.events = eventlog.New(settings.Node, options.Output)
 	n.metrics = metrics.New(n.gauges())
 	n.overload = newOverloadControl(n)
-	n.services = newServices(settings.Node, settings.Zone, n.now, budget(settings))
+	n.services = newServices(settings.Node, settings.Zone, n.now, budget(settings), settings.FirstStart)
 	n.ingress = newIngress(n)
 	n.egress = &egress{node: n}
 	n.peers = newPeerClient(options.Dial)
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -19,9 +19,9 @@
 	now    func() time.Duration
 	config repeats.Config
 
-	mutex   sync.Mutex
-	byName  map[string]*service
-	members int
+	mutex  sync.Mutex
+	byName map[string]*service
+	share  *repeats.Share // the node's part of the allowance for repeats
 }
 
 // service is one service as this node sees it.
@@ -35,8 +35,10 @@
 
 func (globalRandom) Float64() float64 { return rand.Float64() }
 
-func newServices(node, zone string, now func() time.Duration, config repeats.Config) *services {
-	return &services{node: node, zone: zone, now: now, config: config, byName: map[string]*service{}, members: 1}
+// newServices makes the services of a process that starts now; first tells that
+// no process of the node ran before.
+func newServices(node, zone string, now func() time.Duration, config repeats.Config, first bool) *services {
+	return &services{node: node, zone: zone, now: now, config: config, byName: map[string]*service{}, share: repeats.NewShare(config.Window, first)}
 }
 
 // get gives a service, also one without targets.
@@ -49,33 +51,36 @@
 func (s *services) getLocked(name string) *service {
 	known := s.byName[name]
 	if known == nil {
-		config := s.config
-		config.Allowance = s.config.Allowance / float64(s.members)
 		known = &service{
 			balancer: balancer.New(balancer.DefaultConfig(), s.node, s.zone, globalRandom{}),
-			budget:   repeats.New(config),
+			budget:   repeats.New(s.config),
 		}
 		s.byName[name] = known
 	}
 	return known
 }
 
-// update sets the targets of every service and the number of nodes.
-func (s *services) update(targets map[string][]balancer.Target, members int) {
+// update sets the targets of every service.
+func (s *services) update(targets map[string][]balancer.Target) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.members = max(members, 1)
 	for name := range targets {
 		s.getLocked(name)
 	}
 	for name, known := range s.byName {
 		known.mutex.Lock()
 		known.balancer.Update(targets[name])
-		known.budget.SetBounds(s.config.Ratio, s.config.Allowance/float64(s.members))
 		known.mutex.Unlock()
 	}
 }
 
+// count takes in how many nodes there are, this one among them.
+func (s *services) count(members int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.share.Count(s.now(), members)
+}
+
 // choice is the target that a sending goes to.
 type choice struct {
 	service  *service
@@ -174,8 +179,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.now()
+	part := s.share.Of(now, s.config.Allowance)
 	for name, calls := range needs {
-		if !s.getLocked(name).allows(now, calls) {
+		if !s.getLocked(name).allows(now, calls, s.config.Ratio, part) {
 			return false
 		}
 	}
@@ -185,9 +191,12 @@
 	return true
 }
 
-func (s *service) allows(now time.Duration, calls float64) bool {
+// allows tells whether so many repeats fit into the ratio and the node's part of
+// the allowance.
+func (s *service) allows(now time.Duration, calls, ratio, part float64) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.budget.SetBounds(ratio, part)
 	return s.budget.Allows(now, calls)
 }
 
@@ -223,11 +232,6 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.config = config
-	for _, known := range s.byName {
-		known.mutex.Lock()
-		known.budget.SetBounds(config.Ratio, config.Allowance/float64(s.members))
-		known.mutex.Unlock()
-	}
 }
 
 // splitter keeps the shares of a route's parts close to their weights.
--- a/internal/sidecar/routes_test.go
+++ b/internal/sidecar/routes_test.go
@@ -13,7 +13,8 @@
 
 func budgetNode(allowance float64) *Node {
 	n := &Node{started: time.Now(), splitter: &splitter{credit: map[string][]float64{}}}
-	n.services = newServices("me", "a", n.now, repeats.Config{Ratio: 0.2, Allowance: allowance, Window: 10 * time.Second})
+	n.services = newServices("me", "a", n.now, repeats.Config{Ratio: 0.2, Allowance: allowance, Window: 10 * time.Second}, true)
+	n.services.count(1)
 	n.overload = newOverloadControl(n)
 	zero := func() float64 { return 0 }
 	n.metrics = metrics.New(metrics.Gauges{Version: zero, Peers: zero, Slots: zero, Running: zero, Waiting: zero, InFlight: zero, StoreAge: zero})
@@ -44,7 +45,7 @@
 	route := &intent.Route{Name: "read", Kind: intent.Safe}
 	n.overload.core.Learn("read", []overload.Need{{Service: "front", Calls: 1}, {Service: "deep", Calls: 4}}, true)
 	g.Expect(n.repeat(route, "front")).To(BeFalse())
-	g.Expect(n.services.get("front").allows(n.now(), 2)).To(BeTrue())
+	g.Expect(n.services.get("front").allows(n.now(), 2, 0.2, 2)).To(BeTrue())
 }
 
 func TestSplitKeepsToItsWeights(t *testing.T) {
@@ -58,3 +59,29 @@
 	g.Expect(counts["a"]).To(BeNumerically("~", 900, 2))
 	g.Expect(counts["c"]).To(BeZero())
 }
+
+// Found by reading: a process that came back, or knew no other node yet, took the
+// whole allowance of the deployment for itself.
+func TestRestartedNodeHasNoAllowanceYet(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		first   bool
+		members int
+		want    bool
+	}{
+		{"first start", true, 4, true},
+		{"first start, others unknown", true, 0, false},
+		{"restart", false, 4, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := budgetNode(8)
+			n.services = newServices("me", "a", n.now, n.services.config, tc.first)
+			if tc.members > 0 {
+				n.services.count(tc.members)
+			}
+			route := &intent.Route{Name: "read", Kind: intent.Safe}
+			g.Expect(n.repeat(route, "front")).To(Equal(tc.want))
+		})
+	}
+}
