Learn a target's speed also from runs that were cut off

The queue of one target grew to 47 of 13 slots: a gate learned the mean hold from answered runs only, and a target that is too slow for the deadlines answers none, so that it looked as fast as before to its queue and to the senders. Change: a run that was cut off counts when it lasted longer than the mean. Test: TestRunsThatAreCutOffTellHowSlowTheTargetIs, failed before.

--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -139,16 +139,18 @@
 	return time.Duration(g.hold * float64(place+1) / float64(g.slots))
 }
 
-// Finish gives the slot of a request back. learn tells whether its time at the
-// target says something of the target's speed.
+// Finish gives the slot of a request back. learn tells that it was answered, so
+// that its time at the target says how fast the target is. One that was cut off
+// would have taken longer: it counts when it lasted longer than the mean. Without
+// it a target that is too slow for the deadlines would look as fast as before.
 func (g *Gate) Finish(now time.Duration, id uint64, learn bool) []Decision {
 	sent, present := g.running[id]
 	if !present {
 		return nil
 	}
 	delete(g.running, id)
-	if learn {
-		g.hold += holdWeight * (float64(now-sent) - g.hold)
+	if lasted := float64(now - sent); learn || lasted > g.hold {
+		g.hold += holdWeight * (lasted - g.hold)
 	}
 	return g.fill(now, nil)
 }
--- a/internal/core/slots/slots_test.go
+++ b/internal/core/slots/slots_test.go
@@ -70,6 +70,47 @@
 	g.Expect(gate.Finish(3, 1, true)).To(BeEmpty())
 }
 
+// A target that turns slow ends few runs in time: those that are cut off at their
+// deadlines are all that tells of it. Found by hunt bc808eb9 on nsm-mast,
+// trouble-2 --seed 507680415786: the queue of a slow target grew to 47, and calls
+// waited there in vain until their time was up.
+func TestRunsThatAreCutOffTellHowSlowTheTargetIs(t *testing.T) {
+	const known, cut = 50 * time.Millisecond, 700 * time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		lasted time.Duration
+		learn  bool
+		slower bool
+	}{
+		{"whole answer, slow", cut, true, true},
+		{"cut off late", cut, false, true},
+		{"cut off early", known / 2, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			gate := New(1)
+			now := time.Duration(0)
+			run := func(id uint64, lasted time.Duration, learn bool) {
+				gate.Arrive(now, Request{ID: id, Deadline: now + time.Hour})
+				now += lasted
+				gate.Finish(now, id, learn)
+			}
+			for id := range uint64(200) {
+				run(id, known, true)
+			}
+			before := gate.Load().Hold
+			for id := range uint64(20) {
+				run(1000+id, tc.lasted, tc.learn)
+			}
+			if tc.slower {
+				g.Expect(gate.Load().Hold).To(BeNumerically(">", 5*before))
+			} else {
+				g.Expect(gate.Load().Hold).To(Equal(before))
+			}
+		})
+	}
+}
+
 // Whatever comes in which order: each request gets one decision at most, no more
 // run than there are slots, and a draining gate sends nothing.
 func TestGateOverRandomSchedules(t *testing.T) {
