Have a restarted node's record outrank the one before when the clock was set back

Cause (by reading): nodes order two processes of a node by the wall clock at their starts. With clock_step back between them, and the store refusing the node, its peers kept the record of the process that was gone. Ruled out: the store's order (it decides already where the store answers); a counter kept by the node (it keeps nothing). Change: a node that hears of an earlier process of itself with a start that is not before its own raises its own above it, as SWIM does with incarnation numbers. Test: TestRecordOfARestartedNodeGoesBeforeTheOldOne, failed before.

--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -18,12 +18,13 @@
 	records  map[string]*wire.NodeRecord // by node
 	dropped  map[string]*wire.NodeRecord // the last of nodes that the store has dropped
 	sequence int64                       // of the own record
+	started  int64                       // of the own process, ms of the wall clock; orders incarnations
 	listed   bool                        // the store has told all records once
 	wake     chan struct{}               // the own record has changed
 }
 
 func newMembership(node *Node) *membership {
-	return &membership{node: node, records: map[string]*wire.NodeRecord{}, dropped: map[string]*wire.NodeRecord{}, wake: make(chan struct{}, 1)}
+	return &membership{node: node, records: map[string]*wire.NodeRecord{}, dropped: map[string]*wire.NodeRecord{}, started: time.Now().UnixMilli(), wake: make(chan struct{}, 1)}
 }
 
 // changed has the own record written anew.
@@ -40,14 +41,14 @@
 	report, coldTill := m.node.target.report()
 	settings := m.node.settings()
 	record := &wire.NodeRecord{
-		Node: settings.Node, Incarnation: m.node.incarnation, Started: m.node.startedWall.UnixMilli(),
+		Node: settings.Node, Incarnation: m.node.incarnation,
 		Address: settings.Listen.Inbound, Zone: settings.Zone, Service: report.Service, Instance: report.Instance, Slots: report.Slots,
 		Serving: report.Instance != "" && !report.Draining && !m.node.stopping.Load(),
 		Cold:    max(coldTill-m.node.now(), 0).Milliseconds(),
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	record.Sequence = m.sequence
+	record.Sequence, record.Started = m.sequence, m.started
 	return record
 }
 
@@ -92,6 +93,7 @@
 // has dropped is not brought back by a node that has not heard of it yet.
 func (m *membership) learnFromPeer(record *wire.NodeRecord) {
 	if record.Node == m.node.settings().Node {
+		m.outrank(record)
 		return
 	}
 	m.mutex.Lock()
@@ -103,6 +105,20 @@
 	m.learn(record)
 }
 
+// outrank has the own record go before one of an earlier process of this node. The
+// wall clock orders the two, and it may have been set back between them.
+func (m *membership) outrank(record *wire.NodeRecord) {
+	m.mutex.Lock()
+	later := record.Incarnation != m.node.incarnation && record.Started >= m.started
+	if later {
+		m.started = record.Started + 1
+	}
+	m.mutex.Unlock()
+	if later {
+		m.changed()
+	}
+}
+
 // forget drops a record, unless another one has taken its place.
 func (m *membership) forget(record *wire.NodeRecord) {
 	m.mutex.Lock()
--- /dev/null
+++ b/internal/sidecar/membership_test.go
@@ -0,0 +1,60 @@
+package sidecar
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/repeats"
+	"github.com/landingmast/landingmast/internal/core/roster"
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+	"github.com/landingmast/landingmast/internal/sidecar/settings"
+	"github.com/landingmast/landingmast/internal/wire"
+	. "github.com/onsi/gomega"
+)
+
+// memberNode makes a node with a membership and nothing that listens.
+func memberNode(name, incarnation string) *Node {
+	n := &Node{started: time.Now(), incarnation: incarnation, events: eventlog.New(name, io.Discard)}
+	n.checked.Store(&settings.Settings{Node: name, Zone: "a"})
+	n.services = newServices(name, "a", n.now, repeats.Config{Ratio: 0.2, Allowance: 10, Window: 10 * time.Second}, true)
+	n.target = &localTarget{now: n.now, roster: roster.New()}
+	n.membership = newMembership(n)
+	return n
+}
+
+// A clock that was set back makes a process look older than the one before it on
+// the same node. Others that the store does not tell would never take its record.
+// Found by reading (clock_step with a restart while the store refuses the node).
+func TestRecordOfARestartedNodeGoesBeforeTheOldOne(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		step time.Duration // of the clock between the two lives
+	}{
+		{"clock goes on", time.Second},
+		{"clock stands", 0},
+		{"clock set back", -2 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			other := memberNode("other", "o")
+			node := memberNode("me", "second")
+			first := wire.NodeRecord{Node: "me", Incarnation: "first", Sequence: 9, Started: node.membership.own().Started - tc.step.Milliseconds()}
+			other.membership.learn(&first)
+
+			// They exchange what they know.
+			for _, r := range other.membership.all() {
+				node.membership.learnFromPeer(&r)
+			}
+			for _, r := range node.membership.all() {
+				other.membership.learnFromPeer(&r)
+			}
+			g.Expect(other.membership.incarnation("me")).To(Equal("second"))
+			before := node.membership.own().Started
+			for _, r := range other.membership.all() {
+				node.membership.learnFromPeer(&r)
+			}
+			g.Expect(node.membership.own().Started).To(Equal(before), "its own record moves nothing")
+		})
+	}
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -49,7 +49,6 @@
 	checked     atomic.Pointer[settings.Settings]
 	incarnation string
 	started     time.Time
-	startedWall time.Time
 	events      *eventlog.Log
 	metrics     *metrics.Metrics
 	store       store.Store
@@ -82,7 +81,7 @@
 	}
 	n := &Node{
 		options: options, incarnation: strconv.FormatUint(rand.Uint64(), 36), started: time.Now(),
-		startedWall: time.Now(), store: options.Store, splitter: &splitter{credit: map[string][]float64{}},
+		store: options.Store, splitter: &splitter{credit: map[string][]float64{}},
 	}
 	n.checked.Store(settings)
 	n.events = eventlog.New(settings.Node, options.Output)
