Keep the watches of all nodes within the store's rate

Cause: every change wakes the watch of every node, and each calls again after 100 ms (configuration) or 500 ms (records). At the ratio of 300 machines to 2,000 reads a second a storm of configurations took 1,857 watch calls in 6 s, 249 of them over the rate (429), with nodes left to chance and to their peers.

--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -104,8 +104,9 @@
 // follow reads everything below a prefix and then watches it; where the history
 // is gone it reads anew.
 //
-// rest is the time between an event and the next watch: events that come in a
-// row are then fetched with one call.
+// rest is the least time between an event and the next watch: events that come in
+// a row are then fetched with one call. Every change wakes the watches of all
+// nodes, so that the time grows with their number once the store's rate asks for it.
 func follow(ctx context.Context, node *Node, prefix string, rest time.Duration, take func(items []store.Item, whole bool)) {
 	at := int64(-1)
 	for ctx.Err() == nil {
@@ -135,12 +136,31 @@
 			at = max(at, revision)
 			take(events, false)
 			if len(events) > 0 {
-				pause(ctx, rest)
+				pause(ctx, max(rest, node.fairRest()))
 			}
 		}
 	}
 }
 
+// watchShare is the part of the store's rate that each of the two watches of all
+// nodes together may take while changes come in a row.
+const watchShare = 0.4
+
+// fairRest is the time between two calls of a watch at which the watches of all
+// nodes together keep to their share of the store's rate; 0 when the rate is not
+// known.
+func (n *Node) fairRest() time.Duration {
+	rate := watchShare * n.settings().Store.ReadsPerSecond
+	if rate <= 0 {
+		return 0
+	}
+	nodes := float64(n.membership.others() + 1)
+	return min(time.Duration(nodes/rate*float64(time.Second)), longestRest)
+}
+
+// longestRest bounds the age of what a node knows when it has many others.
+const longestRest = 5 * time.Second
+
 func pause(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -136,6 +136,9 @@
 // now is the monotonic time since the start; the clock of the core.
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
+// Version gives the version of the configuration in force; 0: none is known.
+func (n *Node) Version() uint64 { return n.version() }
+
 func (n *Node) version() uint64 {
 	if current := n.intent.Load(); current != nil {
 		return current.Version
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -62,6 +62,8 @@
 	Address string `yaml:"address"`
 	// Lease is how long the record of a silent node lasts; default 20s.
 	Lease bundle.Duration `yaml:"lease"`
+	// ReadsPerSecond is how many reading calls all nodes together may make; 0: not known.
+	ReadsPerSecond float64 `yaml:"reads_per_second"`
 }
 
 // Bounds are times that the operators promise.
@@ -182,6 +184,9 @@
 	if s.Retries.Ratio < 0 || s.Retries.Ratio > 1 {
 		return bad("retries.ratio", "use 0 to 1", "%g is out of range", s.Retries.Ratio)
 	}
+	if s.Store.ReadsPerSecond < 0 {
+		return bad("store.reads_per_second", "use 0 (not known) or more", "%g is negative", s.Store.ReadsPerSecond)
+	}
 	if s.Retries.Allowance < 0 {
 		return bad("retries.allowance", "use 0 or more", "%g is negative", s.Retries.Allowance)
 	}
