Send the differing records in the exchange between nodes, not all

Cause: where digests differed, both nodes sent each other every record: 280 KB both ways at 2,000 nodes for one changed record, each second until all have it, of 4 KB a second that control may take. Each record that came was applied on its own, in time that grows with the square of the nodes. Ruled out: deltas by revision (a node that the store refuses has none); a full Merkle tree (two levels do: 128 groups are 31 records at 4,000 nodes). Change: whole digest, then digests of 128 groups, then the records of the groups that differ; records of one message are applied at once. Nodes of the release before are still read. Tests: TestExchangeSendsDifferences (failed before), TestExchangeWithAnOlderNode.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/landingmast/landingmast/internal/failure"
 	"github.com/landingmast/landingmast/internal/wire"
 )
@@ -29,7 +28,7 @@
 // exchanger has the nodes tell each other what they know of members and
 // configuration, so that one that the store refuses goes on with what the others
 // know, and one that comes back with nothing is told by those who knew it. Each
-// node asks one other, chosen at random, each second; wholes are sent only where
+// node asks one other, chosen at random, each second; records are sent only where
 // digests differ, so that the traffic of a node does not grow with their number.
 type exchanger struct {
 	node    *Node
@@ -58,29 +57,37 @@
 	}
 }
 
-// with exchanges with the node at an address. A first message carries digests,
-// a second one, when they differ, everything that the other lacks.
+// with exchanges with the node at an address: digests first; where they differ the
+// other answers with those of its buckets, and both send the records of the
+// buckets that differ.
 func (e *exchanger) with(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	asked := e.digests()
+	asked, _ := e.digests()
 	answer, err := e.send(ctx, address, asked)
 	if err != nil {
 		return
 	}
 	e.take(answer)
-	if answer.Digest != asked.Digest || answer.Version < asked.Version {
-		told := e.digests()
-		told.Records = e.node.membership.all()
-		if answer.Version < told.Version {
-			told.Configuration = e.node.configuration()
-		}
-		_, _ = e.send(ctx, address, told)
+	told, own := e.digests()
+	if len(answer.Buckets) > 0 {
+		told.Buckets = own[:]
+		told.Records = e.node.membership.in(own.differing(answer.Buckets))
+	}
+	if answer.Version < told.Version {
+		told.Configuration = e.node.configuration()
+	}
+	if len(told.Buckets) == 0 && len(told.Configuration) == 0 {
+		return
+	}
+	if answer, err = e.send(ctx, address, told); err == nil {
+		e.take(answer)
 	}
 }
 
-func (e *exchanger) digests() *wire.Exchange {
-	return &wire.Exchange{Digest: e.node.membership.digest(), Version: int64(e.node.version()), Records: []wire.NodeRecord{}}
+func (e *exchanger) digests() (*wire.Exchange, *buckets) {
+	own := e.node.membership.buckets()
+	return &wire.Exchange{Digest: own.digest(), Version: int64(e.node.version()), Records: []wire.NodeRecord{}, Buckets: []int64{}}, own
 }
 
 func (e *exchanger) send(ctx context.Context, address string, message *wire.Exchange) (*wire.Exchange, error) {
@@ -106,10 +113,7 @@
 
 // take learns what another node told.
 func (e *exchanger) take(message *wire.Exchange) {
-	for index := range message.Records {
-		record := message.Records[index]
-		e.node.membership.learnFromPeer(&record)
-	}
+	e.node.membership.learnFromPeer(message.Records)
 	if len(message.Configuration) > 0 {
 		e.node.install(message.Configuration, sourcePeer)
 	}
@@ -127,9 +131,13 @@
 		return
 	}
 	e.take(message)
-	answer := e.digests()
-	if message.Digest != answer.Digest {
-		answer.Records = e.node.membership.all()
+	answer, own := e.digests()
+	switch {
+	case message.Digest == answer.Digest:
+	case len(message.Buckets) == 0:
+		answer.Buckets = own[:]
+	default:
+		answer.Records = e.node.membership.in(own.differing(message.Buckets))
 	}
 	if message.Version < answer.Version {
 		answer.Configuration = e.node.configuration()
@@ -145,8 +153,3 @@
 	header.Set("Content-Length", strconv.Itoa(len(encoded)))
 	_, _ = w.Write(encoded)
 }
-
-// recordDigest sums up one record; the digest of many is the exclusive or.
-func recordDigest(record *wire.NodeRecord) int64 {
-	return int64(xxhash.Sum64String(record.Node + "\x00" + record.Incarnation + "\x00" + strconv.FormatInt(record.Sequence, 36)))
-}
--- /dev/null
+++ b/internal/sidecar/exchange_test.go
@@ -0,0 +1,106 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/landingmast/landingmast/internal/wire"
+	. "github.com/onsi/gomega"
+)
+
+// countedNode is a node whose exchange is served over HTTP, and the bytes of it.
+func countedNode(t *testing.T, name string) (n *Node, address string, bytes *atomic.Int64) {
+	t.Helper()
+	n = memberNode(name, name)
+	n.peers = newPeerClient((&net.Dialer{}).DialContext)
+	n.exchanger = &exchanger{node: n}
+	bytes = &atomic.Int64{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		bytes.Add(r.ContentLength)
+		n.exchanger.ServeHTTP(countingWriter{w, bytes}, r)
+	}))
+	t.Cleanup(func() {
+		n.peers.transport.CloseIdleConnections()
+		server.Close()
+	})
+	return n, strings.TrimPrefix(server.URL, "http://"), bytes
+}
+
+type countingWriter struct {
+	http.ResponseWriter
+	bytes *atomic.Int64
+}
+
+func (c countingWriter) Write(data []byte) (int, error) {
+	c.bytes.Add(int64(len(data)))
+	return c.ResponseWriter.Write(data)
+}
+
+func fill(n *Node, from, to int) {
+	var records []wire.NodeRecord
+	for i := from; i < to; i++ {
+		records = append(records, wire.NodeRecord{
+			Node: fmt.Sprintf("node-%d", i), Incarnation: fmt.Sprintf("incarnation-%d", i), Started: 1, Sequence: 1,
+			Address: fmt.Sprintf("10.1.%d.%d:8003", i/250, i%250), Zone: "zone-a", Service: "service-a", Instance: fmt.Sprintf("i-%d", i), Slots: 20, Serving: true,
+		})
+	}
+	n.membership.learnFromPeer(records)
+}
+
+// A node spends at most 4 KB a second on control. Nodes whose records differ in a
+// few must not send each other all of them.
+func TestExchangeSendsDifferences(t *testing.T) {
+	const others = 2000
+	for _, tc := range []struct {
+		name        string
+		here, there [2]int // records known, from and to
+		most        int64  // bytes both ways
+	}{
+		{"equal", [2]int{0, others}, [2]int{0, others}, 16 << 10},
+		{"one more here", [2]int{0, others}, [2]int{1, others}, 16 << 10},
+		{"one more there", [2]int{1, others}, [2]int{0, others}, 16 << 10},
+		{"one more on both sides", [2]int{0, others - 1}, [2]int{1, others}, 24 << 10},
+		{"nothing there", [2]int{0, others}, [2]int{0, 0}, 1 << 20},
+		{"nothing here", [2]int{0, 0}, [2]int{0, others}, 1 << 20},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			here, _, _ := countedNode(t, "here")
+			there, address, bytes := countedNode(t, "there")
+			fill(here, tc.here[0], tc.here[1])
+			fill(there, tc.there[0], tc.there[1])
+			here.exchanger.with(context.Background(), address)
+			t.Logf("%d bytes", bytes.Load())
+			g.Expect(here.membership.buckets()).To(Equal(there.membership.buckets()))
+			g.Expect(here.membership.others()).To(Equal(there.membership.others()))
+			g.Expect(bytes.Load()).To(BeNumerically("<", tc.most))
+		})
+	}
+}
+
+// A node of the release before answers with all it knows, and is told the same way.
+func TestExchangeWithAnOlderNode(t *testing.T) {
+	g := NewWithT(t)
+	here, _, _ := countedNode(t, "here")
+	fill(here, 0, 10)
+	old := wire.NewCodec[wire.Exchange](4<<20, wire.ExchangeSchema1)
+	var told *wire.Exchange
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		told, _ = wire.ExchangeCodec.Decode(data)
+		answer, _ := old.Encode(&wire.Exchange{Digest: 1, Version: 0, Records: []wire.NodeRecord{{Node: "old", Incarnation: "o", Address: "10.2.0.1:1", Started: 1}}})
+		_, _ = w.Write(answer)
+	}))
+	defer server.Close()
+	defer here.peers.transport.CloseIdleConnections()
+	here.exchanger.with(context.Background(), strings.TrimPrefix(server.URL, "http://"))
+	g.Expect(here.membership.incarnation("old")).To(Equal("o"))
+	g.Expect(told).NotTo(BeNil())
+}
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -63,19 +63,18 @@
 	return record.Sequence > known.Sequence
 }
 
-// learn takes in a record of another node.
-func (m *membership) learn(record *wire.NodeRecord) {
+// learn takes in a record of another node; false when it is not news.
+func (m *membership) learn(record *wire.NodeRecord) bool {
 	m.mutex.Lock()
-	known := m.records[record.Node]
-	fresh := newer(record, known)
+	fresh := newer(record, m.records[record.Node])
 	if fresh {
 		m.records[record.Node] = record
 	}
 	m.mutex.Unlock()
 	if fresh {
 		m.note(record, "learned", sourcePeer)
-		m.apply()
 	}
+	return fresh
 }
 
 // note logs a change of what is known of another node.
@@ -89,20 +88,29 @@
 	}, eventlog.State)
 }
 
-// learnFromPeer takes in a record that another node knows. One that the store
-// has dropped is not brought back by a node that has not heard of it yet.
-func (m *membership) learnFromPeer(record *wire.NodeRecord) {
-	if record.Node == m.node.settings().Node {
-		m.outrank(record)
-		return
+// learnFromPeer takes in records that another node knows. One that the store has
+// dropped is not brought back by a node that has not heard of it yet.
+func (m *membership) learnFromPeer(records []wire.NodeRecord) {
+	fresh := false
+	for i := range records {
+		r := records[i]
+		switch {
+		case r.Node == m.node.settings().Node:
+			m.outrank(&r)
+		case !m.hasDropped(&r):
+			fresh = m.learn(&r) || fresh
+		}
 	}
+	if fresh {
+		m.apply()
+	}
+}
+
+func (m *membership) hasDropped(record *wire.NodeRecord) bool {
 	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	dropped := m.dropped[record.Node]
-	m.mutex.Unlock()
-	if dropped != nil && !newer(record, dropped) {
-		return
-	}
-	m.learn(record)
+	return dropped != nil && !newer(record, dropped)
 }
 
 // outrank has the own record go before one of an earlier process of this node. The
@@ -199,17 +207,24 @@
 	return append(records, *own)
 }
 
-// digest sums up the records of all nodes.
-func (m *membership) digest() int64 {
-	sum := recordDigest(m.own())
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	for name, record := range m.records {
-		if name != m.node.settings().Node {
-			sum ^= recordDigest(record)
+// buckets sums up the records of all nodes.
+func (m *membership) buckets() *buckets {
+	b := &buckets{}
+	for _, r := range m.all() {
+		b.add(&r)
+	}
+	return b
+}
+
+// in gives the records of some buckets, the own one among them.
+func (m *membership) in(wanted [digestBuckets]bool) []wire.NodeRecord {
+	found := []wire.NodeRecord{}
+	for _, r := range m.all() {
+		if wanted[bucketOf(r.Node)] {
+			found = append(found, r)
 		}
 	}
-	return sum
+	return found
 }
 
 // apply brings the records into routing.
--- a/internal/sidecar/membership_test.go
+++ b/internal/sidecar/membership_test.go
@@ -43,17 +43,11 @@
 			other.membership.learn(&first)
 
 			// They exchange what they know.
-			for _, r := range other.membership.all() {
-				node.membership.learnFromPeer(&r)
-			}
-			for _, r := range node.membership.all() {
-				other.membership.learnFromPeer(&r)
-			}
+			node.membership.learnFromPeer(other.membership.all())
+			other.membership.learnFromPeer(node.membership.all())
 			g.Expect(other.membership.incarnation("me")).To(Equal("second"))
 			before := node.membership.own().Started
-			for _, r := range other.membership.all() {
-				node.membership.learnFromPeer(&r)
-			}
+			node.membership.learnFromPeer(other.membership.all())
 			g.Expect(node.membership.own().Started).To(Equal(before), "its own record moves nothing")
 		})
 	}
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -73,12 +73,21 @@
 	Version       int64        `avro:"version"` // of the configuration that it has
 	Records       []NodeRecord `avro:"records"`
 	Configuration []byte       `avro:"configuration"` // in the operators' form; empty: none is sent
+	// Buckets are the digests of the records by hash of the node's name; none: only
+	// the whole digest was compared so far.
+	Buckets []int64 `avro:"buckets"`
 }
 
 const (
 	exchangeSchema = `{"type":"record","name":"Exchange","fields":[
 {"name":"digest","type":"long"},{"name":"version","type":"long"},
 {"name":"records","type":{"type":"array","items":` + nodeRecordSchema + `},"default":[]},
+{"name":"configuration","type":"bytes","default":""},
+{"name":"buckets","type":{"type":"array","items":"long"},"default":[]}]}`
+	// ExchangeSchema1 is that of the release before, which sent all records at once.
+	ExchangeSchema1 = `{"type":"record","name":"Exchange","fields":[
+{"name":"digest","type":"long"},{"name":"version","type":"long"},
+{"name":"records","type":{"type":"array","items":` + nodeRecordSchema + `},"default":[]},
 {"name":"configuration","type":"bytes","default":""}]}`
 	sidecarCallSchema = `{"type":"record","name":"SidecarCall","fields":[
 {"name":"request_id","type":"string"},{"name":"method","type":"string"},{"name":"uri","type":"string"},
@@ -110,6 +119,6 @@
 var (
 	SidecarCallCodec   = NewCodec[SidecarCall](maxHeaderMessage, sidecarCallSchema)
 	SidecarResultCodec = NewCodec[SidecarResult](maxHeaderMessage, sidecarResultSchema)
-	ExchangeCodec      = NewCodec[Exchange](maxExchange, exchangeSchema)
+	ExchangeCodec      = NewCodec[Exchange](maxExchange, exchangeSchema, ExchangeSchema1)
 	NodeRecordCodec    = NewCodec[NodeRecord](maxHeaderMessage, nodeRecordSchema)
 )
