Write logs in whole lines that a pipe keeps together

Cause: the log was flushed in pieces of up to 32 KB that ended anywhere; a pipe that several processes share keeps only writes of 4096 bytes undivided. Ruled out: lines lost at the end of a process (the flush at the end was right; the torn lines hold them). Change: writes end with a line and hold 4096 bytes at most; a longer line goes alone. Test: TestWritesAreWholeLinesThatAPipeKeepsTogether, failed before.

--- a/internal/sidecar/eventlog/eventlog_test.go
+++ b/internal/sidecar/eventlog/eventlog_test.go
@@ -97,3 +97,47 @@
 	}
 	g.Expect(page).NotTo(ContainSubstring("|  |"))
 }
+
+// pieces keeps each write as it came.
+type pieces struct{ writes [][]byte }
+
+func (p *pieces) Write(data []byte) (int, error) {
+	p.writes = append(p.writes, bytes.Clone(data))
+	return len(data), nil
+}
+
+// Several processes may share one pipe: only writes of up to 4096 bytes go through
+// it undivided. Found in the logs of nsm-mast trouble-2: 457 lines of a day were
+// torn by lines of other processes.
+func TestWritesAreWholeLinesThatAPipeKeepsTogether(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		length int // of the text in a line
+	}{
+		{"short lines", 20},
+		{"long lines", 1500},
+		{"lines longer than a pipe keeps together", 6000},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			output := &pieces{}
+			log := New("n", output)
+			for range 50 {
+				log.Add(Node{Change: strings.Repeat("x", tc.length)}, State)
+			}
+			ctx, end := context.WithCancel(context.Background())
+			end()
+			log.Run(ctx)
+			lines := 0
+			for _, w := range output.writes {
+				g.Expect(string(w)).To(HaveSuffix("\n"))
+				n := bytes.Count(w, []byte("\n"))
+				lines += n
+				if n > 1 {
+					g.Expect(len(w)).To(BeNumerically("<=", 4096))
+				}
+			}
+			g.Expect(lines).To(Equal(50))
+		})
+	}
+}
--- a/internal/sidecar/eventlog/writer.go
+++ b/internal/sidecar/eventlog/writer.go
@@ -1,7 +1,6 @@
 package eventlog
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"reflect"
@@ -27,10 +26,7 @@
 )
 
 // Bounds of the log.
-const (
-	flushEvery  = 200 * time.Millisecond
-	outputBytes = 32 << 10
-)
+const flushEvery = 200 * time.Millisecond
 
 // perSecond is how many lines of each weight are written in a second.
 var perSecond = [weights]int{State: 200, Failure: 200, Success: 20}
@@ -45,7 +41,7 @@
 type Log struct {
 	node   string
 	logger *logrus.Logger
-	output *bufio.Writer
+	output *lineWriter
 
 	mutex   sync.Mutex
 	second  int64
@@ -57,7 +53,7 @@
 
 // New makes the log of a node. Lines go to output once Run was called.
 func New(node string, output io.Writer) *Log {
-	l := &Log{node: node, logger: logrus.New(), output: bufio.NewWriterSize(output, outputBytes), omitted: map[string]int{}, wake: make(chan struct{}, 1)}
+	l := &Log{node: node, logger: logrus.New(), output: newLineWriter(output), omitted: map[string]int{}, wake: make(chan struct{}, 1)}
 	l.logger.SetOutput(l.output)
 	l.logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000000Z07:00"})
 	return l
