Ping silent nodes until they answer instead of sending them requests

Cause: a node taken for dead was left alone for a second; then the next request of every sender found out whether it was back. Ruled out: a longer suspicion (a node that is back after 0.5 s would be left idle). Change: a node that is silent, or to which no connection can be had, is pinged each 250 ms until it answers (25 s at least) and stays suspect between; it is trusted at its first answer. Test: TestSilentNodeGetsNoRequestsUntilItAnswersAPing.

--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -233,6 +233,11 @@
 	if load.Slots > 0 {
 		e.Slots = load.Slots
 	}
+	b.Trust(e)
+}
+
+// Trust ends the suspicion of an endpoint that gave a sign of life.
+func (b *Balancer) Trust(e *Endpoint) {
 	if e.suspected {
 		e.suspected = false
 		e.avoidUntil = 0
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -202,6 +202,9 @@
 		last = x.attempt(ctx, choice, bounces)
 		x.noteSend(choice, last, x.node.now()-began)
 		choice.done(x.node.now(), last)
+		if last.reason == reasonUnreachable && last.incarnation == "" && choice.node != x.node.settings().Node {
+			x.node.liveness.revive(choice.node, choice.address)
+		}
 		x.tellIfLost(choice, last)
 		x.learn(last)
 		if last.arrived {
--- a/internal/sidecar/liveness.go
+++ b/internal/sidecar/liveness.go
@@ -25,18 +25,29 @@
 
 // liveness watches the nodes that requests are at. A request that stays without
 // an answer is no sign of death, since it may take long; a ping without an answer is.
+// A node that is taken for dead is pinged until it answers, so that requests need
+// not find out.
 type liveness struct {
-	now   func() time.Duration
-	ping  func(ctx context.Context, address string) error
-	lost  func(node string) // called when a node is taken for dead
-	mutex sync.Mutex
-	peers map[string]*peerState // by node
+	now    func() time.Duration
+	ping   func(ctx context.Context, address string) error
+	events livenessEvents
+	ended  chan struct{} // closed by close
+	mutex  sync.Mutex
+	peers  map[string]*peerState // by node
+}
+
+// livenessEvents are called without locks.
+type livenessEvents struct {
+	lost  func(node string) // a node is taken for dead
+	still func(node string) // it still does not answer
+	back  func(node string) // it answers again
 }
 
 type peerState struct {
-	heard   time.Duration // last sign of life
-	pinging bool
-	waiting map[*sending]bool
+	heard    time.Duration // last sign of life
+	pinging  bool
+	reviving bool
+	waiting  map[*sending]bool
 }
 
 // sending is one request at another node.
@@ -48,8 +59,58 @@
 	timer    *time.Timer
 }
 
-func newLiveness(now func() time.Duration, ping func(ctx context.Context, address string) error, lost func(node string)) *liveness {
-	return &liveness{now: now, ping: ping, lost: lost, peers: map[string]*peerState{}}
+func newLiveness(now func() time.Duration, ping func(ctx context.Context, address string) error, events livenessEvents) *liveness {
+	return &liveness{now: now, ping: ping, events: events, ended: make(chan struct{}), peers: map[string]*peerState{}}
+}
+
+// close ends the pings of nodes that are taken for dead.
+func (l *liveness) close() { close(l.ended) }
+
+// Pings of a node that is taken for dead. They come often enough that it stays
+// suspect between two, and end after some time: then requests find out.
+const (
+	reviveEvery = 250 * time.Millisecond
+	reviveTries = 100
+)
+
+// revive pings a node that is taken for dead until it answers.
+func (l *liveness) revive(node, address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if peer := l.peer(node); !peer.reviving {
+		peer.reviving = true
+		go l.pingUntilBack(node, address)
+	}
+}
+
+func (l *liveness) pingUntilBack(node, address string) {
+	var err error = errSilent
+	for tries := 0; err != nil && tries < reviveTries; tries++ {
+		select {
+		case <-l.ended:
+			return
+		case <-time.After(reviveEvery):
+		}
+		if err = l.pingOnce(address); err != nil {
+			l.events.still(node)
+		}
+	}
+	l.mutex.Lock()
+	peer := l.peer(node)
+	peer.reviving = false
+	if err == nil {
+		peer.heard = l.now()
+	}
+	l.mutex.Unlock()
+	if err == nil {
+		l.events.back(node)
+	}
+}
+
+func (l *liveness) pingOnce(address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	return l.ping(ctx, address)
 }
 
 // begin watches a request; end must follow. abandon is called when the node is
@@ -132,7 +193,8 @@
 		abandoned = append(abandoned, one)
 	}
 	l.mutex.Unlock()
-	l.lost(node)
+	l.events.lost(node)
+	l.revive(node, address)
 	for _, one := range abandoned {
 		if one.abandon != nil {
 			one.abandon(errSilent)
--- /dev/null
+++ b/internal/sidecar/liveness_test.go
@@ -0,0 +1,64 @@
+package sidecar
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/core/balancer"
+	"github.com/landingmast/landingmast/internal/core/repeats"
+	. "github.com/onsi/gomega"
+)
+
+// Requests were the probes of a silent node: each sender lost one a second there,
+// half a second of its time or the whole request. Found in the logs of nsm-mast
+// scale-1: reservations that began 3 s into a freeze of 4 s went to the frozen node.
+func TestSilentNodeGetsNoRequestsUntilItAnswersAPing(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		away time.Duration
+		ping time.Duration // until a ping to the silent node fails
+	}{
+		{"frozen", 4 * time.Second, pingTimeout},
+		{"killed", 1500 * time.Millisecond, time.Millisecond},
+		{"away for long", 40 * time.Second, pingTimeout},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				started := time.Now()
+				now := func() time.Duration { return time.Since(started) }
+				s := newServices("me", "a", now, repeats.Config{Window: 10 * time.Second}, true)
+				s.update(map[string][]balancer.Target{"s": {
+					{Node: "well", Address: "well:1", Zone: "b", Instance: "i-1", Slots: 10}, {Node: "silent", Address: "silent:1", Zone: "a", Instance: "i-2", Slots: 10},
+				}})
+				var pings atomic.Int32
+				ping := func(ctx context.Context, address string) error {
+					if address == "silent:1" && now() < tc.away {
+						pings.Add(1)
+						time.Sleep(tc.ping)
+						return errors.New("no answer")
+					}
+					return nil
+				}
+				l := newLiveness(now, ping, livenessEvents{lost: s.suspect, still: s.suspect, back: s.trust})
+				defer l.close()
+				l.revive("silent", "silent:1")
+				s.suspect("silent")
+				for now() < tc.away {
+					time.Sleep(50 * time.Millisecond)
+					if now() < tc.away {
+						g.Expect(s.get("s").pick(now(), nil).node).To(Equal("well"), "at %s", now())
+					}
+				}
+				time.Sleep(pingTimeout + reviveEvery + time.Millisecond)
+				picked := s.get("s").pick(now(), nil)
+				g.Expect(picked.node).To(Equal("silent"), "it is near and well again")
+				g.Expect(pings.Load()).To(BeNumerically("<=", tc.away/reviveEvery+1))
+			})
+		})
+	}
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -93,7 +93,7 @@
 	n.peers = newPeerClient(options.Dial)
 	n.membership = newMembership(n)
 	n.exchanger = &exchanger{node: n}
-	n.liveness = newLiveness(n.now, n.peers.pingPeer, n.silent)
+	n.liveness = newLiveness(n.now, n.peers.pingPeer, livenessEvents{lost: n.silent, still: n.services.suspect, back: n.heardAgain})
 	n.target = &localTarget{now: n.now, roster: roster.New(), changed: n.targetChanged, link: n.newLink, identify: n.identify}
 	return n, n.listen()
 }
@@ -268,6 +268,7 @@
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
+	n.liveness.close()
 	n.peers.transport.CloseIdleConnections()
 	n.target.close()
 	n.events.Add(eventlog.Node{Change: "stopped", Incarnation: n.incarnation, InFlight: n.inFlight.Load(), TookMS: milliseconds(time.Since(began))}, eventlog.State)
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -69,6 +69,12 @@
 	n.events.Add(eventlog.Member{Member: node, Change: "silent"}, eventlog.State)
 }
 
+// heardAgain notes that a silent node answers again.
+func (n *Node) heardAgain(node string) {
+	n.services.trust(node)
+	n.events.Add(eventlog.Member{Member: node, Change: "heard again"}, eventlog.State)
+}
+
 // storeHealth follows whether the store answers.
 type storeHealth struct {
 	mutex  sync.Mutex
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -126,12 +126,22 @@
 
 // suspect leaves the target beside a node alone that gives no sign of life.
 func (s *services) suspect(node string) {
+	s.each(node, func(b *balancer.Balancer, e *balancer.Endpoint) { b.Suspect(s.now(), e) })
+}
+
+// trust has the target beside a node chosen again.
+func (s *services) trust(node string) {
+	s.each(node, func(b *balancer.Balancer, e *balancer.Endpoint) { b.Trust(e) })
+}
+
+// each calls f for the target beside a node in every service that has it.
+func (s *services) each(node string, f func(b *balancer.Balancer, e *balancer.Endpoint)) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, known := range s.byName {
 		known.mutex.Lock()
 		if endpoint := known.balancer.Endpoint(node); endpoint != nil {
-			known.balancer.Suspect(s.now(), endpoint)
+			f(known.balancer, endpoint)
 		}
 		known.mutex.Unlock()
 	}
