--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -6,16 +6,12 @@
 // anywhere in the chain is at most the number that the entry gave.
 package retry
 
-import (
-	"sync"
+import "github.com/landingmast/landingmast/internal/core/outcome"
 
-	"github.com/landingmast/landingmast/internal/core/outcome"
-)
-
-// Ledger holds the credits of one call at one hop. It is safe for concurrent
-// use, because one call may make several deeper calls at a time.
+// Ledger holds the credits of one call at one hop. It is not safe for concurrent
+// use; a driver whose calls make several deeper calls at a time locks it, and its
+// loans with it.
 type Ledger struct {
-	mutex sync.Mutex
 	held  int
 	spent int
 	lent  int
@@ -37,8 +33,6 @@
 // that the last credit reaches the hop above the failure, however deep, and
 // parallel calls still find some left.
 func (l *Ledger) Lend() *Loan {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	amount := (l.held + 1) / 2
 	l.held -= amount
 	l.lent += amount
@@ -51,8 +45,6 @@
 // Settle takes back what the answer says was not spent. Only the first call
 // counts, and never more than was lent comes back, whatever the answer claims.
 func (l *Loan) Settle(unspent int) {
-	l.ledger.mutex.Lock()
-	defer l.ledger.mutex.Unlock()
 	if l.closed {
 		return
 	}
@@ -63,8 +55,6 @@
 
 // Spend uses one credit for a retry by this hop; false when none is held.
 func (l *Ledger) Spend() bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	if l.held == 0 {
 		return false
 	}
@@ -76,8 +66,6 @@
 // Close empties the ledger and gives what can be returned to the hop above.
 // Loans that are still out are not returned: they count as spent.
 func (l *Ledger) Close() int {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	unspent := l.held
 	l.held = 0
 	return unspent
@@ -85,8 +73,6 @@
 
 // Held gives the credits now held.
 func (l *Ledger) Held() int {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	return l.held
 }
 
--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -102,12 +102,12 @@
 	if a.response != nil && a.head != nil && a.outcome != outcome.Answered {
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.response.Body, relayBuffer))
 		if end, err := wire.EndCodec.DecodeHeader(a.response.Trailer.Get(wire.TrailerEnd)); err == nil {
-			a.loan.Settle(end.Unspent)
+			a.outbound.context.ledger.settle(a.loan, end.Unspent)
 		}
 		_ = a.response.Body.Close()
 	}
 	if a.response == nil && a.outcome == outcome.NotRun {
-		a.loan.Settle(a.loan.Amount()) // nothing was sent, so nothing was lent
+		a.outbound.context.ledger.settle(a.loan, a.loan.Amount()) // nothing was sent, so nothing was lent
 	}
 	a.tellRouting()
 }
--- a/internal/dataplane/call.go
+++ b/internal/dataplane/call.go
@@ -8,7 +8,6 @@
 
 	"github.com/landingmast/landingmast/internal/core/admission"
 	"github.com/landingmast/landingmast/internal/core/limiter"
-	"github.com/landingmast/landingmast/internal/core/retry"
 )
 
 // callContext is what the node knows of one call while it serves it. The target
@@ -22,7 +21,7 @@
 	rank      admission.Rank
 	depth     int
 	deadline  time.Duration // on the plane's clock
-	ledger    *retry.Ledger
+	ledger    *credits
 	abandoned context.Context // done when nobody wants the answer any more
 
 	mutex      sync.Mutex
--- a/internal/dataplane/ingress.go
+++ b/internal/dataplane/ingress.go
@@ -15,7 +15,6 @@
 	"github.com/landingmast/landingmast/internal/core/claim"
 	"github.com/landingmast/landingmast/internal/core/limiter"
 	"github.com/landingmast/landingmast/internal/core/outcome"
-	"github.com/landingmast/landingmast/internal/core/retry"
 	"github.com/landingmast/landingmast/internal/explain"
 	"github.com/landingmast/landingmast/internal/wire"
 )
@@ -61,7 +60,7 @@
 	call.context = &callContext{
 		requestID: header.RequestID, callID: header.CallID, class: header.Class, level: header.Level, rank: admission.Rank(header.Rank),
 		depth: header.Depth, deadline: call.started + time.Duration(header.Remaining)*time.Microsecond,
-		ledger: retry.NewLedger(header.Credits), abandoned: ctx, pathCursor: -1,
+		ledger: newCredits(header.Credits), abandoned: ctx, pathCursor: -1,
 	}
 	if final := call.check(); final != nil {
 		call.refuse(*final, "")
@@ -316,7 +315,7 @@
 // end writes the closing message of the answer.
 func (c *ingressCall) end(sum body, broken bool) {
 	value, err := wire.EndCodec.EncodeHeader(&wire.End{
-		CallID: c.context.callID, Unspent: c.context.ledger.Close(), Length: sum.length, Digest: int64(sum.digest), Broken: broken,
+		CallID: c.context.callID, Unspent: c.context.ledger.close(), Length: sum.length, Digest: int64(sum.digest), Broken: broken,
 	})
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/dataplane/outbound.go
+++ b/internal/dataplane/outbound.go
@@ -131,7 +131,7 @@
 	if c.side == SideEgress || c.plane.resends.seen(c.started, user, c.request.Method, c.request.URL.RequestURI(), c.key) {
 		credits = 0
 	}
-	own.ledger = retry.NewLedger(credits)
+	own.ledger = newCredits(credits)
 }
 
 func orElse(value, otherwise string) string {
@@ -187,7 +187,7 @@
 		}
 		return nil, refused(reason)
 	}
-	try := &attempt{plane: c.plane, outbound: c, choice: choice, loan: c.context.ledger.Lend(), callID: newID()}
+	try := &attempt{plane: c.plane, outbound: c, choice: choice, loan: c.context.ledger.lend(), callID: newID()}
 	c.plane.record(c.context, explain.Route, "lowest_cost", c.service, choice.Target.Node,
 		number("cost_ms", choice.Cost), number("in_flight", float64(choice.InFlight)), number("latency_ms", milliseconds(choice.Latency)),
 		number("candidates", float64(choice.Rivals)), number("rank", float64(c.context.rank)), number("credits_lent", float64(try.loan.Amount())),
@@ -218,7 +218,7 @@
 	if verdict.Retry && !c.body.replayable() {
 		verdict = retry.Verdict{Reason: "body_not_kept"}
 	}
-	if verdict.Retry && !c.context.ledger.Spend() {
+	if verdict.Retry && !c.context.ledger.spend() {
 		verdict = retry.Verdict{Reason: "no_credits"}
 	}
 	action := explain.NoRetry
@@ -227,7 +227,7 @@
 		c.retries++
 		c.plane.metrics.Retries.WithLabelValues(c.service, c.class.Name).Inc()
 	}
-	c.plane.record(c.context, action, string(try.reason), c.service, try.choice.Target.Node, number("credits_held", float64(c.context.ledger.Held())))
+	c.plane.record(c.context, action, string(try.reason), c.service, try.choice.Target.Node, number("credits_held", float64(c.context.ledger.held())))
 	if !verdict.Retry {
 		final := refuse(try.outcome, try.reason)
 		if try.head != nil && try.head.RetryAfter > 0 {
@@ -312,7 +312,7 @@
 	c.plane.metrics.Added.WithLabelValues(string(c.side)).Observe((took - c.upstream).Seconds())
 	c.plane.record(c.context, explain.Answer, try.head.Reason, c.service, try.choice.Target.Node, number("status", float64(try.head.Status)),
 		number("bytes", float64(sum.length)), number("took_ms", milliseconds(took)), number("retries", float64(c.retries)),
-		number("credits_held", float64(c.context.ledger.Held())))
+		number("credits_held", float64(c.context.ledger.held())))
 }
 
 // checkEnd compares the body with the closing message of the answer and takes
@@ -325,7 +325,7 @@
 	if end.CallID != try.callID {
 		return failure.New(failure.Internal, "report this", "answer of call %s came to call %s", end.CallID, try.callID)
 	}
-	try.loan.Settle(end.Unspent)
+	c.context.ledger.settle(try.loan, end.Unspent)
 	if end.Broken || end.Length != sum.length || uint64(end.Digest) != sum.digest {
 		return io.ErrUnexpectedEOF
 	}
