Count requests that run out of time at a target against it in routing

Cause: one of five logbook targets was slow beyond the route's time-out: 91 of 129 log reads that ran out of time did so there, with 29 of its 41 slots in use; two others lost one answer in five. Routing counted lost answers only, so that the slow target looked better than those. Ruled out: a deeper service (its waits are 0, occupancy 9 of 13); the budget of repeats (a time-out leaves no time for one). Change: a sending without an answer in time, and a target's own 504, count as lost. Test: TestTargetWhereRequestsRunOutOfTimeIsLeftForAnother, failed before.

--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -66,6 +66,17 @@
 func notRun(reason Reason) *reply  { return &reply{outcome: NotRun, reason: reason} }
 func unknown(reason Reason) *reply { return &reply{outcome: Unknown, reason: reason, arrived: true} }
 
+// wasted tells that the target took the request and nothing came of it: its answer
+// was lost or spoiled, or did not come in time. A deeper service that is slow shows
+// at all targets alike, so that it changes no choice between them.
+func (r *reply) wasted() bool {
+	switch r.reason {
+	case reasonLost, reasonSpoiled, reasonTimeout:
+		return r.outcome == Unknown
+	}
+	return r.outcome == Answered && r.status == http.StatusGatewayTimeout
+}
+
 func (r *reply) close() {
 	if r.stream != nil {
 		_ = r.stream.Close()
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -111,10 +111,10 @@
 		s.balancer.Report(now, c.endpoint, answer.load)
 	}
 	switch {
+	case answer.wasted():
+		s.balancer.Lost(now, c.endpoint)
 	case answer.outcome == Answered:
 		s.balancer.Answered(now, c.endpoint)
-	case answer.reason == reasonLost, answer.reason == reasonSpoiled:
-		s.balancer.Lost(now, c.endpoint)
 	}
 	switch answer.reason {
 	case reasonUnreachable, reasonSilent:
--- a/internal/sidecar/routes_test.go
+++ b/internal/sidecar/routes_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/core/balancer"
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/core/overload"
 	"github.com/landingmast/landingmast/internal/core/repeats"
+	"github.com/landingmast/landingmast/internal/core/slots"
 	"github.com/landingmast/landingmast/internal/sidecar/metrics"
 	. "github.com/onsi/gomega"
 )
@@ -85,3 +87,46 @@
 		})
 	}
 }
+
+// Found by incident inc-d364 on nsm-mast: 91 of 129 log reads that ran out of time
+// did so at one target, which routing took for better than those that lost one
+// answer in five.
+func TestTargetWhereRequestsRunOutOfTimeIsLeftForAnother(t *testing.T) {
+	load := slots.Load{Slots: 40, Running: 20, Hold: 700 * time.Millisecond}
+	for _, tc := range []struct {
+		name string
+		ends *reply // of a sending to the bad target
+		left bool
+	}{
+		{"no answer in time", &reply{outcome: Unknown, reason: reasonTimeout, arrived: true, load: load}, true},
+		{"its own word that the time was up", &reply{outcome: Answered, reason: reasonNone, arrived: true, status: 504, load: load}, true},
+		{"answer lost", &reply{outcome: Unknown, reason: reasonLost, arrived: true, load: load}, true},
+		{"client left", &reply{outcome: Unknown, reason: reasonCancelled, arrived: true, load: load}, false},
+		{"whole answer", &reply{outcome: Answered, reason: reasonNone, arrived: true, status: 200, load: load}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Duration(0)
+			s := newServices("me", "a", func() time.Duration { return now }, repeats.Config{Window: 10 * time.Second}, true)
+			s.update(map[string][]balancer.Target{"s": {
+				{Node: "bad", Address: "bad:1", Zone: "a", Instance: "i-1", Slots: 40}, {Node: "other", Address: "other:1", Zone: "a", Instance: "i-2", Slots: 40},
+			}})
+			toBad := 0
+			for range 400 {
+				now += 20 * time.Millisecond
+				picked := s.get("s").pick(now, nil)
+				if picked.node == "bad" {
+					toBad++
+					picked.done(now, tc.ends)
+					continue
+				}
+				picked.done(now, &reply{outcome: Answered, reason: reasonNone, arrived: true, status: 200, load: slots.Load{Slots: 40, Running: 20, Hold: 800 * time.Millisecond}})
+			}
+			if tc.left {
+				g.Expect(toBad).To(BeNumerically("<", 40))
+			} else {
+				g.Expect(toBad).To(BeNumerically(">", 200), "it is the faster one")
+			}
+		})
+	}
+}
