--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -285,13 +285,20 @@
 }
 
 // endOf tells the end of a request's time from the end of its sender's interest.
+// The sender counts the same time and may close its connection a little before the
+// time is up here.
 func endOf(ctx context.Context) Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	deadline, bounded := ctx.Deadline()
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || bounded && time.Until(deadline) < closeMargin {
 		return reasonTimeout
 	}
 	return reasonCancelled
 }
 
+// closeMargin is how long before the end of a request's time a close of its
+// connection counts as that end.
+const closeMargin = 25 * time.Millisecond
+
 // judge tells what the target's answer is worth.
 func (i *ingress) judge(ctx context.Context, gate *gate, answer *targetlink.Answer) *reply {
 	names := i.node.options.Headers
