Hold clients to the configuration's limits of body and head

Cause (by reading): limits.max_body_bytes and max_header_bytes were read and never used; a client could have a node take up to 64 KB of head and any body. Change: 413 and 431 before anything is sent on, a body without a length is bounded while it is read. header_timeout and idle_timeout stay those of the server (10 s, 2 min), which are not stricter than what clients were promised. Test: TestRequestsBeyondTheOperatorsLimits.

--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -71,6 +71,14 @@
 		x.refuse(http.StatusNotFound, reasonNoRoute, 0)
 		return
 	}
+	if status, reason := refusedBySize(r, x.intent.Limits); status != 0 {
+		w.Header().Set("Connection", "close")
+		x.refuse(status, reason, 0)
+		return
+	}
+	if most := x.intent.Limits.MaxBodyBytes; r.ContentLength < 0 && most > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, most)
+	}
 	x.serve()
 }
 
@@ -115,7 +123,12 @@
 		_ = http.NewResponseController(x.writer).SetReadDeadline(time.Now().Add(hold + bodyGrace))
 	}
 	body, err := receive(x.request)
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		x.refuse(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, 0)
+		return
+	case err != nil:
 		x.refuse(http.StatusRequestTimeout, reasonCancelled, 0)
 		return
 	}
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -45,6 +45,8 @@
 	reasonSheds        Reason = "overload"       // refused where the chain starts
 	reasonFenced       Reason = "fenced"         // never sent, on the word of the gate
 	reasonStopping     Reason = "stopping"
+	reasonBodyTooLarge Reason = "body_too_large" // for the operators' limits
+	reasonHeadTooLarge Reason = "head_too_large"
 )
 
 // reply is what became of one sending of a request.
