Close the servers at a planned stop without cutting a request

Cause: the stop waits until nothing is in flight and closed its servers then; a request that came between the two was cut, and so was an answer whose handler had returned before net/http had written it. Ruled out: the end of the grace (5.5 s were not over); the target (it was working). Change: when nothing is in flight, requests that still come are refused as not run, listeners and idle connections close, what is in flight ends, and the rest closes once nothing has been in flight for 200 ms.

--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -55,10 +55,14 @@
 
 // ServeHTTP takes a request.
 func (e *egress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	defer e.node.begin(w)()
+	end, refused := e.node.begin(w)
+	defer end()
 	names := e.node.options.Headers
 	x := &exchange{node: e.node, writer: w, request: r, id: r.Header.Get(names.RequestID), intent: e.node.intent.Load(), started: e.node.now()}
 	switch {
+	case refused:
+		x.refuse(http.StatusServiceUnavailable, reasonStopping, unreadyRetryAfter)
+		return
 	case x.intent == nil:
 		x.refuse(http.StatusServiceUnavailable, reasonNoIntent, unreadyRetryAfter)
 		return
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -90,7 +90,12 @@
 
 // ServeHTTP takes a request of another node.
 func (i *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	defer i.node.begin(w)()
+	end, refused := i.node.begin(w)
+	defer end()
+	if refused {
+		i.write(w, notRun(reasonStopping))
+		return
+	}
 	call, err := wire.SidecarCallCodec.DecodeHeader(r.Header.Get(wire.HeaderSidecarCall))
 	if err != nil {
 		i.write(w, notRun(reasonBadMessage))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -63,7 +63,8 @@
 	membership  *membership
 	exchanger   *exchanger
 	liveness    *liveness
-	stopping    atomic.Bool
+	stopping    atomic.Bool // by plan: not ready, requests are still served
+	closing     atomic.Bool // the servers are being closed: requests are refused
 	inFlight    atomic.Int64
 	storeHealth storeHealth
 	servers     []*http.Server
@@ -207,14 +208,15 @@
 
 func (n *Node) ready() bool { return n.intent.Load() != nil && !n.stopping.Load() }
 
-// begin counts a request as in flight; the function that it gives ends that.
-func (n *Node) begin(w http.ResponseWriter) func() {
+// begin counts a request as in flight until end is called. refused tells that the
+// node's servers are being closed: the request must not be passed on.
+func (n *Node) begin(w http.ResponseWriter) (end func(), refused bool) {
 	n.inFlight.Add(1)
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	return func() { n.inFlight.Add(-1) }
+	return func() { n.inFlight.Add(-1) }, n.closing.Load()
 }
 
 // Run serves until ctx ends, then stops as planned; the end of hurry ends the
@@ -265,6 +267,9 @@
 	for hurry.Err() == nil && time.Now().Before(latest) && (time.Since(began) < stopLeast || n.inFlight.Load() > 0) {
 		pause(hurry, stopPoll)
 	}
+	if hurry.Err() == nil {
+		n.closeServers(latest)
+	}
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
@@ -273,3 +278,36 @@
 	n.target.close()
 	n.events.Add(eventlog.Node{Change: "stopped", Incarnation: n.incarnation, InFlight: n.inFlight.Load(), TookMS: milliseconds(time.Since(began))}, eventlog.State)
 }
+
+// flushTime is how long answers may take to be written out once nothing is in
+// flight: their handlers have returned, net/http has not.
+const flushTime = 200 * time.Millisecond
+
+// closeServers closes the servers without cutting a request: those in flight end,
+// those that still come on open connections are refused. It returns when all
+// connections are idle, or when nothing has been in flight for flushTime, or at the
+// time given.
+func (n *Node) closeServers(latest time.Time) {
+	n.closing.Store(true)
+	ctx, cancel := context.WithDeadline(context.Background(), latest)
+	defer cancel()
+	var servers sync.WaitGroup
+	for _, server := range n.servers {
+		servers.Go(func() { _ = server.Shutdown(ctx) })
+	}
+	idle := make(chan struct{})
+	go func() {
+		defer close(idle)
+		servers.Wait()
+	}()
+	for quiet := time.Now(); ctx.Err() == nil && time.Since(quiet) < flushTime; pause(ctx, stopPoll) {
+		select {
+		case <-idle:
+			return
+		default:
+		}
+		if n.inFlight.Load() > 0 {
+			quiet = time.Now()
+		}
+	}
+}
