Revert: time-outs no longer count as losses in routing

In a real shortage they run out of time everywhere; what each sender counts drives load to and fro. Change: only lost and spoiled answers count again.

--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -76,15 +76,15 @@
 	return int64(len(r.body))
 }
 
-// wasted tells that the target took the request and nothing came of it: its answer
-// was lost or spoiled, or did not come in time. A deeper service that is slow shows
-// at all targets alike, so that it changes no choice between them.
+// wasted tells that the target took the request and its answer was lost or spoiled.
+// Requests that ran out of time do not count: in a shortage they do so everywhere, and
+// counting them drives load to and fro (docs/incidents/inc-d364.md).
 func (r *reply) wasted() bool {
 	switch r.reason {
-	case reasonLost, reasonSpoiled, reasonTimeout:
+	case reasonLost, reasonSpoiled:
 		return r.outcome == Unknown
 	}
-	return r.outcome == Answered && r.status == http.StatusGatewayTimeout
+	return false
 }
 
 func (r *reply) close() {
