Take no new work 2.5 s after SIGTERM

Cause: a stopping node served whatever came until nothing was in flight; where clients go on (few others of the zone ready) that was never, and at the end of its time it cut what ran. Change: from 2.5 s on new requests are refused as not run; calls of requests that run at the target are still served.

--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -60,7 +60,7 @@
 	names := e.node.options.Headers
 	x := &exchange{node: e.node, writer: w, request: r, id: r.Header.Get(names.RequestID), intent: e.node.intent.Load(), started: e.node.now()}
 	switch {
-	case refused:
+	case refused && !e.node.ingress.runs(x.id):
 		x.refuse(http.StatusServiceUnavailable, reasonStopping, unreadyRetryAfter)
 		return
 	case x.intent == nil:
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -88,6 +89,12 @@
 	return i
 }
 
+// runs tells that the id is that of a call of a request at the target.
+func (i *ingress) runs(id string) bool {
+	dot := strings.LastIndexByte(id, '.')
+	return dot > 0 && i.running.find(id[:dot]) != nil
+}
+
 // ServeHTTP takes a request of another node.
 func (i *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	end, refused := i.node.begin(w)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -64,7 +64,7 @@
 	exchanger   *exchanger
 	liveness    *liveness
 	stopping    atomic.Bool // by plan: not ready, requests are still served
-	closing     atomic.Bool // the servers are being closed: requests are refused
+	closing     atomic.Bool // requests are refused, but for calls of what runs
 	inFlight    atomic.Int64
 	storeHealth storeHealth
 	servers     []*http.Server
@@ -209,7 +209,8 @@
 func (n *Node) ready() bool { return n.intent.Load() != nil && !n.stopping.Load() }
 
 // begin counts a request as in flight until end is called. refused tells that the
-// node's servers are being closed: the request must not be passed on.
+// node takes no more work: the request must not be passed on, unless it is a call of
+// one that runs.
 func (n *Node) begin(w http.ResponseWriter) (end func(), refused bool) {
 	n.inFlight.Add(1)
 	if n.stopping.Load() {
@@ -264,7 +265,12 @@
 	n.events.Add(eventlog.Node{Change: "stopping", Incarnation: n.incarnation, InFlight: n.inFlight.Load()}, eventlog.State)
 	began := time.Now()
 	latest := began.Add(time.Duration(n.settings().Bounds.Grace) - stopReserve)
-	for hurry.Err() == nil && time.Now().Before(latest) && (time.Since(began) < stopLeast || n.inFlight.Load() > 0) {
+	for hurry.Err() == nil && time.Since(began) < stopLeast {
+		pause(hurry, stopPoll)
+	}
+	// From here on clients get no more work done; what runs may still make its calls.
+	n.closing.Store(true)
+	for hurry.Err() == nil && time.Now().Before(latest) && n.inFlight.Load() > 0 {
 		pause(hurry, stopPoll)
 	}
 	if hurry.Err() == nil {
@@ -288,7 +294,6 @@
 // connections are idle, or when nothing has been in flight for flushTime, or at the
 // time given.
 func (n *Node) closeServers(latest time.Time) {
-	n.closing.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), latest)
 	defer cancel()
 	var servers sync.WaitGroup
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -56,6 +56,7 @@
 			closed := make(chan struct{})
 			go func() {
 				defer close(closed)
+				n.closing.Store(true)
 				n.closeServers(time.Now().Add(2 * time.Second))
 			}()
 			answer, err := io.ReadAll(conn)
