--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -77,8 +77,8 @@
 }
 
 // wasted tells that the target took the request and its answer was lost or spoiled.
-// Requests that ran out of time do not count: in a shortage they do so everywhere, and
-// counting them drives load to and fro (docs/incidents/inc-d364.md).
+// Requests that ran out of time do not count: in a shortage they do so everywhere
+// (tried and given up, docs/incidents/inc-d364.md).
 func (r *reply) wasted() bool {
 	switch r.reason {
 	case reasonLost, reasonSpoiled:
--- a/internal/sidecar/routes_test.go
+++ b/internal/sidecar/routes_test.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// Time-outs are no losses: counting them (tried for incident inc-d364) cost a sixth of
-// a scale day, where they come at all targets.
+// Time-outs are no losses: counting them was tried for incident inc-d364 and given up;
+// scale days were lower with it, within their spread.
 func TestOnlyLostAnswersCountAgainstATarget(t *testing.T) {
 	load := slots.Load{Slots: 40, Running: 20, Hold: 700 * time.Millisecond}
 	for _, tc := range []struct {
