Follow the store by one node a zone, tell each other the rest

Ruled out: longer rests of all watches (still the square, and the bounds of configuration forbid more); records without leases (entries of machines that are gone would stay). One empty prefix for both watches was not tried: few nodes watch now. News go along a tree, once to each zone; the exchange mends what is lost. Probes (stale reads, a tenth of a call) notice a cut within a second; while the store is away nothing but probes is sent. Own address first in all this: three of four exchanges stay in the zone.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -55,6 +55,9 @@
 // Gone tells whether an instance has left for good.
 func (r *Roster) Gone(instance string) bool { return r.gone[instance] }
 
+// Empty tells that a target was here and left, and that no other has come.
+func (r *Roster) Empty() bool { return r.current.Instance == "" && len(r.gone) > 0 }
+
 // Heartbeat takes in a report.
 func (r *Roster) Heartbeat(report Report) Verdict {
 	if r.gone[report.Instance] {
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/store"
+	"github.com/landingmast/landingmast/internal/wire"
 )
 
 // Sources of what a node learns.
@@ -17,17 +19,50 @@
 // restOfConfiguration bounds the calls while configurations come in quick succession.
 const restOfConfiguration = 100 * time.Millisecond
 
-// watchConfiguration follows the operators' configuration.
-func (n *Node) watchConfiguration(ctx context.Context) {
-	follow(ctx, n, n.options.ConfigurationKey, restOfConfiguration, func(items []store.Item, _ bool) {
+// followConfiguration follows the operators' configuration and tells all nodes of a
+// new one.
+func (f *follower) followConfiguration(ctx context.Context) {
+	n := f.node
+	f.follow(ctx, n.options.ConfigurationKey, restOfConfiguration, func(items []store.Item, _ bool) {
+		before := n.version()
 		for _, item := range items {
 			if item.Key == n.options.ConfigurationKey && !item.Gone {
 				n.install(item.Value, sourceStore)
 			}
 		}
+		if n.version() > before {
+			n.news.tellAll(&wire.News{})
+		}
 	})
 }
 
+// Times of a node that knows no configuration.
+const (
+	configurationFirst     = 200 * time.Millisecond // other nodes may tell it
+	configurationAgain     = 1500 * time.Millisecond
+	configurationSpread    = time.Second
+	configurationBootstrap = 4 * time.Second // at the first start of all
+)
+
+// findConfiguration reads the configuration when no other node has told it.
+func (n *Node) findConfiguration(ctx context.Context) {
+	wait := configurationFirst
+	if n.settings().FirstStart {
+		wait = configurationBootstrap
+	}
+	for pause(ctx, wait); ctx.Err() == nil && n.version() == 0; {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		item, _, err := n.store.Get(call, n.options.ConfigurationKey)
+		cancel()
+		n.storeResult("read", err)
+		if err == nil && item != nil {
+			n.install(item.Value, sourceStore)
+			return
+		}
+		pause(ctx, configurationAgain+time.Duration(rand.Int64N(int64(configurationSpread))))
+	}
+}
+
 // install puts a configuration in force unless a newer one is.
 func (n *Node) install(data []byte, source string) {
 	read, err := n.options.ReadIntent(data)
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -99,7 +99,7 @@
 
 // Store is a change of the store's reach.
 type Store struct {
-	Change string  `json:"change" doc:"lost, limited or regained"`
+	Change string  `json:"change" doc:"lost, limited, regained, followed (the node reads the store for its zone) or unfollowed"`
 	Call   string  `json:"call,omitempty" doc:"call that failed"`
 	Error  string  `json:"error,omitempty" doc:"how"`
 	AwayMS float64 `json:"away_ms,omitempty" doc:"how long it was away"`
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -68,6 +68,9 @@
 	if err != nil {
 		return
 	}
+	if answer.Gone {
+		e.node.registration.lost()
+	}
 	e.take(answer)
 	told, own := e.digests()
 	if len(answer.Buckets) > 0 {
@@ -87,7 +90,7 @@
 
 func (e *exchanger) digests() (*wire.Exchange, *buckets) {
 	own := e.node.membership.buckets()
-	return &wire.Exchange{Digest: own.digest(), Version: int64(e.node.version()), Records: []wire.NodeRecord{}, Buckets: []int64{}}, own
+	return &wire.Exchange{Digest: own.digest(), Version: int64(e.node.version()), Records: []wire.NodeRecord{}, Buckets: []int64{}, From: e.node.settings().Node}, own
 }
 
 func (e *exchanger) send(ctx context.Context, address string, message *wire.Exchange) (*wire.Exchange, error) {
@@ -132,6 +135,7 @@
 	}
 	e.take(message)
 	answer, own := e.digests()
+	answer.Gone = e.node.membership.holdsGone(message.From)
 	switch {
 	case message.Digest == answer.Digest:
 	case len(message.Buckets) == 0:
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -13,154 +13,114 @@
 
 // Times of the watches.
 const (
-	watchWait     = 25 * time.Second
-	retryAtLeast  = 100 * time.Millisecond
-	retryAtMost   = time.Second
-	restOfRecords = 500 * time.Millisecond
+	watchWait = 25 * time.Second
+	// retryLeast and retrySpread are the pause after a call that failed: short
+	// enough for the store's return to be seen well within two seconds.
+	retryLeast    = 400 * time.Millisecond
+	retrySpread   = 300 * time.Millisecond
+	restOfRecords = time.Second
 )
 
-// watch follows the records of the other nodes.
-func (m *membership) watch(ctx context.Context) {
-	prefix := m.node.options.NodePrefix
-	follow(ctx, m.node, prefix, restOfRecords, func(items []store.Item, whole bool) {
+// followRecords follows the records of all nodes.
+func (f *follower) followRecords(ctx context.Context) {
+	prefix := f.node.options.NodePrefix
+	m := f.node.membership
+	f.follow(ctx, prefix, restOfRecords, func(items []store.Item, whole bool) {
 		seen := map[string]bool{}
 		for _, item := range items {
 			name := strings.TrimPrefix(item.Key, prefix)
 			seen[name] = true
 			if item.Gone {
-				m.lapsed(ctx, name)
+				f.lapsed(name)
 				continue
 			}
 			if record, err := wire.NodeRecordCodec.Decode(item.Value); err == nil {
-				m.put(record)
+				f.present(record)
 			}
 		}
 		if whole {
-			m.mutex.Lock()
-			m.listed = true
-			m.mutex.Unlock()
-			m.lapsedOthers(ctx, seen)
+			m.setListed()
+			for _, name := range append(m.names(), f.node.settings().Node) {
+				if !seen[name] {
+					f.lapsed(name)
+				}
+			}
 		}
 		m.apply()
 	})
 }
 
-// lapsedOthers handles the records that the store no longer has.
-func (m *membership) lapsedOthers(ctx context.Context, seen map[string]bool) {
-	m.mutex.Lock()
-	var missing []string
-	for name := range m.records {
-		if !seen[name] {
-			missing = append(missing, name)
-		}
-	}
-	m.mutex.Unlock()
-	for _, name := range missing {
-		m.lapsed(ctx, name)
-	}
+// present notes that the store has a node's record.
+func (f *follower) present(record *wire.NodeRecord) {
+	f.mutex.Lock()
+	f.lapses.Back(record.Node)
+	delete(f.gone, record.Node)
+	f.mutex.Unlock()
+	f.node.membership.put(record)
 }
 
-// lapsed handles the end of a node's lease. It is a hint, no proof: while the
-// node answers, its record stays. The node's own record is written anew.
-func (m *membership) lapsed(ctx context.Context, name string) {
-	if name == m.node.settings().Node {
-		m.wakeUp()
+// lapsed notes that the store has lost a node's record. The node's own record is
+// written anew.
+func (f *follower) lapsed(name string) {
+	if name == f.node.settings().Node {
+		f.node.registration.lost()
 		return
 	}
-	m.mutex.Lock()
-	record := m.records[name]
-	m.mutex.Unlock()
+	record := f.node.membership.record(name)
 	if record == nil {
 		return
 	}
-	m.note(record, "lapsed", sourceStore)
-	m.node.background.Go(func() {
-		for range lapsedPings {
-			call, cancel := context.WithTimeout(ctx, callTimeout)
-			err := m.node.peers.pingPeer(call, record.Address)
-			cancel()
-			if err == nil {
-				m.note(record, "kept", sourcePeer)
-			}
-			if err == nil || ctx.Err() != nil {
-				return
-			}
-		}
-		m.note(record, "forgotten", sourcePeer)
-		m.forget(record)
-	})
-}
-
-// lapsedPings is how often a node whose lease is over is pinged.
-const lapsedPings = 2
-
-func (m *membership) wakeUp() {
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
+	f.node.membership.note(record, "lapsed", sourceStore)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.lapses.Lapsed(f.node.now(), name)
 }
 
 // follow reads everything below a prefix and then watches it; where the history
 // is gone it reads anew.
 //
 // rest is the least time between an event and the next watch: events that come in
-// a row are then fetched with one call. Every change wakes the watches of all
-// nodes, so that the time grows with their number once the store's rate asks for it.
-func follow(ctx context.Context, node *Node, prefix string, rest time.Duration, take func(items []store.Item, whole bool)) {
+// a row are then fetched with one call.
+func (f *follower) follow(ctx context.Context, prefix string, rest time.Duration, take func(items []store.Item, whole bool)) {
 	at := int64(-1)
 	for ctx.Err() == nil {
 		if at < 0 {
 			call, cancel := context.WithTimeout(ctx, callTimeout)
-			items, revision, err := node.store.List(call, prefix)
+			items, revision, err := f.node.store.List(call, prefix)
 			cancel()
-			node.storeResult("read", err)
+			if ctx.Err() != nil {
+				return
+			}
+			f.node.storeResult("read", err)
+			f.hear(prefix, err == nil)
 			if err != nil {
-				pause(ctx, retryAtLeast+time.Duration(rand.Int64N(int64(retryAtMost/4))))
+				pause(ctx, retryLeast+time.Duration(rand.Int64N(int64(retrySpread))))
 				continue
 			}
 			at = revision
 			take(items, true)
 		}
-		events, revision, err := node.store.Watch(ctx, prefix, at, watchWait)
+		events, revision, err := f.node.store.Watch(ctx, prefix, at, watchWait)
 		if ctx.Err() != nil {
 			return
 		}
-		node.storeResult("watch", err)
+		f.node.storeResult("watch", err)
+		f.hear(prefix, err == nil || errors.Is(err, store.ErrCompacted))
 		switch {
 		case errors.Is(err, store.ErrCompacted):
 			at = -1
 		case err != nil:
-			pause(ctx, retryAtLeast+time.Duration(rand.Int64N(int64(retryAtMost/4))))
+			pause(ctx, retryLeast+time.Duration(rand.Int64N(int64(retrySpread))))
 		default:
 			at = max(at, revision)
 			take(events, false)
 			if len(events) > 0 {
-				pause(ctx, max(rest, node.fairRest()))
+				pause(ctx, rest)
 			}
 		}
 	}
 }
 
-// watchShare is the part of the store's rate that each of the two watches of all
-// nodes together may take while changes come in a row.
-const watchShare = 0.4
-
-// fairRest is the time between two calls of a watch at which the watches of all
-// nodes together keep to their share of the store's rate; 0 when the rate is not
-// known.
-func (n *Node) fairRest() time.Duration {
-	rate := watchShare * n.settings().Store.ReadsPerSecond
-	if rate <= 0 {
-		return 0
-	}
-	nodes := float64(n.membership.others() + 1)
-	return min(time.Duration(nodes/rate*float64(time.Second)), longestRest)
-}
-
-// longestRest bounds the age of what a node knows when it has many others.
-const longestRest = 5 * time.Second
-
 func pause(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
--- a/internal/sidecar/liveness.go
+++ b/internal/sidecar/liveness.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/wire"
 )
 
 // Times after which a node is taken for dead that has requests and says nothing.
@@ -202,12 +203,43 @@
 	}
 }
 
+// silent tells whether a node is taken for dead.
+func (l *liveness) silent(node string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	peer := l.peers[node]
+	return peer != nil && peer.reviving
+}
+
+// servePing gives a sign of life.
+func (n *Node) servePing(w http.ResponseWriter, _ *http.Request) {
+	w.Header()["Date"] = nil
+	pong := &wire.Pong{Node: n.settings().Node, TurnedAway: n.registration.turnedAway()}
+	if head, err := wire.PongCodec.EncodeHeader(pong); err == nil {
+		w.Header().Set(wire.HeaderSidecarPong, head)
+	}
+}
+
+// ask asks a node who it is and whether the store serves it.
+func (p *peerClient) ask(ctx context.Context, address string) (*wire.Pong, error) {
+	response, err := p.ping(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	return wire.PongCodec.DecodeHeader(response.Header.Get(wire.HeaderSidecarPong))
+}
+
 // pingPeer asks a node for a sign of life.
 func (p *peerClient) pingPeer(ctx context.Context, address string) error {
-	request := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: pingPath}, Host: address, Header: http.Header{}}
-	response, err := p.transport.RoundTrip(request.WithContext(ctx))
+	response, err := p.ping(ctx, address)
 	if err != nil {
 		return err
 	}
 	return response.Body.Close()
 }
+
+func (p *peerClient) ping(ctx context.Context, address string) (*http.Response, error) {
+	request := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: pingPath}, Host: address, Header: http.Header{}}
+	return p.transport.RoundTrip(request.WithContext(ctx))
+}
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -1,6 +1,9 @@
 package sidecar
 
 import (
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,31 +12,30 @@
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
-// membership keeps the node's own record in the store and the records of the
-// others up to date.
+// membership holds the records of all nodes: the own one, and those of the others as
+// they or the store told them.
 type membership struct {
 	node *Node
 
 	mutex    sync.Mutex
 	records  map[string]*wire.NodeRecord // by node
-	dropped  map[string]*wire.NodeRecord // the last of nodes that the store has dropped
+	dropped  map[string]*wire.NodeRecord // the last of nodes that are gone
 	sequence int64                       // of the own record
 	started  int64                       // of the own process, ms of the wall clock; orders incarnations
 	listed   bool                        // the store has told all records once
-	wake     chan struct{}               // the own record has changed
 }
 
 func newMembership(node *Node) *membership {
-	return &membership{node: node, records: map[string]*wire.NodeRecord{}, dropped: map[string]*wire.NodeRecord{}, started: time.Now().UnixMilli(), wake: make(chan struct{}, 1)}
+	return &membership{node: node, records: map[string]*wire.NodeRecord{}, dropped: map[string]*wire.NodeRecord{}, started: time.Now().UnixMilli()}
 }
 
-// changed has the own record written anew.
+// changed has the other nodes told of a change of the own record.
 func (m *membership) changed() {
 	m.mutex.Lock()
 	m.sequence++
 	m.mutex.Unlock()
-	m.wakeUp()
 	m.apply()
+	m.node.news.tellOwn()
 }
 
 // own gives the node's own record as it is now.
@@ -88,8 +90,8 @@
 	}, eventlog.State)
 }
 
-// learnFromPeer takes in records that another node knows. One that the store has
-// dropped is not brought back by a node that has not heard of it yet.
+// learnFromPeer takes in records that another node knows. One that is gone is not
+// brought back by a node that has not heard of it yet.
 func (m *membership) learnFromPeer(records []wire.NodeRecord) {
 	fresh := false
 	for i := range records {
@@ -110,7 +112,26 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	dropped := m.dropped[record.Node]
-	return dropped != nil && !newer(record, dropped)
+	return dropped != nil && dropped.Incarnation == record.Incarnation && dropped.Sequence >= record.Sequence
+}
+
+// holdsGone tells whether a node is taken for gone.
+func (m *membership) holdsGone(node string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return node != "" && m.records[node] == nil && m.dropped[node] != nil
+}
+
+// forgetGone forgets nodes that a follower of the zone takes for gone.
+func (m *membership) forgetGone(records []wire.NodeRecord) {
+	for i := range records {
+		known := m.record(records[i].Node)
+		if known == nil || newer(known, &records[i]) {
+			continue
+		}
+		m.note(known, "forgotten", sourcePeer)
+		m.forget(known)
+	}
 }
 
 // outrank has the own record go before one of an earlier process of this node. The
@@ -138,17 +159,76 @@
 	m.apply()
 }
 
-// put takes in a record as the store has it; the store's order decides.
+// put takes in a record that the store has. What peers told since it was written
+// goes before it.
 func (m *membership) put(record *wire.NodeRecord) {
+	if record.Node == m.node.settings().Node {
+		return
+	}
 	m.mutex.Lock()
-	known := m.records[record.Node]
-	m.records[record.Node] = record
+	fresh := newer(record, m.records[record.Node])
+	if fresh {
+		m.records[record.Node] = record
+		delete(m.dropped, record.Node)
+	}
 	m.mutex.Unlock()
-	if known == nil || known.Incarnation != record.Incarnation || known.Sequence != record.Sequence {
+	if fresh {
 		m.note(record, "learned", sourceStore)
 	}
 }
 
+// setListed notes that the store has told all records once.
+func (m *membership) setListed() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.listed = true
+}
+
+// record gives the record of a node, nil when there is none.
+func (m *membership) record(node string) *wire.NodeRecord {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.records[node]
+}
+
+// names gives the other nodes that are known.
+func (m *membership) names() []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return slices.Collect(maps.Keys(m.records))
+}
+
+// zoneMembers gives the other nodes of the zone.
+func (m *membership) zoneMembers() []string {
+	zone := m.node.settings().Zone
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var names []string
+	for name, record := range m.records {
+		if record.Zone == zone {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// addresses gives those of the other nodes by zone, in a random order. Nodes that
+// are taken for dead are left out.
+func (m *membership) addresses() map[string][]string {
+	found := map[string][]string{}
+	m.mutex.Lock()
+	for name, record := range m.records {
+		if name != m.node.settings().Node && !m.node.liveness.silent(name) {
+			found[record.Zone] = append(found[record.Zone], record.Address)
+		}
+	}
+	m.mutex.Unlock()
+	for _, addresses := range found {
+		shuffled(addresses)
+	}
+	return found
+}
+
 // restarted notes that a node is another process than its record says.
 func (m *membership) restarted(node, incarnation string) {
 	m.mutex.Lock()
@@ -181,16 +261,47 @@
 	return count
 }
 
-// anyAddress gives the address of another node, chosen at random.
+// nearShare is the share of exchanges that stay in the zone, where bytes cost
+// nothing.
+const nearShare = 0.75
+
+// anyAddress gives the address of another node, chosen at random, more often one of
+// the own zone.
 func (m *membership) anyAddress() string {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	for name, record := range m.records {
-		if name != m.node.settings().Node {
-			return record.Address // the order of a map is random
+	near, far := m.split()
+	if len(near) == 0 || len(far) > 0 && rand.Float64() >= nearShare {
+		near = far
+	}
+	return anyOf(near)
+}
+
+// addressElsewhere gives the address of a node in another zone, or of any other
+// node when there is none.
+func (m *membership) addressElsewhere() string {
+	near, far := m.split()
+	if len(far) == 0 {
+		far = near
+	}
+	return anyOf(far)
+}
+
+// split gives the addresses of the nodes in the own zone and in others.
+func (m *membership) split() (near, far []string) {
+	for zone, addresses := range m.addresses() {
+		if zone == m.node.settings().Zone {
+			near = addresses
+			continue
 		}
+		far = append(far, addresses...)
 	}
-	return ""
+	return near, far
+}
+
+func anyOf(addresses []string) string {
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.IntN(len(addresses))]
 }
 
 // all gives the records of all nodes, the own one among them.
@@ -255,4 +366,5 @@
 	if others > 0 || listed {
 		m.node.services.count(others + 1)
 	}
+	m.node.follower.setMembers(m.zoneMembers())
 }
--- /dev/null
+++ b/internal/sidecar/news.go
@@ -0,0 +1,171 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/failure"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// newsPath takes what another node tells at once.
+const newsPath = "/news"
+
+// Bounds of the spread of news.
+const (
+	newsFanOut  = 16 // nodes that one node tells itself
+	newsTimeout = 300 * time.Millisecond
+	newsTries   = 3                     // nodes of a group that are tried in turn
+	newsGather  = 20 * time.Millisecond // changes in this time are told together
+)
+
+// spreader tells other nodes at once what has changed: own records, beats of
+// followers, versions of the configuration. A message goes along a tree whose
+// branches the sender lays out, one branch for each other zone, so that a change
+// crosses to a zone once. What a lost message leaves out is mended by the exchange.
+type spreader struct {
+	node    *Node
+	telling atomic.Bool // the own record is about to be told
+	pulling atomic.Bool // a configuration is being asked for
+}
+
+// tellOwn tells all nodes the own record, with the changes of the next moment.
+func (s *spreader) tellOwn() {
+	if !s.telling.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(newsGather, func() {
+		s.telling.Store(false)
+		s.tellAll(&wire.News{Records: []wire.NodeRecord{*s.node.membership.own()}})
+	})
+}
+
+// tellAll tells the nodes of all zones.
+func (s *spreader) tellAll(message *wire.News) {
+	for zone, addresses := range s.node.membership.addresses() {
+		if zone == s.node.settings().Zone {
+			s.spread(message, addresses)
+			continue
+		}
+		go s.send(message, addresses)
+	}
+}
+
+// tellZone tells the nodes of the own zone.
+func (s *spreader) tellZone(message *wire.News) {
+	s.spread(message, s.node.membership.addresses()[s.node.settings().Zone])
+}
+
+// spread sends a message to some nodes, which pass it on to the others.
+func (s *spreader) spread(message *wire.News, addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	size := (len(addresses) + newsFanOut - 1) / newsFanOut
+	for group := range slices.Chunk(addresses, size) {
+		go s.send(message, group)
+	}
+}
+
+// send sends a message to the first node of a group that takes it, and leaves the
+// others to it.
+func (s *spreader) send(message *wire.News, group []string) {
+	sent := *message
+	sent.From = s.node.settings().Listen.Inbound
+	sent.Version = int64(s.node.version())
+	for tries := 0; tries < newsTries && len(group) > 0; tries++ {
+		sent.Forward = group[1:]
+		if s.post(group[0], &sent) == nil {
+			return
+		}
+		group = group[1:]
+	}
+}
+
+func (s *spreader) post(address string, message *wire.News) error {
+	data, err := wire.NewsCodec.Encode(message)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
+	defer cancel()
+	request := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: newsPath}, Host: address,
+		Header: http.Header{"User-Agent": {""}}, Body: io.NopCloser(bytes.NewReader(data)), ContentLength: int64(len(data)),
+	}
+	response, err := s.node.peers.transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return failure.Wrap(err, failure.Unavailable, "none; another node is told", "news for %s", address)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return failure.New(failure.Unavailable, "none; another node is told", "news for %s: status %d", address, response.StatusCode)
+	}
+	return nil
+}
+
+// ServeHTTP takes news of another node and passes them on.
+func (s *spreader) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxExchange))
+	if err != nil {
+		return
+	}
+	message, err := wire.NewsCodec.Decode(data)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header()["Date"] = nil
+	w.Header()["Content-Type"] = nil
+	s.take(message)
+	go s.passOn(message)
+}
+
+// take learns what news tell.
+func (s *spreader) take(message *wire.News) {
+	m := s.node.membership
+	m.learnFromPeer(message.Records)
+	m.forgetGone(message.Gone)
+	if !message.Beat {
+		return
+	}
+	s.node.follower.heard(message.Follower, message.Well)
+	if slices.Contains(message.Missing, s.node.settings().Node) {
+		s.node.registration.lost()
+	}
+}
+
+// passOn fetches a configuration that the sender has and passes the message on.
+// One that only names a configuration known here goes no further.
+func (s *spreader) passOn(message *wire.News) {
+	newer := message.Version > int64(s.node.version())
+	if newer {
+		s.fetch(message.From)
+	}
+	if !newer && !message.Beat && len(message.Records) == 0 && len(message.Gone) == 0 {
+		return
+	}
+	s.spread(message, message.Forward)
+}
+
+// fetch asks a node for its configuration, unless another one is being asked.
+func (s *spreader) fetch(address string) {
+	if !s.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	defer s.pulling.Store(false)
+	s.node.exchanger.with(context.Background(), address)
+}
+
+// shuffled gives the addresses in a random order.
+func shuffled(addresses []string) []string {
+	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
+	return addresses
+}
--- /dev/null
+++ b/internal/sidecar/news_test.go
@@ -0,0 +1,100 @@
+package sidecar
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/wire"
+	. "github.com/onsi/gomega"
+)
+
+// tellingNodes makes nodes in some zones that know each other, each with its
+// listener for other nodes.
+func tellingNodes(t *testing.T, count, zones int) []*Node {
+	t.Helper()
+	nodes := make([]*Node, count)
+	records := make([]wire.NodeRecord, count)
+	for i := range nodes {
+		name := fmt.Sprintf("node-%d", i)
+		n := memberNode(name, name)
+		server := httptest.NewServer(n.inbound())
+		t.Cleanup(func() {
+			n.peers.transport.CloseIdleConnections()
+			server.Close()
+		})
+		changed := *n.settings()
+		changed.Zone = fmt.Sprintf("zone-%d", i%zones)
+		changed.Listen.Inbound = strings.TrimPrefix(server.URL, "http://")
+		n.checked.Store(&changed)
+		nodes[i] = n
+		records[i] = *n.membership.own()
+	}
+	for _, n := range nodes {
+		n.membership.learnFromPeer(records)
+	}
+	return nodes
+}
+
+// One node tells all others of its change, also where nodes that would pass it on
+// are dead and nobody knows it yet.
+func TestNewsReachAllThroughDeadNodes(t *testing.T) {
+	for _, tc := range []struct {
+		name               string
+		nodes, zones, dead int
+	}{
+		{"one zone", 20, 1, 0},
+		{"many in a zone", 60, 1, 0},
+		{"zones", 40, 5, 0},
+		{"zones with dead nodes", 40, 4, 4},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			nodes := tellingNodes(t, tc.nodes, tc.zones)
+			for _, n := range nodes[1 : 1+tc.dead] {
+				// Nothing listens there any more.
+				gone := httptest.NewServer(http.NotFoundHandler())
+				address := strings.TrimPrefix(gone.URL, "http://")
+				gone.Close()
+				record := *n.membership.own()
+				record.Address, record.Sequence = address, 1
+				for _, other := range nodes {
+					if other != n {
+						other.membership.learnFromPeer([]wire.NodeRecord{record})
+					}
+				}
+			}
+			teller := nodes[0]
+			teller.membership.changed()
+			want := teller.membership.own().Sequence
+			reached := func() (count int) {
+				for _, n := range nodes[1+tc.dead:] {
+					if known := n.membership.record("node-0"); known != nil && known.Sequence == want {
+						count++
+					}
+				}
+				return count
+			}
+			g.Eventually(reached, 5*time.Second, 10*time.Millisecond).Should(Equal(tc.nodes - 1 - tc.dead))
+		})
+	}
+}
+
+// A node that others took for gone is told so when it speaks to one of them, and
+// its next record is news to them.
+func TestNodeHearsThatItIsTakenForGone(t *testing.T) {
+	g := NewWithT(t)
+	nodes := tellingNodes(t, 2, 1)
+	here, there := nodes[0], nodes[1]
+	there.membership.forgetGone([]wire.NodeRecord{*here.membership.own()})
+	g.Expect(there.membership.others()).To(BeZero())
+	here.exchanger.with(t.Context(), there.settings().Listen.Inbound)
+	g.Expect(there.membership.others()).To(BeZero(), "the record that is gone is not brought back")
+	g.Expect(here.registration.missing).To(Receive())
+	here.membership.changed()
+	here.exchanger.with(t.Context(), there.settings().Listen.Inbound)
+	g.Expect(there.membership.others()).To(Equal(1))
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -45,31 +45,34 @@
 
 // Node is one running sidecar node.
 type Node struct {
-	options     Options
-	checked     atomic.Pointer[settings.Settings]
-	incarnation string
-	started     time.Time
-	events      *eventlog.Log
-	metrics     *metrics.Metrics
-	store       store.Store
-	intent      atomic.Pointer[intent.Intent]
-	services    *services
-	splitter    *splitter
-	overload    *overloadControl
-	target      *localTarget
-	ingress     *ingress
-	egress      *egress
-	peers       *peerClient
-	membership  *membership
-	exchanger   *exchanger
-	liveness    *liveness
-	stopping    atomic.Bool // by plan: not ready, requests are still served
-	closing     atomic.Bool // requests are refused, but for calls of what runs
-	inFlight    atomic.Int64
-	storeHealth storeHealth
-	servers     []*http.Server
-	listeners   []net.Listener
-	background  sync.WaitGroup
+	options      Options
+	checked      atomic.Pointer[settings.Settings]
+	incarnation  string
+	started      time.Time
+	events       *eventlog.Log
+	metrics      *metrics.Metrics
+	store        store.Store
+	intent       atomic.Pointer[intent.Intent]
+	services     *services
+	splitter     *splitter
+	overload     *overloadControl
+	target       *localTarget
+	ingress      *ingress
+	egress       *egress
+	peers        *peerClient
+	membership   *membership
+	registration *registration
+	follower     *follower
+	exchanger    *exchanger
+	news         *spreader
+	liveness     *liveness
+	stopping     atomic.Bool // by plan: not ready, requests are still served
+	closing      atomic.Bool // requests are refused, but for calls of what runs
+	inFlight     atomic.Int64
+	storeHealth  storeHealth
+	servers      []*http.Server
+	listeners    []net.Listener
+	background   sync.WaitGroup
 }
 
 // New makes a node and opens its listeners.
@@ -93,7 +96,10 @@
 	n.egress = &egress{node: n}
 	n.peers = newPeerClient(options.Dial)
 	n.membership = newMembership(n)
+	n.registration = newRegistration(n)
+	n.follower = newFollower(n)
 	n.exchanger = &exchanger{node: n}
+	n.news = &spreader{node: n}
 	n.liveness = newLiveness(n.now, n.peers.pingPeer, livenessEvents{lost: n.silent, still: n.services.suspect, back: n.heardAgain})
 	n.target = &localTarget{now: n.now, roster: roster.New(), changed: n.targetChanged, link: n.newLink, identify: n.identify}
 	return n, n.listen()
@@ -140,6 +146,12 @@
 // Version gives the version of the configuration in force; 0: none is known.
 func (n *Node) Version() uint64 { return n.version() }
 
+// Peers gives the number of other nodes that are known.
+func (n *Node) Peers() int { return n.membership.others() }
+
+// Follows tells whether the node follows the store for its zone.
+func (n *Node) Follows() bool { return n.follower.follows() }
+
 func (n *Node) version() uint64 {
 	if current := n.intent.Load(); current != nil {
 		return current.Version
@@ -194,7 +206,8 @@
 	mux.Handle("POST "+callPath, n.ingress)
 	mux.Handle("POST "+settlePath, n.ingress.once)
 	mux.Handle("POST "+exchangePath, n.exchanger)
-	mux.HandleFunc("GET "+pingPath, func(w http.ResponseWriter, _ *http.Request) { w.Header()["Date"] = nil })
+	mux.Handle("POST "+newsPath, n.news)
+	mux.HandleFunc("GET "+pingPath, n.servePing)
 	return mux
 }
 
@@ -231,9 +244,9 @@
 	defer n.background.Wait()
 	defer stop()
 	if n.store != nil {
-		n.background.Go(func() { n.membership.run(background) })
-		n.background.Go(func() { n.membership.watch(background) })
-		n.background.Go(func() { n.watchConfiguration(background) })
+		n.background.Go(func() { n.registration.run(background) })
+		n.background.Go(func() { n.follower.run(background) })
+		n.background.Go(func() { n.findConfiguration(background) })
 	}
 	n.background.Go(func() { n.exchanger.run(background) })
 	n.background.Go(func() { n.events.Run(background) })
@@ -261,10 +274,14 @@
 // the process ends when none is in flight.
 func (n *Node) stop(hurry context.Context) {
 	n.stopping.Store(true)
+	n.follower.resign()
 	n.membership.changed()
 	n.events.Add(eventlog.Node{Change: "stopping", Incarnation: n.incarnation, InFlight: n.inFlight.Load()}, eventlog.State)
 	began := time.Now()
 	latest := began.Add(time.Duration(n.settings().Bounds.Grace) - stopReserve)
+	if n.store != nil {
+		n.registration.withdraw()
+	}
 	for hurry.Err() == nil && time.Since(began) < stopLeast {
 		pause(hurry, stopPoll)
 	}
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -91,6 +91,22 @@
 	return time.Since(h.worked)
 }
 
+// away tells that the last call failed.
+func (h *storeHealth) away() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return !h.lost.IsZero()
+}
+
+// noteFollowing notes that the node begins or ends to follow the store for its zone.
+func (n *Node) noteFollowing(follows bool) {
+	change := "unfollowed"
+	if follows {
+		change = "followed"
+	}
+	n.events.Add(eventlog.Store{Change: change}, eventlog.State)
+}
+
 // storeResult notes the end of a call of the store; the first failure of a row,
 // and the first success after it, are logged.
 func (n *Node) storeResult(call string, err error) {
--- a/internal/sidecar/registration.go
+++ b/internal/sidecar/registration.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,66 +17,203 @@
 	callTimeout    = time.Second // of one call
 	keepShare      = 3           // a lease is renewed each third of its time
 	spreadOfWrites = 300 * time.Millisecond
+	spreadOfReads  = 700 * time.Millisecond // of the lists at the first start of all
+	revokeTimeout  = 300 * time.Millisecond
 )
 
-// run keeps the own record and its lease in the store until ctx ends.
-func (m *membership) run(ctx context.Context) {
-	lifetime := time.Duration(m.node.settings().Store.Lease)
-	var lease store.Lease
-	pause(ctx, time.Duration(rand.Int64N(int64(spreadOfWrites))))
+// Pauses after a call that failed. A node whose record is missing has to have it
+// back within about two seconds of the store's return.
+const (
+	registerAgainLeast  = 900 * time.Millisecond
+	registerAgainSpread = 400 * time.Millisecond
+)
+
+// registration keeps the node's own record in the store. The record is written
+// once in the life of a machine: others find each other by it, and tell each other
+// what changes. It is written anew when the store has lost it.
+type registration struct {
+	node    *Node
+	lease   atomic.Pointer[store.Lease] // nil: none
+	missing chan struct{}               // the store has lost the record
+	failing atomic.Bool                 // the last try to write it failed
+}
+
+func newRegistration(node *Node) *registration {
+	return &registration{node: node, missing: make(chan struct{}, 1)}
+}
+
+// lost notes that the store has no record of the node: it is written anew.
+func (r *registration) lost() {
+	select {
+	case r.missing <- struct{}{}:
+	default:
+	}
+}
+
+// turnedAway tells that the store does not serve the node.
+func (r *registration) turnedAway() bool { return r.failing.Load() || r.node.storeHealth.away() }
+
+// run finds the other nodes and keeps the own record and its lease until ctx ends.
+func (r *registration) run(ctx context.Context) {
+	if r.node.settings().FirstStart {
+		pause(ctx, time.Duration(rand.Int64N(int64(spreadOfWrites))))
+		r.register(ctx)
+		pause(ctx, time.Duration(rand.Int64N(int64(spreadOfReads))))
+		r.findOthers(ctx)
+		r.node.follower.begin()
+	} else {
+		r.findOthers(ctx)
+		r.node.follower.begin()
+		r.register(ctx)
+	}
 	for ctx.Err() == nil {
-		err := m.write(ctx, &lease, lifetime)
-		m.node.storeResult("record", err)
+		if r.keep(ctx) || ctx.Err() != nil {
+			continue
+		}
+		r.lease.Store(nil)
+		r.node.membership.changed()
+		r.register(ctx)
+	}
+}
+
+// findOthers reads the records of all nodes, unless one of them has told them.
+func (r *registration) findOthers(ctx context.Context) {
+	m := r.node.membership
+	for ctx.Err() == nil && m.others() == 0 {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		items, _, err := r.node.store.List(call, r.node.options.NodePrefix)
+		cancel()
+		r.node.storeResult("read", err)
+		if err != nil {
+			r.pause(ctx)
+			continue
+		}
+		r.take(items)
+		break
+	}
+	r.meet(ctx)
+}
+
+// take learns the records that the store has. The lease of the own one, of the
+// process before, is taken over.
+func (r *registration) take(items []store.Item) {
+	m := r.node.membership
+	for _, item := range items {
+		record, err := wire.NodeRecordCodec.Decode(item.Value)
 		if err != nil {
-			pause(ctx, retryAtLeast+time.Duration(rand.Int64N(int64(retryAtMost))))
 			continue
 		}
-		if !m.keep(ctx, lease) {
-			lease = store.Lease{}
+		if name := strings.TrimPrefix(item.Key, r.node.options.NodePrefix); name == r.node.settings().Node {
+			m.outrank(record)
+			if record.Address == r.node.settings().Listen.Inbound && record.Zone == r.node.settings().Zone {
+				r.lease.Store(&store.Lease{ID: item.Lease, TTL: time.Duration(r.node.settings().Store.Lease)})
+			}
+			continue
+		}
+		m.put(record)
+	}
+	m.setListed()
+	m.apply()
+}
+
+// meetings is how many nodes a new one asks for what they know.
+const meetings = 2
+
+// meet asks some nodes for what they know and tells all of them of this one.
+func (r *registration) meet(ctx context.Context) {
+	for range meetings {
+		if address := r.node.membership.anyAddress(); address != "" {
+			go r.node.exchanger.with(ctx, address)
+		}
+	}
+	r.node.news.tellOwn()
+}
+
+// pause waits after a call that failed until the store answers a probe.
+func (r *registration) pause(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, registerAgainLeast+time.Duration(rand.Int64N(int64(registerAgainSpread))))
+		if ctx.Err() != nil || r.node.probe(ctx) {
+			return
 		}
 	}
 }
 
-// write writes the own record under a lease.
-func (m *membership) write(ctx context.Context, lease *store.Lease, lifetime time.Duration) error {
+// register writes the own record, again and again until the store takes it. A
+// lease that was taken over is renewed in its place.
+func (r *registration) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := r.write(ctx)
+		r.node.storeResult("record", err)
+		r.failing.Store(err != nil)
+		if err == nil {
+			r.found()
+			return
+		}
+		r.pause(ctx)
+	}
+}
+
+// found drops what was heard of a loss before the record was written.
+func (r *registration) found() {
+	select {
+	case <-r.missing:
+	default:
+	}
+}
+
+func (r *registration) write(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if lease.ID == 0 {
-		granted, err := m.node.store.Grant(ctx, lifetime)
-		if err != nil {
+	s := r.node.store
+	if lease := r.lease.Load(); lease != nil {
+		err := s.Keep(ctx, lease.ID)
+		if !errors.Is(err, store.ErrLeaseGone) {
 			return err
 		}
-		*lease = granted
 	}
-	value, err := wire.NodeRecordCodec.Encode(m.own())
+	lease, err := s.Grant(ctx, time.Duration(r.node.settings().Store.Lease))
 	if err != nil {
 		return err
 	}
-	_, err = m.node.store.Put(ctx, store.Write{Key: m.node.options.NodePrefix + m.node.settings().Node, Value: value, Lease: lease.ID})
-	if errors.Is(err, store.ErrLeaseGone) {
-		*lease = store.Lease{}
+	value, err := wire.NodeRecordCodec.Encode(r.node.membership.own())
+	if err != nil {
+		return err
 	}
-	return err
+	if _, err = s.Put(ctx, store.Write{Key: r.node.options.NodePrefix + r.node.settings().Node, Value: value, Lease: lease.ID}); err != nil {
+		return err
+	}
+	r.lease.Store(&lease)
+	return nil
 }
 
-// keep renews the lease until the own record changes (true) or the lease is over.
-func (m *membership) keep(ctx context.Context, lease store.Lease) bool {
-	timer := time.NewTicker(lease.TTL / keepShare)
+// keep renews the lease until it is over or the record is lost (false).
+func (r *registration) keep(ctx context.Context) bool {
+	lease := r.lease.Load()
+	timer := time.NewTimer(lease.TTL / keepShare)
 	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-m.wake:
-			return true
-		case <-timer.C:
-		}
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		err := m.node.store.Keep(call, lease.ID)
-		cancel()
-		m.node.storeResult("lease", err)
-		if errors.Is(err, store.ErrLeaseGone) {
-			return false
-		}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.missing:
+		return false
+	case <-timer.C:
 	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := r.node.store.Keep(call, lease.ID)
+	r.node.storeResult("lease", err)
+	return !errors.Is(err, store.ErrLeaseGone)
+}
+
+// withdraw takes the record out of the store when the target has left for good: the
+// machine goes with it.
+func (r *registration) withdraw() {
+	lease := r.lease.Load()
+	if lease == nil || !r.node.target.hasLeft() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+	defer cancel()
+	r.node.storeResult("revoke", r.node.store.Revoke(ctx, lease.ID))
 }
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -60,7 +60,7 @@
 type Store struct {
 	// Address of the service, IP:port; empty: no store.
 	Address string `yaml:"address"`
-	// Lease is how long the record of a silent node lasts; default 20s.
+	// Lease is how long the record of a silent node lasts; default 30s.
 	Lease bundle.Duration `yaml:"lease"`
 	// ReadsPerSecond is how many reading calls all nodes together may make; 0: not known.
 	ReadsPerSecond float64 `yaml:"reads_per_second"`
@@ -86,7 +86,7 @@
 
 // Defaults of the settings.
 const (
-	DefaultLease     = 20 * time.Second
+	DefaultLease     = 30 * time.Second
 	DefaultDrain     = 2 * time.Second
 	DefaultGrace     = 6 * time.Second
 	DefaultRatio     = 0.2
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -148,6 +148,13 @@
 	return t.roster.Current(), t.coldTill
 }
 
+// hasLeft tells that the last target left for good and no other has come.
+func (t *localTarget) hasLeft() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.roster.Empty()
+}
+
 // identifyTimeout bounds the question to the target who it is; the
 // acknowledgement of a heartbeat waits for it.
 const identifyTimeout = 400 * time.Millisecond
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -62,6 +62,8 @@
 	// Watch waits for changes below a prefix after a revision; no events and a
 	// revision when none came within wait.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+	// Probe asks for a sign of life, as cheaply as the service allows.
+	Probe(ctx context.Context) error
 	// Put writes a key and gives the new revision.
 	Put(ctx context.Context, write Write) (int64, error)
 	// Grant takes a lease.
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -4,6 +4,7 @@
 const (
 	HeaderSidecarCall   = "Landingmast-Sidecar-Call"
 	HeaderSidecarResult = "Landingmast-Sidecar-Result"
+	HeaderSidecarPong   = "Landingmast-Sidecar-Pong"
 )
 
 // SidecarCall is the head of a request from the node where it began to the node
@@ -76,6 +77,30 @@
 	// Buckets are the digests of the records by hash of the node's name; none: only
 	// the whole digest was compared so far.
 	Buckets []int64 `avro:"buckets"`
+	// From is the node that sends the message.
+	From string `avro:"from"`
+	// Gone tells the receiver of an answer that it is taken for gone.
+	Gone bool `avro:"gone"`
+}
+
+// News is what a node tells others at once. It travels along a tree: the receiver
+// passes it on to the addresses in Forward.
+type News struct {
+	From     string       `avro:"from"`    // address of the sender, to ask for what Version names
+	Forward  []string     `avro:"forward"` // addresses of the nodes to pass it on to
+	Version  int64        `avro:"version"` // of the configuration that the sender has
+	Records  []NodeRecord `avro:"records"` // that have changed
+	Beat     bool         `avro:"beat"`    // Follower follows the store
+	Follower string       `avro:"follower"`
+	Well     bool         `avro:"well"`    // Follower hears the store
+	Missing  []string     `avro:"missing"` // nodes of the zone whose records the store has lost
+	Gone     []NodeRecord `avro:"gone"`    // the last records of nodes that are gone
+}
+
+// Pong is the answer to a question whether a node lives.
+type Pong struct {
+	Node       string `avro:"node"`
+	TurnedAway bool   `avro:"turned_away"` // the store does not serve it
 }
 
 const (
@@ -83,12 +108,29 @@
 {"name":"digest","type":"long"},{"name":"version","type":"long"},
 {"name":"records","type":{"type":"array","items":` + nodeRecordSchema + `},"default":[]},
 {"name":"configuration","type":"bytes","default":""},
+{"name":"buckets","type":{"type":"array","items":"long"},"default":[]},
+{"name":"from","type":"string","default":""},{"name":"gone","type":"boolean","default":false}]}`
+	// ExchangeSchema2 is that of the release before, which did not name the sender.
+	ExchangeSchema2 = `{"type":"record","name":"Exchange","fields":[
+{"name":"digest","type":"long"},{"name":"version","type":"long"},
+{"name":"records","type":{"type":"array","items":` + nodeRecordSchema + `},"default":[]},
+{"name":"configuration","type":"bytes","default":""},
 {"name":"buckets","type":{"type":"array","items":"long"},"default":[]}]}`
-	// ExchangeSchema1 is that of the release before, which sent all records at once.
+	// ExchangeSchema1 is that of the first release, which sent all records at once.
 	ExchangeSchema1 = `{"type":"record","name":"Exchange","fields":[
 {"name":"digest","type":"long"},{"name":"version","type":"long"},
 {"name":"records","type":{"type":"array","items":` + nodeRecordSchema + `},"default":[]},
 {"name":"configuration","type":"bytes","default":""}]}`
+	newsSchema = `{"type":"record","name":"News","fields":[
+{"name":"from","type":"string"},{"name":"forward","type":{"type":"array","items":"string"},"default":[]},
+{"name":"version","type":"long","default":0},
+{"name":"records","type":{"type":"array","items":` + nodeRecordSchema + `},"default":[]},
+{"name":"beat","type":"boolean","default":false},{"name":"follower","type":"string","default":""},
+{"name":"well","type":"boolean","default":false},
+{"name":"missing","type":{"type":"array","items":"string"},"default":[]},
+{"name":"gone","type":{"type":"array","items":"NodeRecord"},"default":[]}]}`
+	pongSchema = `{"type":"record","name":"Pong","fields":[
+{"name":"node","type":"string"},{"name":"turned_away","type":"boolean","default":false}]}`
 	sidecarCallSchema = `{"type":"record","name":"SidecarCall","fields":[
 {"name":"request_id","type":"string"},{"name":"method","type":"string"},{"name":"uri","type":"string"},
 {"name":"host","type":"string"},{"name":"service","type":"string"},{"name":"route","type":"string","default":""},
@@ -119,6 +161,8 @@
 var (
 	SidecarCallCodec   = NewCodec[SidecarCall](maxHeaderMessage, sidecarCallSchema)
 	SidecarResultCodec = NewCodec[SidecarResult](maxHeaderMessage, sidecarResultSchema)
-	ExchangeCodec      = NewCodec[Exchange](maxExchange, exchangeSchema, ExchangeSchema1)
+	ExchangeCodec      = NewCodec[Exchange](maxExchange, exchangeSchema, ExchangeSchema1, ExchangeSchema2)
+	NewsCodec          = NewCodec[News](maxExchange, newsSchema)
+	PongCodec          = NewCodec[Pong](maxHeaderMessage, pongSchema)
 	NodeRecordCodec    = NewCodec[NodeRecord](maxHeaderMessage, nodeRecordSchema)
 )
