Admit by the waits along the chain; begin no work that cannot end in time

A claim list makes ten calls there in a row; a queue of half the slots at each of three services makes it miss its time though no service looked full (line at 1.5 of the slots). Nine in ten lists were let in and failed; their work at the scarce service was for nothing. In the logs of a zone: lists waited 1.5 s at their first gate, began with less time left than they need, and calls without room were tried at up to eight gates. Change: replies carry the wait for a slot of each service below (a header of its own, so that nodes of the release before read the rest); the share let in falls from 1 to 0.03 as the waits along the chain go from 0.1 to 0.6 of the route's objective, each priority begins 1 later. A gate learns the time of each route and does not begin what has less than 0.7 of it left. No more than three gates without room are tried. Refused clients are told to come back after a sixth to a third of their own time, not of the route's.

--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -204,38 +204,61 @@
 	return b.config.FarFactor + b.config.LargeFactor*min(b.answer/float64(b.config.LargeAnswer), 1)
 }
 
-// Bounds of what one target adds to the occupancy of its service.
+// Bounds of what one target adds to the pressure on its service.
 const (
 	// fullestCounted bounds a fresh report: one target with a long queue is no
 	// shortage of the service.
 	fullestCounted = 2.5
-	// fullestAged bounds an older one: its queue may have gone.
-	fullestAged = 1.0
+	// leastCounted is the number of targets that a pressure is made from, as far as
+	// there are as many. Aged reports make it up; they prove no queue, since it may
+	// have gone.
+	leastCounted = 4
+	fullestAged  = 1.0
 )
 
-// Occupancy gives the share of the slots of all targets with reports that is in use
-// or waited for; false when no report is fresh.
-func (b *Balancer) Occupancy(now time.Duration) (float64, bool) {
-	used, total := 0.0, 0
-	known := false
+// Pressure is how full a service is.
+type Pressure struct {
+	Occupancy float64       // requests at the targets and waiting, over slots
+	Wait      time.Duration // for a slot, of one request
+}
+
+// Pressure gives that of all targets with fresh reports; false when there is none.
+func (b *Balancer) Pressure(now time.Duration) (Pressure, bool) {
+	var fresh, aged sums
 	for _, e := range b.order {
 		age := now - e.reportedAt
-		if e.reportedAt == 0 || age >= b.config.ReportLife || e.report.Slots == 0 {
-			continue
+		switch {
+		case e.reportedAt == 0 || age >= b.config.ReportLife || e.report.Slots == 0:
+		case age < b.config.OccupancyLife:
+			fresh.add(e, fullestCounted)
+		default:
+			aged.add(e, fullestAged)
 		}
-		fresh := age < b.config.OccupancyLife
-		most := fullestAged
-		if fresh {
-			most = fullestCounted
-		}
-		known = known || fresh
-		used += min(e.report.Occupancy(), most) * float64(e.report.Slots)
-		total += e.report.Slots
 	}
-	if !known {
-		return 0, false
+	if fresh.targets == 0 {
+		return Pressure{}, false
+	}
+	if lacking := leastCounted - fresh.targets; lacking > 0 && aged.targets > 0 {
+		part := min(float64(lacking)/float64(aged.targets), 1)
+		fresh.used += part * aged.used
+		fresh.slots += part * aged.slots
 	}
-	return used / float64(total), true
+	return Pressure{Occupancy: fresh.used / fresh.slots, Wait: time.Duration(fresh.waited / fresh.slots)}, true
+}
+
+// sums adds up reports.
+type sums struct {
+	targets             int
+	used, slots, waited float64
+}
+
+func (s *sums) add(e *Endpoint, most float64) {
+	count := float64(e.report.Slots)
+	occupancy := min(e.report.Occupancy(), most)
+	s.targets++
+	s.slots += count
+	s.used += occupancy * count
+	s.waited += max(occupancy-1, 0) * float64(e.report.Hold) * count
 }
 
 // A target that loses requests costs more, in proportion to their share: never
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -22,6 +22,10 @@
 	Start, Width float64
 	// Step is added to Start for each priority above the least.
 	Step float64
+	// LateStart is the wait along the whole chain, as a part of the route's objective,
+	// at which the least important requests begin to be refused; LateWidth above it
+	// only Least of them are let in. LateStep is added for each priority above.
+	LateStart, LateWidth, LateStep float64
 	// Smoothing is the time constant of the mean occupancy.
 	Smoothing time.Duration
 	// Least is the admitted share that always remains, so that news of the
@@ -33,14 +37,18 @@
 
 // DefaultConfig gives the values that docs/PLATFORM.md was measured with.
 func DefaultConfig() Config {
-	return Config{Start: 1.5, Width: 2, Step: 2.5, Smoothing: 250 * time.Millisecond, Least: 0.03, Forget: time.Second}
+	return Config{
+		Start: 1.5, Width: 2, Step: 2.5, LateStart: 0.1, LateWidth: 0.5, LateStep: 1,
+		Smoothing: 250 * time.Millisecond, Least: 0.03, Forget: time.Second,
+	}
 }
 
 // Need is what one request needs of a service: calls there, with all below it.
 type Need struct {
 	Service   string
 	Calls     int
-	Occupancy float64 // mean occupancy that was seen there; below 0: unknown
+	Occupancy float64       // mean occupancy that was seen there; below 0: unknown
+	Wait      time.Duration // mean wait for a slot that was seen there
 }
 
 // Controller holds the state of one node. It is not safe for concurrent use.
@@ -52,9 +60,18 @@
 
 type pressure struct {
 	occupancy float64
+	wait      float64 // ns
 	seen      time.Duration
 }
 
+// faded tells what is left of a figure that was seen some time ago.
+func (p *pressure) faded(now time.Duration, forget time.Duration, figure float64) float64 {
+	if silence := now - p.seen; silence > forget {
+		figure *= math.Exp(-float64(silence-forget) / float64(forget))
+	}
+	return figure
+}
+
 // New makes a controller that admits everything.
 func New(config Config) *Controller {
 	return &Controller{config: config, services: map[string]*pressure{}, routes: map[string]map[string]float64{}}
@@ -67,19 +84,21 @@
 	needLeast  = 0.05
 )
 
-// Observe takes in the occupancy of a service.
-func (c *Controller) Observe(now time.Duration, service string, occupancy float64) {
+// Observe takes in the occupancy of a service and the wait for a slot there.
+func (c *Controller) Observe(now time.Duration, service string, occupancy float64, wait time.Duration) {
 	if occupancy < 0 || math.IsNaN(occupancy) {
 		return
 	}
 	p := c.services[service]
 	if p == nil {
-		c.services[service] = &pressure{occupancy: occupancy, seen: now}
+		c.services[service] = &pressure{occupancy: occupancy, wait: float64(wait), seen: now}
 		return
 	}
 	elapsed := now - p.seen
 	weight := 1 - math.Exp(-float64(elapsed)/float64(c.config.Smoothing))
-	p.occupancy += max(weight, sampleWeight) * (occupancy - p.occupancy)
+	weight = max(weight, sampleWeight)
+	p.occupancy += weight * (occupancy - p.occupancy)
+	p.wait += weight * (float64(wait) - p.wait)
 	p.seen = now
 }
 
@@ -122,16 +141,29 @@
 
 // Share gives the share of a route's requests that is admitted now, and the
 // service that decides it. steps is how many priorities the route stands above
-// the least important one.
-func (c *Controller) Share(now time.Duration, route string, steps int) (float64, string) {
+// the least important one, objective the time inside which its answers are wanted;
+// 0: it has none.
+func (c *Controller) Share(now time.Duration, route string, steps int, objective time.Duration) (float64, string) {
 	lowest, decisive := 1.0, ""
+	waits, longest, slowest := 0.0, 0.0, ""
 	for service, calls := range c.routes[route] {
-		if calls < needLeast {
+		p := c.services[service]
+		if calls < needLeast || p == nil {
 			continue
 		}
-		if admitted := c.admitted(now, service, steps); admitted < lowest {
+		if admitted := c.admitted(p.faded(now, c.config.Forget, p.occupancy), steps); admitted < lowest {
 			lowest, decisive = admitted, service
 		}
+		wait := calls * p.faded(now, c.config.Forget, p.wait)
+		waits += wait
+		if wait > longest {
+			longest, slowest = wait, service
+		}
+	}
+	if objective > 0 {
+		if admitted := c.inTime(waits/float64(objective), steps); admitted < lowest {
+			lowest, decisive = admitted, slowest
+		}
 	}
 	return lowest, decisive
 }
@@ -144,18 +176,18 @@
 	return 0
 }
 
-// admitted gives the share that one service leaves. Chains wait for their calls,
-// so that the occupancy grows no faster than chains come: a share in proportion
-// to it settles without memory of its own.
-func (c *Controller) admitted(now time.Duration, service string, steps int) float64 {
-	p := c.services[service]
-	if p == nil {
-		return 1
-	}
-	occupancy := p.occupancy
-	if silence := now - p.seen; silence > c.config.Forget {
-		occupancy *= math.Exp(-float64(silence-c.config.Forget) / float64(c.config.Forget))
-	}
+// admitted gives the share that the occupancy of one service leaves. Chains wait for
+// their calls, so that the occupancy grows no faster than chains come: a share in
+// proportion to it settles without memory of its own.
+func (c *Controller) admitted(occupancy float64, steps int) float64 {
 	excess := occupancy - c.config.Start - float64(steps)*c.config.Step
 	return min(max(1-excess/c.config.Width, c.config.Least), 1)
 }
+
+// inTime gives the share that the waits along the chain leave. A chain of many calls
+// in a row is late though each of its services has a short queue; its work is then
+// done for nothing.
+func (c *Controller) inTime(waits float64, steps int) float64 {
+	excess := waits - c.config.LateStart - float64(steps)*c.config.LateStep
+	return min(max(1-excess/c.config.LateWidth, c.config.Least), 1)
+}
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -25,7 +25,8 @@
 type Request struct {
 	ID         uint64
 	Importance int           // lower goes first
-	Deadline   time.Duration // when the wait is of no more use
+	Deadline   time.Duration // when the answer is of no more use
+	Class      string        // requests of one class take alike long; empty: none
 }
 
 // Decision tells the driver to send a request or to refuse it.
@@ -53,6 +54,27 @@
 	return float64(l.Running+l.Waiting) / float64(l.Slots)
 }
 
+// sent is a request at the target.
+type sent struct {
+	class string
+	at    time.Duration
+}
+
+// learned is a mean time, learned from requests that have ended.
+type learned struct {
+	mean  float64 // ns
+	ended int
+}
+
+// learn takes in how long one lasted.
+func (l *learned) learn(lasted float64) {
+	l.ended++
+	l.mean += max(holdWeight, 1/float64(l.ended)) * (lasted - l.mean)
+}
+
+// known tells whether enough have ended to trust the mean.
+func (l *learned) known() bool { return l.ended >= learnedFrom }
+
 type waiting struct {
 	request Request
 	arrived time.Duration
@@ -61,10 +83,10 @@
 // Gate is the state of one target. It is not safe for concurrent use.
 type Gate struct {
 	slots    int
-	running  map[uint64]time.Duration // when sent
+	running  map[uint64]sent
 	queue    []waiting
-	hold     float64 // moving mean, ns
-	ended    int     // requests that hold was learned from
+	hold     learned             // of all requests
+	classes  map[string]*learned // by class
 	draining bool
 }
 
@@ -90,7 +112,7 @@
 
 // New makes a gate for a target with so many slots.
 func New(slots int) *Gate {
-	return &Gate{slots: usable(slots), running: map[uint64]time.Duration{}, hold: float64(firstHold)}
+	return &Gate{slots: usable(slots), running: map[uint64]sent{}, hold: learned{mean: float64(firstHold)}, classes: map[string]*learned{}}
 }
 
 // SetSlots changes the number of slots.
@@ -102,8 +124,8 @@
 // Load describes the gate now.
 func (g *Gate) Load() Load {
 	load := Load{Slots: g.slots, Running: len(g.running), Waiting: len(g.queue)}
-	if g.ended >= learnedFrom {
-		load.Hold = time.Duration(g.hold)
+	if g.hold.known() {
+		load.Hold = time.Duration(g.hold.mean)
 	}
 	return load
 }
@@ -116,11 +138,12 @@
 	if g.draining {
 		return []Decision{{ID: request.ID, Reason: ReasonDraining}}
 	}
+	request.Deadline -= g.needed(request.Class)
 	if now >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonExpired}}
 	}
 	if len(g.running) < g.slots && len(g.queue) == 0 {
-		g.running[request.ID] = now
+		g.running[request.ID] = sent{class: request.Class, at: now}
 		return []Decision{{ID: request.ID, Send: true}}
 	}
 	place := g.place(request)
@@ -146,7 +169,26 @@
 }
 
 func (g *Gate) expectedWait(place int) time.Duration {
-	return time.Duration(g.hold * float64(place+1) / float64(g.slots))
+	return time.Duration(g.hold.mean * float64(place+1) / float64(g.slots))
+}
+
+// Parts of the mean time of its class, or of all requests, that a request must have
+// left for its work to be worth beginning. Requests of one class take alike long; of
+// all requests some are much shorter than the mean.
+const (
+	neededOfClass = 0.7
+	neededOfAll   = 0.5
+)
+
+// needed is the time that a request of a class needs at the target.
+func (g *Gate) needed(class string) time.Duration {
+	if one := g.classes[class]; one != nil && one.known() {
+		return time.Duration(neededOfClass * one.mean)
+	}
+	if g.hold.known() && class == "" {
+		return time.Duration(neededOfAll * g.hold.mean)
+	}
+	return 0
 }
 
 // Finish gives the slot of a request back. learn tells that it was answered, so
@@ -154,21 +196,32 @@
 // would have taken longer: it counts when it lasted longer than the mean. Without
 // it a target that is too slow for the deadlines would look as fast as before.
 func (g *Gate) Finish(now time.Duration, id uint64, learn bool) []Decision {
-	sent, present := g.running[id]
+	one, present := g.running[id]
 	if !present {
 		return nil
 	}
 	delete(g.running, id)
-	if lasted := float64(now - sent); learn || lasted > g.hold {
-		g.learn(lasted)
+	lasted := float64(now - one.at)
+	if learn || lasted > g.hold.mean {
+		g.hold.learn(lasted)
+	}
+	if class := g.class(one.class); class != nil && (learn || class.known() && lasted > class.mean) {
+		class.learn(lasted)
 	}
 	return g.fill(now, nil)
 }
 
-// learn takes in how long a request kept its slot.
-func (g *Gate) learn(lasted float64) {
-	g.ended++
-	g.hold += max(holdWeight, 1/float64(g.ended)) * (lasted - g.hold)
+// maxClasses bounds the classes that are told apart.
+const maxClasses = 64
+
+// class gives what is learned of a class, nil when there are too many.
+func (g *Gate) class(name string) *learned {
+	one := g.classes[name]
+	if one == nil && name != "" && len(g.classes) < maxClasses {
+		one = &learned{}
+		g.classes[name] = one
+	}
+	return one
 }
 
 // Withdraw takes a request out of the queue; it gives false when the request
@@ -212,7 +265,7 @@
 	for len(g.queue) > 0 && len(g.running) < g.slots {
 		next := g.queue[0]
 		g.queue = g.queue[1:]
-		g.running[next.request.ID] = now
+		g.running[next.request.ID] = sent{class: next.request.Class, at: now}
 		decisions = append(decisions, Decision{ID: next.request.ID, Send: true, Waited: now - next.arrived})
 	}
 	return decisions
--- a/internal/core/slots/slots_test.go
+++ b/internal/core/slots/slots_test.go
@@ -181,3 +181,40 @@
 	gate.Finish(lasts, learnedFrom, true)
 	g.Expect(gate.Load().Hold).To(BeNumerically("~", lasts, time.Millisecond), "the first hold time that was assumed leaves no trace")
 }
+
+// A request that has less time left than its like takes would hold its slot, and
+// slots all the way down, for nothing. Requests of another class on the same target
+// may be much shorter. Found on cphx-claims-large scale-1.
+func TestWorkThatCannotEndInTimeIsNotBegun(t *testing.T) {
+	const list, lookup = 2 * time.Second, 100 * time.Millisecond
+	gate := New(20)
+	now, id := time.Duration(0), uint64(0)
+	for range learnedFrom {
+		for class, lasts := range map[string]time.Duration{"list": list, "lookup": lookup} {
+			id++
+			gate.Arrive(now, Request{ID: id, Class: class, Deadline: now + time.Hour})
+			gate.Finish(now+lasts, id, true)
+			now += list
+		}
+	}
+	for _, tc := range []struct {
+		name, class string
+		left        time.Duration
+		sent        bool
+	}{
+		{"list with time", "list", 2 * time.Second, true},
+		{"list that may just end", "list", 1500 * time.Millisecond, true},
+		{"list that is too late", "list", time.Second, false},
+		{"lookup", "lookup", 200 * time.Millisecond, true},
+		{"a class that is new", "other", 200 * time.Millisecond, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			id++
+			decisions := gate.Arrive(now, Request{ID: id, Class: tc.class, Deadline: now + tc.left})
+			g.Expect(decisions).To(HaveLen(1))
+			g.Expect(decisions[0].Send).To(Equal(tc.sent))
+			gate.Finish(now, id, false)
+		})
+	}
+}
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -50,6 +50,7 @@
 const (
 	defaultDeadline = 10 * time.Second // of a sender that names none
 	maxBounces      = 8                // sendings that no target saw
+	maxFulls        = 3                // of them those for which there was no room in time
 	bodyGrace       = 50 * time.Millisecond
 )
 
@@ -99,14 +100,19 @@
 	return path
 }
 
-// holdTime is the longest time that the request may be held.
-func (x *exchange) holdTime() time.Duration {
-	hold := defaultDeadline
+// clientTime is how long the sender will wait.
+func (x *exchange) clientTime() time.Duration {
 	if text := x.request.Header.Get(x.node.options.Headers.Deadline); text != "" {
 		if milliseconds, err := strconv.ParseFloat(text, 64); err == nil && milliseconds >= 0 {
-			hold = time.Duration(milliseconds * float64(time.Millisecond))
+			return time.Duration(milliseconds * float64(time.Millisecond))
 		}
 	}
+	return defaultDeadline
+}
+
+// holdTime is the longest time that the request may be held.
+func (x *exchange) holdTime() time.Duration {
+	hold := x.clientTime()
 	if x.route.Timeout > 0 {
 		hold = min(hold, x.route.Timeout)
 	}
@@ -141,7 +147,7 @@
 	x.service = x.node.splitter.choose(x.route)
 	x.node.countRequest(x.route, x.service, x.parent != nil)
 	if !x.admitted() {
-		x.refuse(http.StatusServiceUnavailable, reasonSheds, x.comeBack(hold))
+		x.refuse(http.StatusServiceUnavailable, reasonSheds, comeBack(x.clientTime()))
 		return
 	}
 	x.send(ctx)
@@ -159,19 +165,18 @@
 	return admitted
 }
 
-// comeBackShare is the part of its time after which a refused client comes back:
-// as late as clients wait, when the shortage may be over, with most of it left.
+// comeBackShare is the part of its time after which a refused client comes back at
+// the latest: as late as clients wait, when the shortage may be over, with most of
+// its time left.
 const comeBackShare = 3
 
-func (x *exchange) comeBack(hold time.Duration) time.Duration {
-	return jittered(hold / (2 * comeBackShare))
-}
+func comeBack(time time.Duration) time.Duration { return jittered(time / (2 * comeBackShare)) }
 
 // learn takes in what a sending told of the services down the chain.
 func (x *exchange) learn(answer *reply) {
 	needs := answer.needs
-	if occupancy, known := x.node.services.get(x.service).occupancy(x.node.now()); known && answer.load.Slots > 0 {
-		needs = append(needs, wire.Need{Service: x.service, Calls: 1, Occupancy: int(occupancy * occupancyScale)})
+	if pressure, known := x.node.services.get(x.service).pressure(x.node.now()); known && answer.load.Slots > 0 {
+		needs = append(needs, wire.Need{Service: x.service, Calls: 1, Occupancy: int(pressure.Occupancy * occupancyScale), Wait: pressure.Wait})
 	}
 	if x.parent != nil {
 		x.parent.add(needs)
@@ -209,7 +214,7 @@
 	target := x.node.services.get(x.service)
 	excluded := map[string]bool{}
 	last := notRun(reasonNoTarget)
-	for bounces := 0; bounces < maxBounces && ctx.Err() == nil; {
+	for bounces, fulls := 0, 0; bounces < maxBounces && fulls < maxFulls && ctx.Err() == nil; {
 		choice := target.pick(x.node.now(), excluded)
 		if choice == nil {
 			break
@@ -229,6 +234,9 @@
 		} else {
 			bounces++
 		}
+		if last.full() {
+			fulls++
+		}
 		if last.outcome == Unknown {
 			x.mayRun = true
 		}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -35,7 +35,7 @@
 		sum := r.needs[need.Service]
 		sum.Service = need.Service
 		sum.Calls += need.Calls
-		sum.Occupancy = need.Occupancy // the newest
+		sum.Occupancy, sum.Wait = need.Occupancy, need.Wait // the newest
 		r.needs[need.Service] = sum
 	}
 }
@@ -149,6 +149,9 @@
 		header[name] = values
 	}
 	header.Set(wire.HeaderSidecarResult, head)
+	if waits := waitsOf(answer.needs); waits != "" {
+		header.Set(wire.HeaderSidecarWaits, waits)
+	}
 	withoutGuess(header)
 	if answer.stream == nil {
 		header.Set("Content-Length", strconv.Itoa(len(answer.body)))
@@ -212,10 +215,8 @@
 	}
 	one.instance = gate.instance
 	deadline, _ := ctx.Deadline()
-	load, _ := gate.load()
-	now := i.node.now()
 	id, decision := gate.enter(ctx, slots.Request{
-		Importance: call.Importance, Deadline: now + time.Until(deadline) - load.Hold/2,
+		Importance: call.Importance, Deadline: i.node.now() + time.Until(deadline), Class: call.Route,
 	})
 	one.waited = decision.Waited
 	var answer *reply
--- a/internal/sidecar/overload.go
+++ b/internal/sidecar/overload.go
@@ -27,7 +27,7 @@
 // share that is, the service that decides it and that service's occupancy.
 func (o *overloadControl) admit(route *intent.Route) (admitted bool, share float64, decisive string, occupancy float64) {
 	o.mutex.Lock()
-	share, decisive = o.core.Share(o.node.now(), route.Name, o.stepsAboveLeast(route))
+	share, decisive = o.core.Share(o.node.now(), route.Name, o.stepsAboveLeast(route), route.Objective)
 	if decisive != "" {
 		occupancy = o.core.Occupancy(decisive)
 	}
@@ -58,12 +58,12 @@
 	now := o.node.now()
 	read := make([]overload.Need, 0, len(needs))
 	for _, need := range needs {
-		read = append(read, overload.Need{Service: need.Service, Calls: need.Calls, Occupancy: float64(need.Occupancy) / occupancyScale})
+		read = append(read, overload.Need{Service: need.Service, Calls: need.Calls, Occupancy: float64(need.Occupancy) / occupancyScale, Wait: need.Wait})
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	for _, need := range read {
-		o.core.Observe(now, need.Service, need.Occupancy)
+		o.core.Observe(now, need.Service, need.Occupancy, need.Wait)
 	}
 	o.core.Learn(route.Name, read, served)
 }
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -135,6 +135,7 @@
 		return unknown(reasonBadMessage)
 	}
 	answer := replyOf(result)
+	answer.takeWaits(response.Header.Get(wire.HeaderSidecarWaits))
 	data, rest, err := readWhole(response.Body)
 	if err != nil {
 		_ = response.Body.Close()
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -87,6 +87,15 @@
 	return false
 }
 
+// full tells that the gate had no room in time.
+func (r *reply) full() bool {
+	switch slots.Reason(r.reason) {
+	case slots.ReasonTooLong, slots.ReasonFull, slots.ReasonExpired:
+		return true
+	}
+	return false
+}
+
 func (r *reply) close() {
 	if r.stream != nil {
 		_ = r.stream.Close()
@@ -137,3 +146,40 @@
 		load: slots.Load{Slots: result.Slots, Running: result.Running, Waiting: result.Waiting, Hold: time.Duration(result.Hold) * time.Microsecond},
 	}
 }
+
+// waitsOf writes the waits of services for the node that asked; empty where nothing
+// waits.
+func waitsOf(needs []wire.Need) string {
+	message := &wire.Waits{}
+	for _, need := range needs {
+		if need.Wait > 0 {
+			message.Services = append(message.Services, wire.ServiceWait{Service: need.Service, Wait: need.Wait.Microseconds()})
+		}
+	}
+	if len(message.Services) == 0 {
+		return ""
+	}
+	head, err := wire.WaitsCodec.EncodeHeader(message)
+	if err != nil {
+		return ""
+	}
+	return head
+}
+
+// takeWaits reads the waits of services; a node of an earlier release sends none.
+func (r *reply) takeWaits(head string) {
+	if head == "" {
+		return
+	}
+	message, err := wire.WaitsCodec.DecodeHeader(head)
+	if err != nil {
+		return
+	}
+	for _, one := range message.Services {
+		for index := range r.needs {
+			if r.needs[index].Service == one.Service {
+				r.needs[index].Wait = time.Duration(one.Wait) * time.Microsecond
+			}
+		}
+	}
+}
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -147,11 +147,11 @@
 	}
 }
 
-// occupancy gives that of all targets of the service; false when it is not known.
-func (s *service) occupancy(now time.Duration) (float64, bool) {
+// pressure tells how full the service is; false when it is not known.
+func (s *service) pressure(now time.Duration) (balancer.Pressure, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.balancer.Occupancy(now)
+	return s.balancer.Pressure(now)
 }
 
 func (s *service) count(now time.Duration, requests float64) {
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -1,10 +1,13 @@
 package wire
 
+import "time"
+
 // Names of the headers between sidecar nodes.
 const (
 	HeaderSidecarCall   = "Landingmast-Sidecar-Call"
 	HeaderSidecarResult = "Landingmast-Sidecar-Result"
 	HeaderSidecarPong   = "Landingmast-Sidecar-Pong"
+	HeaderSidecarWaits  = "Landingmast-Sidecar-Waits"
 )
 
 // SidecarCall is the head of a request from the node where it began to the node
@@ -51,6 +54,20 @@
 	Service   string `avro:"service"`
 	Calls     int    `avro:"calls"`
 	Occupancy int    `avro:"occupancy"` // requests at the target and waiting, in thousandths of its slots; -1: unknown
+	// Wait is how long one call waits there for a slot; it travels in Waits.
+	Wait time.Duration `avro:"-"`
+}
+
+// Waits goes with a SidecarResult when requests wait somewhere below. It is a
+// message of its own, so that nodes of the release before read the result.
+type Waits struct {
+	Services []ServiceWait `avro:"services"`
+}
+
+// ServiceWait is how long requests wait for slots of a service.
+type ServiceWait struct {
+	Service string `avro:"service"`
+	Wait    int64  `avro:"wait_us"` // of one call, mean over the service's targets
 }
 
 // NodeRecord is what a sidecar node tells the others of itself.
@@ -121,6 +138,9 @@
 {"name":"digest","type":"long"},{"name":"version","type":"long"},
 {"name":"records","type":{"type":"array","items":` + nodeRecordSchema + `},"default":[]},
 {"name":"configuration","type":"bytes","default":""}]}`
+	waitsSchema = `{"type":"record","name":"Waits","fields":[
+{"name":"services","type":{"type":"array","items":{"type":"record","name":"ServiceWait","fields":[
+{"name":"service","type":"string"},{"name":"wait_us","type":"long"}]}},"default":[]}]}`
 	newsSchema = `{"type":"record","name":"News","fields":[
 {"name":"from","type":"string"},{"name":"forward","type":{"type":"array","items":"string"},"default":[]},
 {"name":"version","type":"long","default":0},
@@ -163,6 +183,7 @@
 	SidecarResultCodec = NewCodec[SidecarResult](maxHeaderMessage, sidecarResultSchema)
 	ExchangeCodec      = NewCodec[Exchange](maxExchange, exchangeSchema, ExchangeSchema1, ExchangeSchema2)
 	NewsCodec          = NewCodec[News](maxExchange, newsSchema)
+	WaitsCodec         = NewCodec[Waits](maxHeaderMessage, waitsSchema)
 	PongCodec          = NewCodec[Pong](maxHeaderMessage, pongSchema)
 	NodeRecordCodec    = NewCodec[NodeRecord](maxHeaderMessage, nodeRecordSchema)
 )
