Count long queues whole where the other targets have them too

Cause: bounds what one target adds to the pressure on its service by 2.5 times its slots. Change: the bound is twice the middle one of the fresh reports where that is more, and none where the service has one target. Tests failed first: balancer, TestLongQueuesEverywhereCountWhole. Two rows of TestOccupancyIsThatOfTheService asked for the bound itself (2.5 where all targets are at 6); they ask for the true 6 now.

--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/slots"
@@ -206,9 +207,11 @@
 
 // Bounds of what one target adds to the pressure on its service.
 const (
-	// fullestCounted bounds a fresh report: one target with a long queue is no
-	// shortage of the service.
+	// fullestCounted bounds a report: one target with a long queue is no shortage of
+	// the service. It is more where the others have long queues too.
 	fullestCounted = 2.5
+	// outlier is how many times as full as the middle one a target may count.
+	outlier = 2.0
 	// leastCounted is the number of targets that a pressure is made from, as far as
 	// there are as many. Aged reports make it up; they prove no queue, since it may
 	// have gone.
@@ -224,41 +227,70 @@
 
 // Pressure gives that of all targets with fresh reports; false when there is none.
 func (b *Balancer) Pressure(now time.Duration) (Pressure, bool) {
-	var fresh, aged sums
+	fresh, aged := b.reports(now)
+	if len(fresh) == 0 {
+		return Pressure{}, false
+	}
+	counted := sumOf(fresh, b.fullest(fresh))
+	if lacking := leastCounted - len(fresh); lacking > 0 && len(aged) > 0 {
+		counted.add(sumOf(aged, fullestAged), min(float64(lacking)/float64(len(aged)), 1))
+	}
+	return Pressure{Occupancy: counted.used / counted.slots, Wait: time.Duration(counted.waited / counted.slots)}, true
+}
+
+// reports gives the reports that are fresh and those that are older and still count.
+func (b *Balancer) reports(now time.Duration) (fresh, aged []slots.Load) {
 	for _, e := range b.order {
 		age := now - e.reportedAt
 		switch {
 		case e.reportedAt == 0 || age >= b.config.ReportLife || e.report.Slots == 0:
 		case age < b.config.OccupancyLife:
-			fresh.add(e, fullestCounted)
+			fresh = append(fresh, e.report)
 		default:
-			aged.add(e, fullestAged)
+			aged = append(aged, e.report)
 		}
 	}
-	if fresh.targets == 0 {
-		return Pressure{}, false
+	return fresh, aged
+}
+
+// fullest is the occupancy that a report counts with at most. A target that is the
+// only one of its service is the service.
+func (b *Balancer) fullest(reports []slots.Load) float64 {
+	if len(b.order) == 1 {
+		return math.Inf(1)
+	}
+	if len(reports) == 1 {
+		return fullestCounted
 	}
-	if lacking := leastCounted - fresh.targets; lacking > 0 && aged.targets > 0 {
-		part := min(float64(lacking)/float64(aged.targets), 1)
-		fresh.used += part * aged.used
-		fresh.slots += part * aged.slots
+	occupancies := make([]float64, len(reports))
+	for i := range reports {
+		occupancies[i] = reports[i].Occupancy()
 	}
-	return Pressure{Occupancy: fresh.used / fresh.slots, Wait: time.Duration(fresh.waited / fresh.slots)}, true
+	slices.Sort(occupancies)
+	return max(fullestCounted, outlier*occupancies[(len(occupancies)-1)/2])
 }
 
 // sums adds up reports.
 type sums struct {
-	targets             int
 	used, slots, waited float64
 }
 
-func (s *sums) add(e *Endpoint, most float64) {
-	count := float64(e.report.Slots)
-	occupancy := min(e.report.Occupancy(), most)
-	s.targets++
-	s.slots += count
-	s.used += occupancy * count
-	s.waited += max(occupancy-1, 0) * float64(e.report.Hold) * count
+func sumOf(reports []slots.Load, fullest float64) (s sums) {
+	for i := range reports {
+		count := float64(reports[i].Slots)
+		occupancy := min(reports[i].Occupancy(), fullest)
+		s.slots += count
+		s.used += occupancy * count
+		s.waited += max(occupancy-1, 0) * float64(reports[i].Hold) * count
+	}
+	return s
+}
+
+// add adds a part of others.
+func (s *sums) add(others sums, part float64) {
+	s.used += part * others.used
+	s.slots += part * others.slots
+	s.waited += part * others.waited
 }
 
 // A target that loses requests costs more, in proportion to their share: never
--- a/internal/core/balancer/balancer_test.go
+++ b/internal/core/balancer/balancer_test.go
@@ -200,8 +200,8 @@
 	}{
 		{"one of ten, the others fresh", 1, 0, 5, 0.8, 0.4},
 		{"one of ten, the others aged", 1, time.Second, 5, 1, 0.4},
-		{"all", 10, 0, 5, 2.5, 2.5},
-		{"a shortage of which five reports are fresh", 5, time.Second, 20, 2.5, 2.4},
+		{"all", 10, 0, 5, 6, 6},
+		{"a shortage of which five reports are fresh", 5, time.Second, 20, 6, 6},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -225,3 +225,36 @@
 		})
 	}
 }
+
+// A shortage at a service of two targets, with queues of five times their slots, was
+// seen as 2.5, since each counted with no more: half of the chains went on being let
+// in, and waited. Found on cphx-claims trouble-3 (fd136a06).
+func TestLongQueuesEverywhereCountWhole(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		queue []int // at each target of ten slots
+		want  float64
+	}{
+		{"the only target", []int{50}, 6},
+		{"both", []int{50, 50}, 6},
+		{"one of two", []int{50, 0}, 1.75},
+		{"two of three", []int{50, 50, 0}, 13.0 / 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			b := New(DefaultConfig(), "me", "a", noRandom{})
+			var targets []Target
+			for i := range tc.queue {
+				targets = append(targets, Target{Node: string(rune('a' + i)), Zone: "a", Instance: "1", Slots: 10})
+			}
+			b.Update(targets)
+			for i, waiting := range tc.queue {
+				load := slots.Load{Slots: 10, Running: 10, Waiting: waiting, Hold: hold}
+				b.Report(time.Second, b.Endpoint(targets[i].Node), load)
+			}
+			pressure, known := b.Pressure(time.Second)
+			g.Expect(known).To(BeTrue())
+			g.Expect(pressure.Occupancy).To(BeNumerically("~", tc.want, 0.01))
+		})
+	}
+}
