Remove hollow nodes and the scale run of the lab

Ruled out: keeping the capacity figures' tool for the mode with signed bundles: what it measured last stays in docs/CAPACITY.md and says so. CAPACITY: what carries the sidecars' control is worked out for one follower a zone; not measured where it does not say so. Conclusion: the emulator and the experiments stay: they drive the other mode's core.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build demo test days check format generate generated-up-to-date model faults experiments bench capacity examples reference scale clean
+.PHONY: all build demo test days check format generate generated-up-to-date model faults experiments bench examples reference clean
 
 all: build
 
@@ -58,18 +58,10 @@
 bench: build
 	$(BIN)/landingmast-lab bench
 
-# Measures the slopes that docs/CAPACITY.md is worked out from.
-capacity: build
-	$(BIN)/landingmast-lab capacity
-
 # Writes the example bundles and settings.
 examples: build
 	$(BIN)/landingmast-lab examples
 
-# Hollow nodes beside the real processes of a deployment.
-scale: build
-	$(BIN)/landingmast-lab scale
-
 # Writes docs/CONFIGURATION.md.
 reference: build
 	$(BIN)/landingmast-lab reference
--- a/cmd/landingmast-lab/main.go
+++ b/cmd/landingmast-lab/main.go
@@ -21,7 +21,7 @@
 	application.HelpFlag.Short('h')
 	commands := map[string]func(context.Context) error{}
 	for _, register := range []func(*kingpin.Application) (string, func(context.Context) error){
-		registerPlatform, registerBackends, registerDemo, registerExperiments, registerEmulate, registerFaults, registerBench, registerCapacity, registerScale, registerExamples, registerReference,
+		registerPlatform, registerBackends, registerDemo, registerExperiments, registerEmulate, registerFaults, registerBench, registerExamples, registerReference,
 	} {
 		name, run := register(application)
 		commands[name] = run
