--- /dev/null
+++ b/internal/sidecar/addresses.go
@@ -0,0 +1,83 @@
+package sidecar
+
+import "math/rand/v2"
+
+// zoneMembers gives the other nodes of the zone.
+func (m *membership) zoneMembers() []string {
+	zone := m.node.settings().Zone
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var names []string
+	for name, record := range m.records {
+		if record.Zone == zone {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// addresses gives those of the other nodes by zone, in a random order. Nodes that
+// are taken for dead are left out.
+func (m *membership) addresses() map[string][]string {
+	found := map[string][]string{}
+	m.mutex.Lock()
+	for name, record := range m.records {
+		if name != m.node.settings().Node && !m.node.liveness.silent(name) {
+			found[record.Zone] = append(found[record.Zone], record.Address)
+		}
+	}
+	m.mutex.Unlock()
+	for _, addresses := range found {
+		shuffled(addresses)
+	}
+	return found
+}
+
+// nearShare is the share of exchanges that stay in the zone, where bytes cost
+// nothing.
+const nearShare = 0.75
+
+// anyAddress gives the address of another node, chosen at random, more often one of
+// the own zone.
+func (m *membership) anyAddress() string {
+	near, far := m.split()
+	if len(near) == 0 || len(far) > 0 && rand.Float64() >= nearShare {
+		near = far
+	}
+	return anyOf(near)
+}
+
+// addressElsewhere gives the address of a node in another zone, or of any other
+// node when there is none.
+func (m *membership) addressElsewhere() string {
+	near, far := m.split()
+	if len(far) == 0 {
+		far = near
+	}
+	return anyOf(far)
+}
+
+// split gives the addresses of the nodes in the own zone and in others.
+func (m *membership) split() (near, far []string) {
+	for zone, addresses := range m.addresses() {
+		if zone == m.node.settings().Zone {
+			near = addresses
+			continue
+		}
+		far = append(far, addresses...)
+	}
+	return near, far
+}
+
+func anyOf(addresses []string) string {
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.IntN(len(addresses))]
+}
+
+// shuffled gives the addresses in a random order.
+func shuffled(addresses []string) []string {
+	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
+	return addresses
+}
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -1,17 +1,14 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/landingmast/landingmast/internal/failure"
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
@@ -98,18 +95,9 @@
 	if err != nil {
 		return nil, err
 	}
-	request := &http.Request{
-		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: exchangePath}, Host: address,
-		Header: http.Header{"User-Agent": {""}}, Body: io.NopCloser(bytes.NewReader(data)), ContentLength: int64(len(data)),
-	}
-	response, err := e.node.peers.transport.RoundTrip(request.WithContext(ctx))
-	if err != nil {
-		return nil, failure.Wrap(err, failure.Unavailable, "none; another node is asked next", "exchange with %s", address)
-	}
-	defer response.Body.Close()
-	read, err := io.ReadAll(io.LimitReader(response.Body, maxExchange))
+	read, err := e.node.peers.post(ctx, address, exchangePath, data)
 	if err != nil {
-		return nil, failure.Wrap(err, failure.Unavailable, "none; another node is asked next", "exchange with %s", address)
+		return nil, err
 	}
 	return wire.ExchangeCodec.Decode(read)
 }
@@ -151,9 +139,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	header := w.Header()
-	header["Date"] = nil
-	header["Content-Type"] = nil
-	header.Set("Content-Length", strconv.Itoa(len(encoded)))
+	bare(w)
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
 	_, _ = w.Write(encoded)
 }
--- a/internal/sidecar/news.go
+++ b/internal/sidecar/news.go
@@ -1,17 +1,13 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/landingmast/landingmast/internal/failure"
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
@@ -96,19 +92,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 	defer cancel()
-	request := &http.Request{
-		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: newsPath}, Host: address,
-		Header: http.Header{"User-Agent": {""}}, Body: io.NopCloser(bytes.NewReader(data)), ContentLength: int64(len(data)),
-	}
-	response, err := s.node.peers.transport.RoundTrip(request.WithContext(ctx))
-	if err != nil {
-		return failure.Wrap(err, failure.Unavailable, "none; another node is told", "news for %s", address)
-	}
-	_ = response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return failure.New(failure.Unavailable, "none; another node is told", "news for %s: status %d", address, response.StatusCode)
-	}
-	return nil
+	_, err = s.node.peers.post(ctx, address, newsPath, data)
+	return err
 }
 
 // ServeHTTP takes news of another node and passes them on.
@@ -122,8 +107,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	w.Header()["Date"] = nil
-	w.Header()["Content-Type"] = nil
+	bare(w)
 	s.take(message)
 	go s.passOn(message)
 }
@@ -163,9 +147,3 @@
 	defer s.pulling.Store(false)
 	s.node.exchanger.with(context.Background(), address)
 }
-
-// shuffled gives the addresses in a random order.
-func shuffled(addresses []string) []string {
-	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
-	return addresses
-}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/failure"
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
@@ -93,6 +95,33 @@
 	return readReply(ctx, response)
 }
 
+// post sends a control message to the node at an address and gives the answer's body.
+func (p *peerClient) post(ctx context.Context, address, path string, data []byte) ([]byte, error) {
+	request := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: path}, Host: address,
+		Header: http.Header{"User-Agent": {""}}, Body: io.NopCloser(bytes.NewReader(data)), ContentLength: int64(len(data)),
+	}
+	response, err := p.transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Unavailable, "none; another node is asked", "%s at %s", path, address)
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(io.LimitReader(response.Body, maxExchange))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Unavailable, "none; another node is asked", "%s at %s", path, address)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, failure.New(failure.Unavailable, "none; another node is asked", "%s at %s: status %d", path, address, response.StatusCode)
+	}
+	return read, nil
+}
+
+// bare has an answer carry no header that net/http adds of its own.
+func bare(w http.ResponseWriter) {
+	w.Header()["Date"] = nil
+	w.Header()["Content-Type"] = nil
+}
+
 // settle asks a node what became of a request that was sent to it.
 func (p *peerClient) settle(ctx context.Context, address string, call *wire.SidecarCall) *reply {
 	head, err := wire.SidecarCallCodec.EncodeHeader(call)
