--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -89,7 +89,7 @@
 // Member is a change of what the node believes of another one.
 type Member struct {
 	Member      string `json:"member" doc:"the other node"`
-	Change      string `json:"change" doc:"learned, lapsed (its lease is over), kept (it answers all the same), forgotten, silent or heard again"`
+	Change      string `json:"change" doc:"learned, lapsed (the store has lost its record), forgotten (it counts as gone), silent or heard again"`
 	Incarnation string `json:"incarnation,omitempty" doc:"process of the other node"`
 	Service     string `json:"service,omitempty" doc:"service of its target"`
 	Instance    string `json:"instance,omitempty" doc:"its target"`
--- /dev/null
+++ b/internal/wire/sidecar_test.go
@@ -0,0 +1,55 @@
+package wire
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestSidecarMessagesRoundTrip(t *testing.T) {
+	g := NewWithT(t)
+	record := NodeRecord{Node: "n", Incarnation: "i", Sequence: 3, Started: 9, Address: "10.1.0.1:8003", Zone: "a", Service: "s", Instance: "x", Slots: 4, Serving: true}
+	news := &News{
+		From: "10.1.0.2:8003", Forward: []string{"10.1.0.3:8003"}, Version: 7, Records: []NodeRecord{record}, Beat: true, Follower: "f", Well: true,
+		Missing: []string{"m"}, Gone: []NodeRecord{record},
+	}
+	data, err := NewsCodec.Encode(news)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(NewsCodec.Decode(data)).To(Equal(news))
+
+	head, err := PongCodec.EncodeHeader(&Pong{Node: "n", TurnedAway: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(PongCodec.DecodeHeader(head)).To(Equal(&Pong{Node: "n", TurnedAway: true}))
+
+	waits := &Waits{Services: []ServiceWait{{Service: "s", Wait: 1500}}}
+	head, err = WaitsCodec.EncodeHeader(waits)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(WaitsCodec.DecodeHeader(head)).To(Equal(waits))
+}
+
+// An exchange of either release before is read, its sender unnamed.
+func TestOlderExchangesAreRead(t *testing.T) {
+	for _, tc := range []struct{ name, schema string }{{"all records at once", ExchangeSchema1}, {"without its sender", ExchangeSchema2}} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			data, err := NewCodec[Exchange](maxExchange, tc.schema).Encode(&Exchange{Digest: 4, Version: 2, From: "lost"})
+			g.Expect(err).NotTo(HaveOccurred())
+			read, err := ExchangeCodec.Decode(data)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(read.Version).To(Equal(int64(2)))
+			g.Expect(read.From).To(BeEmpty())
+		})
+	}
+}
+
+// The wait of a need travels in a message of its own, so that results stay readable
+// to the release before.
+func TestResultsDoNotCarryWaits(t *testing.T) {
+	g := NewWithT(t)
+	head, err := SidecarResultCodec.EncodeHeader(&SidecarResult{Outcome: "answered", Below: []Need{{Service: "s", Calls: 1, Wait: time.Second}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	read, err := SidecarResultCodec.DecodeHeader(head)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read.Below[0].Wait).To(BeZero())
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -55,5 +55,8 @@
 		_, _ = ReleaseCodec.Decode(data)
 		_, _ = VoteCodec.Decode(data)
 		_, _ = InstallCodec.Decode(data)
+		_, _ = NewsCodec.Decode(data)
+		_, _ = WaitsCodec.Decode(data)
+		_, _ = PongCodec.Decode(data)
 	})
 }
