Refuse by the waits along the chain earlier and faster

Change: the share falls from 1 to 0.03 as the waits go from 0.05 to 0.2 of the objective (0.1 to 0.6 before), smoothed over 100 ms; occupancies stay smoothed over 250 ms (one peak is no shortage).

--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -26,8 +26,9 @@
 	// at which the least important requests begin to be refused; LateWidth above it
 	// only Least of them are let in. LateStep is added for each priority above.
 	LateStart, LateWidth, LateStep float64
-	// Smoothing is the time constant of the mean occupancy.
-	Smoothing time.Duration
+	// Smoothing is the time constant of the mean occupancy, WaitSmoothing that of the
+	// mean wait.
+	Smoothing, WaitSmoothing time.Duration
 	// Least is the admitted share that always remains, so that news of the
 	// service keeps coming.
 	Least float64
@@ -38,8 +39,8 @@
 // DefaultConfig gives the values that docs/PLATFORM.md was measured with.
 func DefaultConfig() Config {
 	return Config{
-		Start: 1.5, Width: 2, Step: 2.5, LateStart: 0.1, LateWidth: 0.5, LateStep: 1,
-		Smoothing: 250 * time.Millisecond, Least: 0.03, Forget: time.Second,
+		Start: 1.5, Width: 2, Step: 2.5, LateStart: 0.05, LateWidth: 0.15, LateStep: 1,
+		Smoothing: 250 * time.Millisecond, WaitSmoothing: 100 * time.Millisecond, Least: 0.03, Forget: time.Second,
 	}
 }
 
@@ -95,13 +96,16 @@
 		return
 	}
 	elapsed := now - p.seen
-	weight := 1 - math.Exp(-float64(elapsed)/float64(c.config.Smoothing))
-	weight = max(weight, sampleWeight)
-	p.occupancy += weight * (occupancy - p.occupancy)
-	p.wait += weight * (float64(wait) - p.wait)
+	p.occupancy += weightOf(elapsed, c.config.Smoothing) * (occupancy - p.occupancy)
+	p.wait += weightOf(elapsed, c.config.WaitSmoothing) * (float64(wait) - p.wait)
 	p.seen = now
 }
 
+// weightOf is the weight of an observation some time after the one before.
+func weightOf(elapsed, constant time.Duration) float64 {
+	return max(1-math.Exp(-float64(elapsed)/float64(constant)), sampleWeight)
+}
+
 // sampleWeight is the least weight of one observation.
 const sampleWeight = 0.02
 
