--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -56,7 +56,7 @@
 
 // ServeHTTP takes a request.
 func (e *egress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	end, refused := e.node.begin(w)
+	end, refused := e.node.begin(w, e.node.stopping.Load())
 	defer end()
 	names := e.node.options.Headers
 	x := &exchange{node: e.node, writer: w, request: r, id: r.Header.Get(names.RequestID), intent: e.node.intent.Load(), started: e.node.now()}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -67,6 +67,7 @@
 	news         *spreader
 	liveness     *liveness
 	stopping     atomic.Bool // by plan: not ready, requests are still served
+	leaving      atomic.Bool // the other nodes are told to send the target nothing more through this node
 	closing      atomic.Bool // requests are refused, but for calls of what runs
 	inFlight     atomic.Int64
 	storeHealth  storeHealth
@@ -223,10 +224,10 @@
 
 // begin counts a request as in flight until end is called. refused tells that the
 // node takes no more work: the request must not be passed on, unless it is a call of
-// one that runs.
-func (n *Node) begin(w http.ResponseWriter) (end func(), refused bool) {
+// one that runs. last has the connection end with the answer.
+func (n *Node) begin(w http.ResponseWriter, last bool) (end func(), refused bool) {
 	n.inFlight.Add(1)
-	if n.stopping.Load() {
+	if last {
 		w.Header().Set("Connection", "close")
 	}
 	_ = http.NewResponseController(w).EnableFullDuplex()
@@ -266,25 +267,27 @@
 // Times of a planned stop.
 const (
 	stopLeast   = 2500 * time.Millisecond // until clients have seen that the node is not ready
+	leaveBefore = 150 * time.Millisecond  // the other nodes are told before that; news take a few ms
 	stopReserve = 500 * time.Millisecond  // of the grace, for the end of the process
 	stopPoll    = 10 * time.Millisecond
 )
 
 // stop is the planned stop: not ready at once, requests are still served, and
-// the process ends when none is in flight.
+// the process ends when none is in flight. The target beside the node goes on: the
+// other nodes send it requests until shortly before the node takes none.
 func (n *Node) stop(hurry context.Context) {
 	n.stopping.Store(true)
 	n.follower.resign()
-	n.membership.changed()
 	n.events.Add(eventlog.Node{Change: "stopping", Incarnation: n.incarnation, InFlight: n.inFlight.Load()}, eventlog.State)
 	began := time.Now()
 	latest := began.Add(time.Duration(n.settings().Bounds.Grace) - stopReserve)
 	if n.store != nil {
 		n.registration.withdraw()
 	}
-	for hurry.Err() == nil && time.Since(began) < stopLeast {
-		pause(hurry, stopPoll)
-	}
+	pause(hurry, min(stopLeast, time.Duration(n.settings().Bounds.Grace)/2)-leaveBefore)
+	n.leaving.Store(true)
+	n.membership.changed()
+	pause(hurry, leaveBefore)
 	// From here on clients get no more work done; what runs may still make its calls.
 	n.closing.Store(true)
 	for hurry.Err() == nil && time.Now().Before(latest) && n.inFlight.Load() > 0 {
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -30,7 +30,7 @@
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			g.Expect(err).NotTo(HaveOccurred())
 			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				end, refused := n.begin(w)
+				end, refused := n.begin(w, false)
 				defer end()
 				if refused {
 					w.WriteHeader(http.StatusServiceUnavailable)
