--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -32,6 +32,7 @@
 	parent     *running // request of the target that made this one; nil for a client's
 	importance int
 	repeat     bool
+	granted    float64 // part of the request's budgets for repeats that goes down the chain
 	header     http.Header
 	body       *payload
 	started    time.Duration
@@ -145,7 +146,7 @@
 	x.body = body
 	x.header = endToEnd(x.request.Header)
 	x.service = x.node.splitter.choose(x.route)
-	x.node.countRequest(x.route, x.service, x.parent != nil)
+	x.granted = x.node.countRequest(x.route, x.service, x.grantedAbove())
 	if !x.admitted() {
 		x.refuse(http.StatusServiceUnavailable, reasonSheds, comeBack(x.clientTime()))
 		return
@@ -153,6 +154,15 @@
 	x.send(ctx)
 }
 
+// grantedAbove is the part of the budgets for repeats that the nodes above leave to
+// this one.
+func (x *exchange) grantedAbove() float64 {
+	if x.parent == nil {
+		return 1
+	}
+	return x.parent.granted
+}
+
 // admitted decides whether a client's request is let in. Calls of requests that
 // are running always are: work has gone into them.
 func (x *exchange) admitted() bool {
@@ -278,7 +288,7 @@
 		RequestID: x.id, Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Service: x.service, Route: x.route.Name,
 		Caller: x.node.caller(), From: x.node.settings().Node, Importance: x.importance, Repeatable: repeatable,
 		Repeat: x.repeat || x.arrivals > 0, Attempt: x.arrivals, Remaining: time.Until(deadline).Microseconds(),
-		Version: int64(x.intent.Version),
+		Version: int64(x.intent.Version), Granted: x.granted,
 	}
 	if choice.node == x.node.settings().Node {
 		return x.node.ingress.serve(ctx, call, x.header.Clone(), x.body)
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -22,6 +22,7 @@
 	ctx        context.Context
 	importance int
 	repeat     bool
+	granted    float64 // part of the budgets for repeats that is left to its calls
 
 	mutex sync.Mutex
 	needs map[string]wire.Need
@@ -108,6 +109,7 @@
 		i.write(w, notRun(reasonBadMessage))
 		return
 	}
+	call.Granted = grantedBy(r.Header)
 	remaining := time.Duration(call.Remaining) * time.Microsecond
 	ctx, cancel := context.WithTimeout(r.Context(), remaining)
 	defer cancel()
@@ -237,7 +239,7 @@
 
 // run sends the request to the target and reads its answer.
 func (i *ingress) run(ctx context.Context, gate *gate, id uint64, call *wire.SidecarCall, header http.Header, body *payload) *reply {
-	request := &running{id: call.RequestID, ctx: ctx, importance: call.Importance, repeat: call.Repeat, needs: map[string]wire.Need{}}
+	request := &running{id: call.RequestID, ctx: ctx, importance: call.Importance, repeat: call.Repeat, granted: call.Granted, needs: map[string]wire.Need{}}
 	i.running.add(call.RequestID, request)
 	answer := i.exchange(ctx, gate, call, header, body)
 	i.running.remove(call.RequestID, request)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -77,6 +77,7 @@
 	})
 	hideKeys(request.Header)
 	request.Header.Set(wire.HeaderSidecarCall, head)
+	grant(request.Header, call.Granted)
 	if _, present := request.Header["User-Agent"]; !present {
 		request.Header["User-Agent"] = []string{""}
 	}
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -22,6 +22,7 @@
 	mutex  sync.Mutex
 	byName map[string]*service
 	share  *repeats.Share // the node's part of the allowance for repeats
+	keep   repeats.Keep   // what it keeps of the budgets of its requests
 }
 
 // service is one service as this node sees it.
@@ -160,38 +161,42 @@
 	s.budget.Request(now, requests)
 }
 
-// callShare is the part of the budget that calls bring to the node that makes
-// them; the rest they bring to the node where their chain starts, so that the
-// sum over all nodes stays within the whole.
-const callShare = 0.5
-
-// countRequest counts a request and the calls that will be made for it. Without
-// the latter a node where chains start could hardly ever repeat one: its repeats
-// take from the budgets of services that it sends nothing to itself.
-func (n *Node) countRequest(route *intent.Route, service string, isCall bool) {
+// countRequest counts a request and the calls that will be made for it. granted is the
+// part of the request's budgets that the nodes above leave to this one; the result is
+// the part that this one leaves to those below. What is kept here pays for repeats of
+// the request with all its calls; the sum over all nodes is one request.
+func (n *Node) countRequest(route *intent.Route, service string, granted float64) float64 {
 	now := n.now()
-	if isCall {
-		n.services.get(service).count(now, callShare)
-		return
-	}
-	n.services.get(service).count(now, 1)
+	kept := n.services.kept(now)
+	n.services.get(service).count(now, granted)
 	for name, calls := range n.overload.needs(route) {
 		if name != service {
-			n.services.get(name).count(now, (1-callShare)*calls)
+			n.services.get(name).count(now, granted*kept*calls)
 		}
 	}
+	return granted * (1 - kept)
+}
+
+// kept gives the part of the budgets down the chain that stays at this node.
+func (s *services) kept(now time.Duration) float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.keep.Of(now)
 }
 
-// repeat takes a repeat out of the budgets of all services that it would reach:
-// the calls of a run that is a repeat are repeats themselves. It gives false,
-// and takes nothing, when one of them has none left.
-func (s *services) repeat(needs map[string]float64) bool {
+// repeat takes a repeat of a request to a service out of the budgets of all services
+// that it would reach: the calls of a run that is a repeat are repeats themselves. It
+// gives false, and takes nothing, when one of them has none left.
+func (s *services) repeat(service string, needs map[string]float64) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.now()
 	part := s.share.Of(now, s.config.Allowance)
 	for name, calls := range needs {
 		if !s.getLocked(name).allows(now, calls, s.config.Ratio, part) {
+			if name != service {
+				s.keep.Short(now)
+			}
 			return false
 		}
 	}
@@ -220,7 +225,7 @@
 func (n *Node) repeat(route *intent.Route, service string) bool {
 	needs := n.overload.needs(route)
 	needs[service] = max(needs[service], 1)
-	if !n.services.repeat(needs) {
+	if !n.services.repeat(service, needs) {
 		n.metrics.Denied.WithLabelValues(service).Inc()
 		return false
 	}
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -8,6 +8,8 @@
 	HeaderSidecarResult = "Landingmast-Sidecar-Result"
 	HeaderSidecarPong   = "Landingmast-Sidecar-Pong"
 	HeaderSidecarWaits  = "Landingmast-Sidecar-Waits"
+	// HeaderSidecarGrant goes with a SidecarCall: its Granted, in thousandths.
+	HeaderSidecarGrant = "Landingmast-Grant"
 )
 
 // SidecarCall is the head of a request from the node where it began to the node
@@ -30,6 +32,10 @@
 	Key         string `avro:"key"`          // of this sending, for requests that may run at most once
 	Remaining   int64  `avro:"remaining_us"` // until the request is given up
 	Version     int64  `avro:"version"`      // of the configuration that the sender has
+	// Granted is the part of the budgets for repeats that the nodes above leave to the
+	// request's calls, 0 to 1. It travels in a header of its own, so that nodes of the
+	// release before read the call.
+	Granted float64 `avro:"-"`
 }
 
 // SidecarResult is the head of the answer.
