--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -4,7 +4,6 @@
 package balancer
 
 import (
-	"math"
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/slots"
@@ -27,18 +26,8 @@
 
 // Config sets the balancer.
 type Config struct {
-	// FarFactor is the factor on the cost of a target in another zone, FarCost is
-	// added to it.
-	FarFactor float64
-	FarCost   time.Duration
-	// LargeAnswer is the mean size of a service's answers, in bytes, at which
-	// FarFactor is higher by LargeFactor, which is the most; in proportion below.
-	LargeAnswer int64
-	LargeFactor float64
-	// LocalGain is taken off the cost of the target beside the node itself.
-	LocalGain time.Duration
-	// Noise is the relative spread put on costs, so that senders with the same
-	// knowledge do not all choose the same target.
+	// Noise is the relative spread put on the expected time, so that senders with the
+	// same knowledge do not all choose the same target.
 	Noise float64
 	// ReportLife is the age from which a gate's report no longer counts.
 	ReportLife time.Duration
@@ -51,10 +40,10 @@
 	RefusedFor time.Duration
 }
 
-// DefaultConfig gives the values that docs/PLATFORM.md was measured with.
+// DefaultConfig gives the values that docs/DECISIONS.md was measured with.
 func DefaultConfig() Config {
 	return Config{
-		FarFactor: 1.5, FarCost: 2 * time.Millisecond, LargeAnswer: 200_000, LargeFactor: 1.5, LocalGain: time.Millisecond, Noise: 0.1, ReportLife: 2 * time.Second, OccupancyLife: 300 * time.Millisecond,
+		Noise: 0.1, ReportLife: 2 * time.Second, OccupancyLife: 300 * time.Millisecond,
 		SuspectFor: time.Second, RefusedFor: 500 * time.Millisecond,
 	}
 }
@@ -80,12 +69,12 @@
 	random    Random
 	endpoints map[string]*Endpoint // by node
 	order     []*Endpoint
-	answer    float64 // moving mean of the answers' sizes, bytes
+	classes   map[string]*class
 }
 
 // New makes an empty balancer for the node that sends.
 func New(config Config, node, zone string, random Random) *Balancer {
-	return &Balancer{config: config, node: node, zone: zone, random: random, endpoints: map[string]*Endpoint{}}
+	return &Balancer{config: config, node: node, zone: zone, random: random, endpoints: map[string]*Endpoint{}, classes: map[string]*class{}}
 }
 
 // Update sets the targets. What is known of the load of those that stay is kept.
@@ -107,16 +96,17 @@
 	}
 }
 
-// Pick chooses the cheapest target that is not excluded, nil when there is none.
-// Targets to avoid are chosen only when no other is left and desperate is true.
-func (b *Balancer) Pick(now time.Duration, excluded map[string]bool, desperate bool) (best *Endpoint) {
-	var cost time.Duration
-	typical := b.typicalHold()
+// Pick chooses the target where least is lost, of those that are not excluded, nil when
+// there is none. Targets to avoid are chosen only when no other is left and desperate
+// is true.
+func (b *Balancer) Pick(now time.Duration, wish Wish, excluded map[string]bool, desperate bool) (best *Endpoint) {
+	var cost float64
+	expected := b.expect(wish)
 	for _, endpoint := range b.order {
 		if excluded[endpoint.Node] || now < endpoint.avoidUntil {
 			continue
 		}
-		if estimate := b.cost(now, endpoint, typical); best == nil || estimate < cost {
+		if estimate := b.cost(now, endpoint, expected); best == nil || estimate < cost {
 			best, cost = endpoint, estimate
 		}
 	}
@@ -135,108 +125,6 @@
 	return best
 }
 
-// Shares of a target's slots in use at which it costs more to add work.
-const (
-	busyShare  = 0.5
-	busyFactor = 0.6
-	coldFactor = 2.0
-	// A queue costs more than the wait in it: while it stands, free slots elsewhere
-	// go to waste.
-	queueCost   = 1.0
-	queueFactor = 2.0
-)
-
-// assumedHold stands for the hold time while no target's is known.
-const assumedHold = 20 * time.Millisecond
-
-// typicalHold is the mean hold time of the targets whose hold time is known. It
-// stands for that of the others: one that were taken for fast would get the work of
-// all senders at once.
-func (b *Balancer) typicalHold() time.Duration {
-	sum, known := time.Duration(0), time.Duration(0)
-	for _, e := range b.order {
-		if e.report.Hold > 0 {
-			sum += e.report.Hold
-			known++
-		}
-	}
-	if known == 0 {
-		return assumedHold
-	}
-	return sum / known
-}
-
-// cost estimates the time until a request sent now would be done.
-func (b *Balancer) cost(now time.Duration, e *Endpoint, typical time.Duration) time.Duration {
-	hold := e.report.Hold
-	occupied := max(e.inFlight, 0)
-	if e.reportedAt > 0 && now-e.reportedAt < b.config.ReportLife {
-		occupied = max(occupied, e.report.Running+e.report.Waiting+e.sentSince)
-	}
-	if hold <= 0 {
-		hold = typical
-	}
-	count := max(e.Slots, 1)
-	share := float64(occupied+1) / float64(count)
-	factor := 1.0
-	switch {
-	case share > 1:
-		factor = 1 + busyFactor*(1-busyShare) + queueCost + queueFactor*(share-1)
-	case share > busyShare:
-		factor = 1 + busyFactor*(share-busyShare)
-	}
-	if now < e.Cold {
-		factor *= coldFactor
-	}
-	factor *= 1 + lossFactor*e.losses(now)
-	estimate := time.Duration(float64(hold) * factor * (1 + b.config.Noise*b.random.Float64()))
-	switch {
-	case e.Node == b.node:
-		estimate -= b.config.LocalGain
-	case e.Zone != b.zone:
-		estimate = time.Duration(b.farFactor()*float64(estimate)) + b.config.FarCost
-	}
-	return estimate
-}
-
-// farFactor is higher for services with large answers: bytes between zones cost.
-func (b *Balancer) farFactor() float64 {
-	return b.config.FarFactor + b.config.LargeFactor*min(b.answer/float64(b.config.LargeAnswer), 1)
-}
-
-// A target that loses requests costs more, in proportion to their share: never
-// so much that none is left when all lose some. The share fades without news, so
-// that the target is tried again.
-const (
-	lossFactor = 8.0
-	lossWeight = 0.1
-	lossFades  = 3 * time.Second
-)
-
-func (e *Endpoint) losses(now time.Duration) float64 {
-	return e.lossShare * math.Exp(-float64(now-e.lossAt)/float64(lossFades))
-}
-
-// Lost notes that the target took a request and broke off.
-func (b *Balancer) Lost(now time.Duration, e *Endpoint) { e.note(now, 1) }
-
-// answerWeight is the weight of one answer in the mean size.
-const answerWeight = 0.05
-
-// Answered notes that the target gave a whole answer of so many bytes; below 0:
-// its size is not known.
-func (b *Balancer) Answered(now time.Duration, e *Endpoint, bytes int64) {
-	e.note(now, 0)
-	if bytes >= 0 {
-		b.answer += answerWeight * (float64(bytes) - b.answer)
-	}
-}
-
-func (e *Endpoint) note(now time.Duration, loss float64) {
-	share := e.losses(now)
-	e.lossShare, e.lossAt = share+lossWeight*(loss-share), now
-}
-
 // Sent notes that a request goes to the endpoint.
 func (b *Balancer) Sent(e *Endpoint) {
 	e.inFlight++
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/core/balancer"
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/wire"
@@ -225,7 +226,7 @@
 	excluded := map[string]bool{}
 	last := notRun(reasonNoTarget)
 	for bounces, fulls := 0, 0; bounces < maxBounces && fulls < maxFulls && ctx.Err() == nil; {
-		choice := target.pick(x.node.now(), excluded)
+		choice := target.pick(x.node.now(), x.wish(ctx), excluded)
 		if choice == nil {
 			break
 		}
@@ -262,6 +263,17 @@
 	x.giveUp(ctx, last)
 }
 
+// wish is what the request asks of a target: an answer within its route's objective,
+// and before its time is up.
+func (x *exchange) wish(ctx context.Context) balancer.Wish {
+	deadline, _ := ctx.Deadline()
+	wish := balancer.Wish{Class: x.route.Name, Limit: time.Until(deadline)}
+	if left := x.route.Objective - (x.node.now() - x.started); left > 0 {
+		wish.Limit = min(wish.Limit, left)
+	}
+	return wish
+}
+
 // again tells whether another target may be tried after a sending that brought
 // no answer.
 func (x *exchange) again(last *reply) bool {
--- a/internal/sidecar/liveness_test.go
+++ b/internal/sidecar/liveness_test.go
@@ -51,11 +51,11 @@
 				for now() < tc.away {
 					time.Sleep(50 * time.Millisecond)
 					if now() < tc.away {
-						g.Expect(s.get("s").pick(now(), nil).node).To(Equal("well"), "at %s", now())
+						g.Expect(s.get("s").pick(now(), balancer.Wish{}, nil).node).To(Equal("well"), "at %s", now())
 					}
 				}
 				time.Sleep(pingTimeout + reviveEvery + time.Millisecond)
-				picked := s.get("s").pick(now(), nil)
+				picked := s.get("s").pick(now(), balancer.Wish{}, nil)
 				g.Expect(picked.node).To(Equal("silent"), "it is near and well again")
 				g.Expect(pings.Load()).To(BeNumerically("<=", tc.away/reviveEvery+1))
 			})
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -85,21 +85,23 @@
 // choice is the target that a sending goes to.
 type choice struct {
 	service  *service
+	class    string
+	sent     time.Duration
 	endpoint *balancer.Endpoint
 	node     string
 	address  string
 }
 
 // pick chooses a target; nil when there is none.
-func (s *service) pick(now time.Duration, excluded map[string]bool) *choice {
+func (s *service) pick(now time.Duration, wish balancer.Wish, excluded map[string]bool) *choice {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	endpoint := s.balancer.Pick(now, excluded, true)
+	endpoint := s.balancer.Pick(now, wish, excluded, true)
 	if endpoint == nil {
 		return nil
 	}
 	s.balancer.Sent(endpoint)
-	return &choice{service: s, endpoint: endpoint, node: endpoint.Node, address: endpoint.Address}
+	return &choice{service: s, class: wish.Class, sent: now, endpoint: endpoint, node: endpoint.Node, address: endpoint.Address}
 }
 
 // done takes in what became of a sending.
@@ -115,7 +117,7 @@
 	case answer.wasted():
 		s.balancer.Lost(now, c.endpoint)
 	case answer.outcome == Answered:
-		s.balancer.Answered(now, c.endpoint, answer.bytes())
+		s.balancer.Answered(now, c.endpoint, c.class, answer.bytes(), now-c.sent)
 	}
 	switch answer.reason {
 	case reasonUnreachable, reasonSilent:
--- a/internal/sidecar/routes_test.go
+++ b/internal/sidecar/routes_test.go
@@ -144,7 +144,7 @@
 			toBad := 0
 			for range 400 {
 				now += 20 * time.Millisecond
-				picked := s.get("s").pick(now, nil)
+				picked := s.get("s").pick(now, balancer.Wish{}, nil)
 				if picked.node == "bad" {
 					toBad++
 					picked.done(now, tc.ends)
