--- a/internal/operator/logs.go
+++ b/internal/operator/logs.go
@@ -27,7 +27,7 @@
 // registerLogs registers `landingmast logs`: the usual questions over log files.
 func (s *shell) registerLogs() {
 	command := s.application.Command("logs", "Answer the usual questions over log files of sidecar nodes.")
-	question := command.Arg("question", "refused, slowest, versions or omitted.").Required().Enum("refused", "slowest", "versions", "omitted")
+	question := command.Arg("question", "lost, refused, slowest, versions or omitted.").Required().Enum("lost", "refused", "slowest", "versions", "omitted")
 	paths := command.Flag("logs", "Log files or folders; several times.").Required().Strings()
 	s.add(command, func(context.Context) error {
 		lines, unread, err := logquery.Read(*paths)
@@ -35,6 +35,10 @@
 			return err
 		}
 		switch *question {
+		case "lost":
+			losses := logquery.Lost(lines)
+			counts(s.output, logquery.LostByCause(losses))
+			printRows(s.output, logquery.LostBySecond(losses))
 		case "refused":
 			counts(s.output, logquery.Refused(lines))
 		case "omitted":
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -23,6 +23,7 @@
 	Reason       string  `json:"reason" doc:"why it ended without a target's answer; none: it has one"`
 	TookMS       float64 `json:"took_ms" doc:"from its arrival to its answer"`
 	HoldMS       float64 `json:"hold_ms" doc:"longest time that it might have taken: the sender's deadline or the route's timeout"`
+	ObjectiveMS  float64 `json:"objective_ms,omitempty" doc:"time inside which the route's answer is wanted"`
 	Share        float64 `json:"share" doc:"share of the route's requests that was let in"`
 	Decisive     string  `json:"decisive,omitempty" doc:"service whose occupancy decided the share"`
 	Occupancy    float64 `json:"occupancy,omitempty" doc:"mean occupancy of that service: at its targets and waiting, over slots"`
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -181,6 +181,7 @@
 	}
 	if x.route != nil {
 		event.Route = x.route.Name
+		event.ObjectiveMS = milliseconds(x.route.Objective)
 	}
 	if x.parent != nil {
 		event.Parent = x.parent.id
