--- a/internal/logquery/lost.go
+++ b/internal/logquery/lost.go
@@ -76,7 +76,7 @@
 			if call.number("status") < 400 && call.text("reason") == "none" {
 				continue
 			}
-			if worst == nil || !call.Time.Before(worst.Time) {
+			if worst == nil || outweighs(call, *worst) {
 				worst = &call
 			}
 		}
@@ -87,6 +87,15 @@
 	}
 }
 
+// outweighs tells whether a bad call, rather than one before it, made the request above
+// them fail. A call that was cancelled is a consequence.
+func outweighs(call, before Line) bool {
+	if cancelled := call.text("reason") == "cancelled"; cancelled != (before.text("reason") == "cancelled") {
+		return !cancelled
+	}
+	return !call.Time.Before(before.Time)
+}
+
 // longestWaits gives, by request, the run below it that waited longest for a slot.
 func longestWaits(lines []Line) map[string]Line {
 	longest := map[string]Line{}
--- a/internal/logquery/lost_test.go
+++ b/internal/logquery/lost_test.go
@@ -41,6 +41,11 @@
 			ended("10:00:01", "a.2", "a", "two", 504, "timeout"),
 			ended("10:00:01", "a", "", "front", 500, "none"),
 		}, []Loss{{Ended: "failed", Service: "two", Reason: "timeout"}}},
+		{"a call that was cancelled since another one failed", []Line{
+			ended("10:00:00", "a.1", "a", "one", 502, "lost"),
+			ended("10:00:01", "a.2", "a", "two", 0, "cancelled"),
+			ended("10:00:01", "a", "", "front", 500, "none"),
+		}, []Loss{{Ended: "failed", Service: "one", Reason: "lost"}}},
 		{"the lines below were left out", []Line{ended("10:00:00", "a", "", "front", 500, "none")}, []Loss{{Ended: "failed", Service: "front", Reason: "status 500"}}},
 		{"late after a wait", []Line{
 			line("run", "10:00:00", map[string]any{"request": "a.1", "service": "deep", "wait_ms": 300.0}),
