--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -1,12 +1,12 @@
-// Package overload decides where a chain of calls starts whether a request is
-// let in. Every answer tells how full the services were that the request needed,
-// down the whole chain; a request is refused with a probability that follows the
-// fullest of them. The least important requests go first: each priority has an
-// occupancy of its own from which it is refused. It is a state machine without
-// locks, clocks or randomness of its own.
+// Package overload decides where a chain of calls starts whether a request is let in.
+// Every answer tells how long the request and its calls waited for slots, service by
+// service, down the whole chain. A window for each route bounds the requests in flight
+// from this node so that those waits stay bearable; the least important routes bear
+// least, so that they are refused first. It is a state machine without locks, clocks or
+// randomness of its own.
 //
-// Refusing at the start, not in the middle, and only what needs the scarce
-// service, is what docs/PLATFORM.md measures against queues alone.
+// Refusing at the start, not in the middle, and only what needs the scarce service, is
+// what docs/PLATFORM.md measures against queues alone.
 package overload
 
 import (
@@ -16,32 +16,19 @@
 
 // Config sets a controller.
 type Config struct {
-	// Start is the mean occupancy (requests at the targets and waiting, over
-	// slots) at which the least important requests begin to be refused; Width
-	// above it only Least of them are let in.
-	Start, Width float64
-	// Step is added to Start for each priority above the least.
-	Step float64
-	// LateStart is the wait along the whole chain, as a part of the route's objective,
-	// at which the least important requests begin to be refused; LateWidth above it
-	// only Least of them are let in. LateStep is added for each priority above.
-	LateStart, LateWidth, LateStep float64
-	// Smoothing is the time constant of the mean occupancy, WaitSmoothing that of the
-	// mean wait.
-	Smoothing, WaitSmoothing time.Duration
-	// Least is the admitted share that always remains, so that news of the
-	// service keeps coming.
-	Least float64
-	// Forget is the time constant with which an occupancy without news fades.
-	Forget time.Duration
+	// Bearable is the wait for slots along the whole chain, as a part of the time inside
+	// which its answer is wanted, that the least important requests are held to; Step
+	// is added for each priority above the least, up to BearableMost.
+	Bearable, Step, BearableMost float64
+	// Window sets the windows of the routes.
+	Window WindowConfig
+	// Smoothing is the time constant of the mean occupancy of a service.
+	Smoothing time.Duration
 }
 
-// DefaultConfig gives the values that docs/PLATFORM.md was measured with.
+// DefaultConfig gives the values that docs/DECISIONS.md was measured with.
 func DefaultConfig() Config {
-	return Config{
-		Start: 1.5, Width: 2, Step: 2.5, LateStart: 0.05, LateWidth: 0.15, LateStep: 1,
-		Smoothing: 250 * time.Millisecond, WaitSmoothing: 100 * time.Millisecond, Least: 0.03, Forget: time.Second,
-	}
+	return Config{Bearable: 0.1, Step: 0.2, BearableMost: 0.5, Window: DefaultWindow(), Smoothing: 250 * time.Millisecond}
 }
 
 // Need is what one request needs of a service: calls there, with all below it.
@@ -49,33 +36,40 @@
 	Service   string
 	Calls     int
 	Occupancy float64       // mean occupancy that was seen there; below 0: unknown
-	Wait      time.Duration // mean wait for a slot that was seen there
+	Wait      time.Duration // of one call for a slot there, mean over the calls
 }
 
 // Controller holds the state of one node. It is not safe for concurrent use.
 type Controller struct {
 	config   Config
 	services map[string]*pressure
-	routes   map[string]map[string]float64 // mean calls by service, by route
+	routes   map[string]*route
 }
 
 type pressure struct {
 	occupancy float64
-	wait      float64 // ns
 	seen      time.Duration
 }
 
-// faded tells what is left of a figure that was seen some time ago.
-func (p *pressure) faded(now time.Duration, forget time.Duration, figure float64) float64 {
-	if silence := now - p.seen; silence > forget {
-		figure *= math.Exp(-float64(silence-forget) / float64(forget))
-	}
-	return figure
+// route is what is known of the requests of one route.
+type route struct {
+	needs   map[string]float64 // mean calls by service
+	window  *Window
+	slowest string // service where the last one waited longest
 }
 
 // New makes a controller that admits everything.
 func New(config Config) *Controller {
-	return &Controller{config: config, services: map[string]*pressure{}, routes: map[string]map[string]float64{}}
+	return &Controller{config: config, services: map[string]*pressure{}, routes: map[string]*route{}}
+}
+
+func (c *Controller) route(now time.Duration, name string) *route {
+	one := c.routes[name]
+	if one == nil {
+		one = &route{needs: map[string]float64{}, window: NewWindow(c.config.Window, now)}
+		c.routes[name] = one
+	}
+	return one
 }
 
 // needWeight is the weight of one answer in a route's mean needs; needLeast is
@@ -85,19 +79,17 @@
 	needLeast  = 0.05
 )
 
-// Observe takes in the occupancy of a service and the wait for a slot there.
-func (c *Controller) Observe(now time.Duration, service string, occupancy float64, wait time.Duration) {
+// Observe takes in the occupancy of a service.
+func (c *Controller) Observe(now time.Duration, service string, occupancy float64) {
 	if occupancy < 0 || math.IsNaN(occupancy) {
 		return
 	}
 	p := c.services[service]
 	if p == nil {
-		c.services[service] = &pressure{occupancy: occupancy, wait: float64(wait), seen: now}
+		c.services[service] = &pressure{occupancy: occupancy, seen: now}
 		return
 	}
-	elapsed := now - p.seen
-	p.occupancy += weightOf(elapsed, c.config.Smoothing) * (occupancy - p.occupancy)
-	p.wait += weightOf(elapsed, c.config.WaitSmoothing) * (float64(wait) - p.wait)
+	p.occupancy += weightOf(now-p.seen, c.config.Smoothing) * (occupancy - p.occupancy)
 	p.seen = now
 }
 
@@ -111,12 +103,8 @@
 
 // Learn takes in what a request of a route needed. One that was not served has
 // made a part of its calls only: it can raise what is known, not lower it.
-func (c *Controller) Learn(route string, needs []Need, served bool) {
-	means := c.routes[route]
-	if means == nil {
-		means = map[string]float64{}
-		c.routes[route] = means
-	}
+func (c *Controller) Learn(now time.Duration, route string, needs []Need, served bool) {
+	means := c.route(now, route).needs
 	if len(means) == 0 || !served {
 		for _, need := range needs {
 			means[need.Service] = max(means[need.Service], float64(need.Calls))
@@ -134,8 +122,12 @@
 // Needs gives the mean number of calls that a request of the route makes to each
 // service, itself included. The map is the caller's own.
 func (c *Controller) Needs(route string) map[string]float64 {
-	needs := make(map[string]float64, len(c.routes[route]))
-	for service, calls := range c.routes[route] {
+	one := c.routes[route]
+	if one == nil {
+		return map[string]float64{}
+	}
+	needs := make(map[string]float64, len(one.needs))
+	for service, calls := range one.needs {
 		if calls >= needLeast {
 			needs[service] = calls
 		}
@@ -143,35 +135,52 @@
 	return needs
 }
 
-// Share gives the share of a route's requests that is admitted now, and the
-// service that decides it. steps is how many priorities the route stands above
-// the least important one, objective the time inside which its answers are wanted;
-// 0: it has none.
-func (c *Controller) Share(now time.Duration, route string, steps int, objective time.Duration) (float64, string) {
-	lowest, decisive := 1.0, ""
-	waits, longest, slowest := 0.0, 0.0, ""
-	for service, calls := range c.routes[route] {
-		p := c.services[service]
-		if calls < needLeast || p == nil {
-			continue
-		}
-		if admitted := c.admitted(p.faded(now, c.config.Forget, p.occupancy), steps); admitted < lowest {
-			lowest, decisive = admitted, service
-		}
-		wait := calls * p.faded(now, c.config.Forget, p.wait)
+// Share gives the share of a route's requests that is let in now, and the service that
+// decides it.
+func (c *Controller) Share(now time.Duration, route string) (float64, string) {
+	one := c.route(now, route)
+	share := one.window.Share(now)
+	if share >= 1 {
+		return 1, ""
+	}
+	return share, one.slowest
+}
+
+// Begin notes that a request of the route was let in.
+func (c *Controller) Begin(now time.Duration, route string) { c.route(now, route).window.Begin(now) }
+
+// Leave notes that a request that was let in ended and says nothing of the chain.
+func (c *Controller) Leave(now time.Duration, route string) { c.route(now, route).window.Leave() }
+
+// End notes that a request that was let in ended. needs tell what it waited for; steps
+// is how many priorities the route stands above the least important one, limit the time
+// inside which its answer is wanted; 0: it has none. lacked tells that there was no
+// room for it in time.
+func (c *Controller) End(now time.Duration, name string, needs []Need, steps int, limit time.Duration, lacked bool) {
+	one := c.route(now, name)
+	waits, longest := time.Duration(0), time.Duration(0)
+	for _, need := range needs {
+		wait := time.Duration(need.Calls) * need.Wait
 		waits += wait
 		if wait > longest {
-			longest, slowest = wait, service
+			longest, one.slowest = wait, need.Service
 		}
 	}
-	if objective > 0 {
-		if admitted := c.inTime(waits/float64(objective), steps); admitted < lowest {
-			lowest, decisive = admitted, slowest
-		}
+	waited := 0.0
+	if limit > 0 {
+		bearable := min(c.config.Bearable+c.config.Step*float64(max(steps, 0)), c.config.BearableMost)
+		waited = float64(waits) / (bearable * float64(limit))
+	}
+	if lacked {
+		waited = max(waited, waitedOfLack)
 	}
-	return lowest, decisive
+	one.window.End(now, waited)
 }
 
+// waitedOfLack stands for the wait of a request for which there was no room in time, as
+// a part of what is bearable.
+const waitedOfLack = 2
+
 // Occupancy gives the mean occupancy of a service; 0 when nothing is known.
 func (c *Controller) Occupancy(service string) float64 {
 	if p := c.services[service]; p != nil {
@@ -179,19 +188,3 @@
 	}
 	return 0
 }
-
-// admitted gives the share that the occupancy of one service leaves. Chains wait for
-// their calls, so that the occupancy grows no faster than chains come: a share in
-// proportion to it settles without memory of its own.
-func (c *Controller) admitted(occupancy float64, steps int) float64 {
-	excess := occupancy - c.config.Start - float64(steps)*c.config.Step
-	return min(max(1-excess/c.config.Width, c.config.Least), 1)
-}
-
-// inTime gives the share that the waits along the chain leave. A chain of many calls
-// in a row is late though each of its services has a short queue; its work is then
-// done for nothing.
-func (c *Controller) inTime(waits float64, steps int) float64 {
-	excess := waits - c.config.LateStart - float64(steps)*c.config.LateStep
-	return min(max(1-excess/c.config.LateWidth, c.config.Least), 1)
-}
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -37,8 +37,10 @@
 	header     http.Header
 	body       *payload
 	started    time.Duration
-	arrivals   int  // sendings that reached a target
-	mayRun     bool // one of them may have run
+	needs      []wire.Need // what the last sending needed
+	lacked     bool        // there was no room for it in time
+	arrivals   int         // sendings that reached a target
+	mayRun     bool        // one of them may have run
 
 	// What the log tells of the request.
 	hold      time.Duration
@@ -152,6 +154,9 @@
 		x.refuse(http.StatusServiceUnavailable, reasonSheds, comeBack(x.clientTime()))
 		return
 	}
+	if x.parent == nil {
+		defer x.release()
+	}
 	x.send(ctx)
 }
 
@@ -176,6 +181,19 @@
 	return admitted
 }
 
+// release tells how a client's request ended that was let in.
+func (x *exchange) release() {
+	x.node.overload.end(ending{route: x.route, limit: x.limit(), needs: x.needs, lacked: x.lacked, left: x.request.Context().Err() != nil})
+}
+
+// limit is the time from its arrival inside which the request's answer is wanted.
+func (x *exchange) limit() time.Duration {
+	if objective := x.route.Objective; objective > 0 {
+		return min(objective, x.hold)
+	}
+	return x.hold
+}
+
 // comeBackShare is the part of its time after which a refused client comes back at
 // the latest: as late as clients wait, when the shortage may be over, with most of
 // its time left.
@@ -187,8 +205,9 @@
 func (x *exchange) learn(answer *reply) {
 	needs := answer.needs
 	if pressure, known := x.node.services.get(x.service).pressure(x.node.now()); known && answer.load.Slots > 0 {
-		needs = append(needs, wire.Need{Service: x.service, Calls: 1, Occupancy: int(pressure.Occupancy * occupancyScale), Wait: pressure.Wait})
+		needs = append(needs, wire.Need{Service: x.service, Calls: 1, Occupancy: int(pressure.Occupancy * occupancyScale), Wait: answer.waited})
 	}
+	x.needs = needs
 	if x.parent != nil {
 		x.parent.add(needs)
 	}
@@ -404,6 +423,10 @@
 // is said only where no sending may have run.
 func (x *exchange) giveUp(ctx context.Context, last *reply) {
 	defer last.close()
+	if x.lacked = last.full(); x.lacked && x.parent != nil {
+		// It would have waited for all the time that it had.
+		x.parent.add([]wire.Need{{Service: x.service, Calls: 1, Occupancy: -1, Wait: x.hold}})
+	}
 	if x.request.Context().Err() != nil {
 		x.ended(0, reasonCancelled, 0)
 		panic(http.ErrAbortHandler)
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -35,8 +35,13 @@
 	for _, need := range needs {
 		sum := r.needs[need.Service]
 		sum.Service = need.Service
-		sum.Calls += need.Calls
-		sum.Occupancy, sum.Wait = need.Occupancy, need.Wait // the newest
+		if calls := sum.Calls + need.Calls; calls > 0 {
+			sum.Wait = (sum.Wait*time.Duration(sum.Calls) + need.Wait*time.Duration(need.Calls)) / time.Duration(calls)
+			sum.Calls = calls
+		}
+		if need.Occupancy >= 0 {
+			sum.Occupancy = need.Occupancy // the newest
+		}
 		r.needs[need.Service] = sum
 	}
 }
@@ -151,7 +156,7 @@
 		header[name] = values
 	}
 	header.Set(wire.HeaderSidecarResult, head)
-	if waits := waitsOf(answer.needs); waits != "" {
+	if waits := waitsOf(answer); waits != "" {
 		header.Set(wire.HeaderSidecarWaits, waits)
 	}
 	withoutGuess(header)
@@ -234,6 +239,7 @@
 		answer = i.run(ctx, gate, id, call, header, body)
 	}
 	answer.load, _ = gate.load()
+	answer.waited = decision.Waited
 	return answer
 }
 
--- a/internal/sidecar/overload.go
+++ b/internal/sidecar/overload.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/core/overload"
@@ -24,15 +25,43 @@
 }
 
 // admit decides whether a client's request on the route is let in, and tells the
-// share that is, the service that decides it and that service's occupancy.
+// share that is, the service that decides it and that service's occupancy. end must
+// follow when it is.
 func (o *overloadControl) admit(route *intent.Route) (admitted bool, share float64, decisive string, occupancy float64) {
 	o.mutex.Lock()
-	share, decisive = o.core.Share(o.node.now(), route.Name, o.stepsAboveLeast(route), route.Objective)
+	defer o.mutex.Unlock()
+	now := o.node.now()
+	share, decisive = o.core.Share(now, route.Name)
 	if decisive != "" {
 		occupancy = o.core.Occupancy(decisive)
 	}
-	o.mutex.Unlock()
-	return share >= 1 || rand.Float64() < share, share, decisive, occupancy
+	admitted = share >= 1 || rand.Float64() < share
+	if admitted {
+		o.core.Begin(now, route.Name)
+	}
+	return admitted, share, decisive, occupancy
+}
+
+// ending is how a client's request ended that was let in.
+type ending struct {
+	route  *intent.Route
+	limit  time.Duration // inside which its answer was wanted
+	needs  []wire.Need   // what its last sending needed
+	lacked bool          // there was no room for it in time
+	left   bool          // its client left, or nothing was learned of its chain
+}
+
+// end notes the end of a client's request.
+func (o *overloadControl) end(one ending) {
+	steps := o.stepsAboveLeast(one.route)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	now := o.node.now()
+	if one.left {
+		o.core.Leave(now, one.route.Name)
+		return
+	}
+	o.core.End(now, one.route.Name, needsOf(one.needs), steps, one.limit, one.lacked)
 }
 
 // stepsAboveLeast is how many priorities the route stands above the least
@@ -56,14 +85,20 @@
 // request that was served.
 func (o *overloadControl) learn(route *intent.Route, needs []wire.Need, served bool) {
 	now := o.node.now()
-	read := make([]overload.Need, 0, len(needs))
-	for _, need := range needs {
-		read = append(read, overload.Need{Service: need.Service, Calls: need.Calls, Occupancy: float64(need.Occupancy) / occupancyScale, Wait: need.Wait})
-	}
+	read := needsOf(needs)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	for _, need := range read {
-		o.core.Observe(now, need.Service, need.Occupancy, need.Wait)
+		o.core.Observe(now, need.Service, need.Occupancy)
+	}
+	o.core.Learn(now, route.Name, read, served)
+}
+
+// needsOf reads needs out of a message.
+func needsOf(needs []wire.Need) []overload.Need {
+	read := make([]overload.Need, 0, len(needs))
+	for _, need := range needs {
+		read = append(read, overload.Need{Service: need.Service, Calls: need.Calls, Occupancy: float64(need.Occupancy) / occupancyScale, Wait: need.Wait})
 	}
-	o.core.Learn(route.Name, read, served)
+	return read
 }
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -61,8 +61,9 @@
 	length      int64         // of the stream; -1: unknown
 	load        slots.Load
 	incarnation string
-	version     uint64 // of the configuration at the node that replied
-	needs       []wire.Need
+	version     uint64        // of the configuration at the node that replied
+	needs       []wire.Need   // of services further down
+	waited      time.Duration // for a slot of the target
 }
 
 func notRun(reason Reason) *reply  { return &reply{outcome: NotRun, reason: reason} }
@@ -147,11 +148,14 @@
 	}
 }
 
-// waitsOf writes the waits of services for the node that asked; empty where nothing
-// waits.
-func waitsOf(needs []wire.Need) string {
+// waitsOf writes the waits of a request and of its calls for the node that asked; empty
+// where nothing waited.
+func waitsOf(r *reply) string {
 	message := &wire.Waits{}
-	for _, need := range needs {
+	if r.waited > 0 {
+		message.Services = append(message.Services, wire.ServiceWait{Wait: r.waited.Microseconds()})
+	}
+	for _, need := range r.needs {
 		if need.Wait > 0 {
 			message.Services = append(message.Services, wire.ServiceWait{Service: need.Service, Wait: need.Wait.Microseconds()})
 		}
@@ -176,6 +180,9 @@
 		return
 	}
 	for _, one := range message.Services {
+		if one.Service == "" {
+			r.waited = time.Duration(one.Wait) * time.Microsecond
+		}
 		for index := range r.needs {
 			if r.needs[index].Service == one.Service {
 				r.needs[index].Wait = time.Duration(one.Wait) * time.Microsecond
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -60,20 +60,21 @@
 	Service   string `avro:"service"`
 	Calls     int    `avro:"calls"`
 	Occupancy int    `avro:"occupancy"` // requests at the target and waiting, in thousandths of its slots; -1: unknown
-	// Wait is how long one call waits there for a slot; it travels in Waits.
+	// Wait is how long one call waited there for a slot, mean over the calls; it travels
+	// in Waits.
 	Wait time.Duration `avro:"-"`
 }
 
-// Waits goes with a SidecarResult when requests wait somewhere below. It is a
-// message of its own, so that nodes of the release before read the result.
+// Waits goes with a SidecarResult when the request or a call below it waited for a
+// slot. It is a message of its own, so that nodes of the release before read the result.
 type Waits struct {
 	Services []ServiceWait `avro:"services"`
 }
 
-// ServiceWait is how long requests wait for slots of a service.
+// ServiceWait is how long a request's calls waited for slots of a service.
 type ServiceWait struct {
-	Service string `avro:"service"`
-	Wait    int64  `avro:"wait_us"` // of one call, mean over the service's targets
+	Service string `avro:"service"` // empty: the request itself
+	Wait    int64  `avro:"wait_us"` // of one call, mean over the calls
 }
 
 // NodeRecord is what a sidecar node tells the others of itself.
