--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -29,12 +29,13 @@
 	ownGain = 0.005
 	// busyFrom is the share of its slots from which a target costs more, up to
 	// busyCost when all are in use.
-	busyFrom = 0.4
-	busyCost = 0.05
-	// queueCost is the cost of a queue, and of each request in it for each slot: while
-	// it stands, free slots elsewhere go to waste.
+	busyFrom = 0.5
+	busyCost = 0.03
+	// queueCost is the cost of a queue: while it stands, free slots elsewhere go to
+	// waste. queueSlot is that of each request in it, over the slots: with queues
+	// everywhere the difference between them is worth little more than the wait.
 	queueCost = 0.1
-	queueSlot = 0.2
+	queueSlot = 0.05
 	// coldFactor is the factor on the time at a target that has just started.
 	coldFactor = 2.0
 	// busyFactor is that at a target whose slots are all in use, less the wait.
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -152,34 +152,35 @@
 // Leave notes that a request that was let in ended and says nothing of the chain.
 func (c *Controller) Leave(now time.Duration, route string) { c.route(now, route).window.Leave() }
 
-// End notes that a request that was let in ended. needs tell what it waited for; steps
-// is how many priorities the route stands above the least important one, limit the time
-// inside which its answer is wanted; 0: it has none. lacked tells that there was no
-// room for it in time.
-func (c *Controller) End(now time.Duration, name string, needs []Need, steps int, limit time.Duration, lacked bool) {
+// Ended is the end of a request that was let in.
+type Ended struct {
+	Needs  []Need        // what it needed, with the waits
+	Steps  int           // priorities that its route stands above the least important one
+	Limit  time.Duration // time inside which its answer was wanted; 0: none
+	Took   time.Duration
+	Lacked bool // there was no room for it in time
+}
+
+// End notes that a request of the route ended that was let in.
+func (c *Controller) End(now time.Duration, name string, ended Ended) {
 	one := c.route(now, name)
-	waits, longest := time.Duration(0), time.Duration(0)
-	for _, need := range needs {
+	trip := Trip{Took: ended.Took, Lacked: ended.Lacked, Bearable: c.bearable(ended)}
+	longest := time.Duration(0)
+	for _, need := range ended.Needs {
 		wait := time.Duration(need.Calls) * need.Wait
-		waits += wait
+		trip.Waited += wait
 		if wait > longest {
 			longest, one.slowest = wait, need.Service
 		}
 	}
-	waited := 0.0
-	if limit > 0 {
-		bearable := min(c.config.Bearable+c.config.Step*float64(max(steps, 0)), c.config.BearableMost)
-		waited = float64(waits) / (bearable * float64(limit))
-	}
-	if lacked {
-		waited = max(waited, waitedOfLack)
-	}
-	one.window.End(now, waited)
+	one.window.End(now, trip)
 }
 
-// waitedOfLack stands for the wait of a request for which there was no room in time, as
-// a part of what is bearable.
-const waitedOfLack = 2
+// bearable is the wait along its chain that a request is held to.
+func (c *Controller) bearable(ended Ended) time.Duration {
+	share := min(c.config.Bearable+c.config.Step*float64(max(ended.Steps, 0)), c.config.BearableMost)
+	return time.Duration(share * float64(ended.Limit))
+}
 
 // Occupancy gives the mean occupancy of a service; 0 when nothing is known.
 func (c *Controller) Occupancy(service string) float64 {
--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -16,6 +16,13 @@
 	return []Need{{Service: "front", Calls: 1}, {Service: "deep", Calls: calls, Occupancy: 1.2, Wait: wait}}
 }
 
+func waits(needs []Need) (total time.Duration) {
+	for _, need := range needs {
+		total += time.Duration(need.Calls) * need.Wait
+	}
+	return total
+}
+
 // settle has eight requests of a route in flight, each of which ends after so long a
 // wait, until the window has settled; it gives the time then.
 func settle(c *Controller, from time.Duration, route string, steps int, needs []Need) time.Duration {
@@ -25,7 +32,7 @@
 			c.Begin(from, route)
 		}
 		if c.routes[route].window.InFlight() > 0 {
-			c.End(from, route, needs, steps, limit, false)
+			c.End(from, route, Ended{Needs: needs, Steps: steps, Limit: limit, Took: 200*time.Millisecond + waits(needs)})
 		}
 	}
 	return from
@@ -73,7 +80,7 @@
 	for range 8 {
 		c.Begin(now, "list")
 	}
-	c.End(now, "list", chain(10, 300*time.Millisecond), 0, limit, false)
+	c.End(now, "list", Ended{Needs: chain(10, 300*time.Millisecond), Limit: limit, Took: 3200 * time.Millisecond})
 	share, _ := c.Share(now, "list")
 	g.Expect(share).To(Equal(1.0))
 }
@@ -89,7 +96,7 @@
 	now := time.Duration(0)
 	for ; now < time.Second; now += step {
 		c.Begin(now, "list")
-		c.End(now, "list", nil, 0, limit, true)
+		c.End(now, "list", Ended{Limit: limit, Took: limit, Lacked: true})
 	}
 	c.Begin(now, "list")
 	share, _ := c.Share(now, "list")
--- a/internal/core/overload/window.go
+++ b/internal/core/overload/window.go
@@ -21,13 +21,17 @@
 	// PressedFor how long it is after one request has waited so.
 	Pressed    float64
 	PressedFor time.Duration
-	// Shrink is the most that one request takes off the window.
-	Shrink float64
+	// Grow and Shrink are the parts of the step to the window at which the waits would
+	// be the bearable ones that are taken in the time of one chain. News are as old as
+	// a chain is long: with the whole step the window would swing.
+	Grow, Shrink float64
+	// GrowLeast is the least growth in that time while nothing waits.
+	GrowLeast float64
 }
 
 // DefaultWindow gives the values that docs/DECISIONS.md was measured with.
 func DefaultWindow() WindowConfig {
-	return WindowConfig{First: 16, Least: 0.3, Room: 2, RoomFactor: 1.5, PeakLife: 5 * time.Second, Pressed: 0.5, PressedFor: 2 * time.Second, Shrink: 0.5}
+	return WindowConfig{First: 16, Least: 0.3, Room: 2, RoomFactor: 1.5, PeakLife: 5 * time.Second, Pressed: 0.5, PressedFor: 2 * time.Second, Grow: 0.5, Shrink: 0.5, GrowLeast: 0.25}
 }
 
 // Window bounds the requests of one route that are in flight from one node while the
@@ -42,6 +46,9 @@
 	peak     float64
 	peakAt   time.Duration
 	fresh    bool          // no request has ended yet
+	alone    float64       // ns: mean time of a request without its waits
+	gap      float64       // ns: mean time between two ends
+	endedAt  time.Duration // the last end
 	pressed  time.Duration // in force until then
 }
 
@@ -78,26 +85,82 @@
 // Leave notes that a request ended that says nothing of the chain: its client left.
 func (w *Window) Leave() { w.inFlight-- }
 
-// End notes that a request ended. waited is how long it waited for slots all along its
-// chain, as a part of what is bearable for its route. As many requests end in the time
-// of one chain as are in flight, so that each may change the window by up to one.
-func (w *Window) End(now time.Duration, waited float64) {
+// Trip is how long a request that has ended was under way.
+type Trip struct {
+	Took     time.Duration // in all
+	Waited   time.Duration // of it for slots, all along the chain
+	Bearable time.Duration // wait that is bearable for its route; 0: any
+	Lacked   bool          // there was no room for it in time
+}
+
+// pressing tells whether the wait comes near to what is bearable.
+func (t Trip) pressing(share float64) bool {
+	return t.Lacked || t.Bearable > 0 && t.Waited >= time.Duration(share*float64(t.Bearable))
+}
+
+// fits gives the window, as a multiple of the present one, at which the wait would be
+// the bearable one: chains end as fast as before, and each takes as long as it takes
+// without waits and the bearable wait besides.
+func (t Trip) fits() float64 {
+	if t.Lacked {
+		return 0
+	}
+	if t.Bearable <= 0 {
+		return 1
+	}
+	return float64(t.alone()+t.Bearable) / float64(t.alone()+t.Waited)
+}
+
+// alone is the time that the request would have taken without waits. Calls side by side
+// wait at the same time; a quarter of the time is not waiting.
+func (t Trip) alone() time.Duration { return max(t.Took-t.Waited, t.Took/4, time.Millisecond) }
+
+// tripWeight is the weight of one request in what is known of all.
+const tripWeight = 0.1
+
+// note learns how long requests take without waits, and how often one ends.
+func (w *Window) note(now time.Duration, trip Trip) {
+	if w.fresh {
+		w.alone, w.gap = float64(trip.alone()), float64(now)
+	}
+	w.alone += tripWeight * (float64(trip.alone()) - w.alone)
+	w.gap += tripWeight * (float64(now-w.endedAt) - w.gap)
+	w.endedAt = now
+}
+
+// ending is the number of requests in flight at which as many end as do now, after the
+// bearable wait (Little's law).
+func (w *Window) ending(bearable time.Duration) float64 {
+	return (w.alone + float64(bearable)) / max(w.gap, float64(time.Millisecond))
+}
+
+// End notes that a request ended. As many end in the time of one chain as are in flight,
+// so that a step of one for each changes the window by its own size in that time.
+func (w *Window) End(now time.Duration, trip Trip) {
 	w.inFlight--
+	w.note(now, trip)
 	most := w.config.Room + w.config.RoomFactor*w.fadedPeak(now)
 	switch {
-	case waited >= w.config.Pressed:
+	case trip.pressing(w.config.Pressed):
 		if now >= w.pressed {
-			w.limit = most // nothing was bounded, all of it fitted
+			w.limit = w.ending(trip.Bearable)
 		}
 		w.pressed = now + w.config.PressedFor
 	case w.fresh:
 		w.pressed = now // nothing waits at the start
 	}
 	w.fresh = false
-	if waited < 1 {
-		w.limit += (1 - waited) * (1 - waited)
+	fits := trip.fits()
+	if fits < 1 {
+		w.limit += w.config.Shrink * (fits - 1)
 	} else {
-		w.limit -= min((waited-1)/2, w.config.Shrink)
+		w.limit += w.config.Grow * min(fits-1, 1)
+	}
+	if !trip.pressing(growBelow) {
+		w.limit += w.config.GrowLeast
 	}
 	w.limit = max(min(w.limit, most), w.config.Least)
 }
+
+// growBelow is the part of the bearable wait below which nothing is said to wait.
+const growBelow = 0.25
--- a/internal/core/overload/window_test.go
+++ b/internal/core/overload/window_test.go
@@ -12,14 +12,14 @@
 func TestWindowAtAStart(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
-		ends   []float64 // waits of the first requests, as parts of what is bearable
+		ends   []time.Duration // waits of the first requests
 		flight int
 		full   bool
 	}{
 		{"nothing is known, few", nil, 15, false},
 		{"nothing is known, many", nil, 16, true},
-		{"the first did not wait", []float64{0}, 40, false},
-		{"the first waited", []float64{2}, 40, true},
+		{"the first did not wait", []time.Duration{0}, 40, false},
+		{"the first waited", []time.Duration{200 * time.Millisecond}, 40, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -28,7 +28,7 @@
 				w.Begin(0)
 			}
 			for _, waited := range tc.ends {
-				w.End(0, waited)
+				w.End(0, Trip{Took: 300 * time.Millisecond, Waited: waited, Bearable: 100 * time.Millisecond})
 			}
 			g.Expect(w.Share(0) == 0).To(Equal(tc.full))
 		})
@@ -123,7 +123,7 @@
 			c.Begin(now, "list")
 			s.chain(now, now, s.calls, 0, func(end, waited time.Duration) {
 				needs := []Need{{Service: "deep", Calls: s.calls, Wait: waited / time.Duration(s.calls)}}
-				c.End(end, "list", needs, 0, s.limit, false)
+				c.End(end, "list", Ended{Needs: needs, Limit: s.limit, Took: end - now})
 				if second := int(end / time.Second); second < seconds {
 					s.served[second]++
 					if end-now > s.limit {
--- /dev/null
+++ b/internal/sidecar/answer.go
@@ -0,0 +1,86 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// answer gives the target's answer to the sender.
+func (x *exchange) answer(given *reply) {
+	defer given.close()
+	header := x.writer.Header()
+	for name, values := range given.header {
+		header[name] = values
+	}
+	withoutGuess(header)
+	if given.stream == nil {
+		header.Set("Content-Length", strconv.Itoa(len(given.body)))
+		x.writer.WriteHeader(given.status)
+		_, _ = x.writer.Write(given.body)
+		x.ended(given.status, reasonNone, 0)
+		return
+	}
+	if given.length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(given.length, 10))
+	}
+	x.writer.WriteHeader(given.status)
+	if _, err := io.Copy(x.writer, given.stream); err != nil {
+		x.ended(0, reasonLost, 0)
+		panic(http.ErrAbortHandler)
+	}
+	x.ended(given.status, reasonNone, 0)
+}
+
+// Times after which a refused sender may come back.
+const (
+	unreadyRetryAfter  = 500 * time.Millisecond
+	overloadRetryAfter = 400 * time.Millisecond
+)
+
+// giveUp writes the final answer of a request that no target answered. "Not run"
+// is said only where no sending may have run.
+func (x *exchange) giveUp(ctx context.Context, last *reply) {
+	defer last.close()
+	if x.lacked = last.full(); x.lacked && x.parent != nil {
+		// It would have waited for all the time that it had.
+		x.parent.add([]wire.Need{{Service: x.service, Calls: 1, Occupancy: -1, Wait: x.hold}})
+	}
+	if x.request.Context().Err() != nil {
+		x.ended(0, reasonCancelled, 0)
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case !x.mayRun:
+		x.refuse(http.StatusServiceUnavailable, last.reason, jittered(overloadRetryAfter))
+	case ctx.Err() != nil:
+		x.refuse(http.StatusGatewayTimeout, reasonTimeout, 0)
+	default:
+		x.refuse(http.StatusBadGateway, last.reason, 0)
+	}
+}
+
+func jittered(span time.Duration) time.Duration {
+	return span + time.Duration(rand.Int64N(int64(span)))
+}
+
+// refuse writes an answer of the node's own.
+func (x *exchange) refuse(status int, reason Reason, retryAfter time.Duration) {
+	header := x.writer.Header()
+	if x.id != "" {
+		header.Set(x.node.options.Headers.RequestID, x.id)
+	}
+	if retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+	}
+	header.Set("Content-Type", "text/plain")
+	header.Set("Content-Length", strconv.Itoa(len(reason)))
+	x.writer.WriteHeader(status)
+	_, _ = io.WriteString(x.writer, string(reason))
+	x.ended(status, reason, retryAfter)
+}
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/landingmast/landingmast/internal/core/balancer"
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/wire"
@@ -183,7 +180,7 @@
 
 // release tells how a client's request ended that was let in.
 func (x *exchange) release() {
-	x.node.overload.end(ending{route: x.route, limit: x.limit(), needs: x.needs, lacked: x.lacked, left: x.request.Context().Err() != nil})
+	x.node.overload.end(ending{route: x.route, limit: x.limit(), took: x.node.now() - x.started, needs: x.needs, lacked: x.lacked, left: x.request.Context().Err() != nil})
 }
 
 // limit is the time from its arrival inside which the request's answer is wanted.
@@ -218,7 +215,7 @@
 // id of a call is the id of the request that made it, a dot and a part of its
 // own; where ids look otherwise the request stands for itself.
 func (x *exchange) findParent() {
-	x.importance = x.route.Priority*importanceStep + importanceFresh
+	x.importance = importanceOf(x.route, x.limit())
 	dot := strings.LastIndexByte(x.id, '.')
 	if dot <= 0 {
 		return
@@ -228,235 +225,6 @@
 		return
 	}
 	x.parent = parent
-	x.importance = parent.importance - parent.importance%importanceStep + importanceOfCall
+	x.importance = importanceOfCall(parent.importance)
 	x.repeat = parent.repeat
 }
-
-// Importance within one priority: calls of running work go before fresh work.
-const (
-	importanceStep   = 4
-	importanceOfCall = 0
-	importanceFresh  = 2
-)
-
-// send tries targets until one answers or nothing more can be tried.
-func (x *exchange) send(ctx context.Context) {
-	target := x.node.services.get(x.service)
-	excluded := map[string]bool{}
-	last := notRun(reasonNoTarget)
-	for bounces, fulls := 0, 0; bounces < maxBounces && fulls < maxFulls && ctx.Err() == nil; {
-		choice := target.pick(x.node.now(), x.wish(ctx), excluded)
-		if choice == nil {
-			break
-		}
-		last.close()
-		began := x.node.now()
-		last = x.attempt(ctx, choice, bounces)
-		x.noteSend(choice, last, x.node.now()-began)
-		choice.done(x.node.now(), last)
-		if last.reason == reasonUnreachable && last.incarnation == "" && choice.node != x.node.settings().Node {
-			x.node.liveness.revive(choice.node, choice.address)
-		}
-		x.tellIfLost(choice, last)
-		x.learn(last)
-		if last.arrived {
-			x.arrivals++
-		} else {
-			bounces++
-		}
-		if last.full() {
-			fulls++
-		}
-		if last.outcome == Unknown {
-			x.mayRun = true
-		}
-		if last.outcome == Answered {
-			x.answer(last)
-			return
-		}
-		excluded[choice.node] = true
-		if !x.again(last) {
-			break
-		}
-	}
-	x.giveUp(ctx, last)
-}
-
-// wish is what the request asks of a target: an answer within its route's objective,
-// and before its time is up.
-func (x *exchange) wish(ctx context.Context) balancer.Wish {
-	deadline, _ := ctx.Deadline()
-	wish := balancer.Wish{Class: x.route.Name, Limit: time.Until(deadline)}
-	if left := x.route.Objective - (x.node.now() - x.started); left > 0 {
-		wish.Limit = min(wish.Limit, left)
-	}
-	return wish
-}
-
-// again tells whether another target may be tried after a sending that brought
-// no answer.
-func (x *exchange) again(last *reply) bool {
-	if !x.body.replayable() {
-		return false
-	}
-	if !last.arrived {
-		return true
-	}
-	if last.outcome == Unknown && !x.route.Kind.Repeatable() {
-		return false
-	}
-	if x.arrivals >= max(x.route.MaxAttempts, 1) || x.repeat {
-		return false
-	}
-	return x.node.repeat(x.route, x.service)
-}
-
-// attempt sends the request to one target.
-func (x *exchange) attempt(ctx context.Context, choice *choice, bounces int) *reply {
-	deadline, _ := ctx.Deadline()
-	repeatable := x.route.Kind.Repeatable()
-	call := &wire.SidecarCall{
-		RequestID: x.id, Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Service: x.service, Route: x.route.Name,
-		Caller: x.node.caller(), From: x.node.settings().Node, Importance: x.importance, Repeatable: repeatable,
-		Repeat: x.repeat || x.arrivals > 0, Attempt: x.arrivals, Remaining: time.Until(deadline).Microseconds(),
-		Version: int64(x.intent.Version), Granted: x.granted,
-	}
-	if choice.node == x.node.settings().Node {
-		return x.node.ingress.serve(ctx, call, x.header.Clone(), x.body)
-	}
-	if repeatable {
-		return x.sendRepeatable(ctx, choice, call)
-	}
-	return x.sendOnce(ctx, choice, call)
-}
-
-// noteSend keeps a sending for the log and counts it.
-func (x *exchange) noteSend(choice *choice, answer *reply, took time.Duration) {
-	x.node.metrics.Sends.WithLabelValues(x.service, string(answer.outcome), string(answer.reason)).Inc()
-	x.sends = append(x.sends, eventlog.Send{
-		Node: choice.node, Outcome: string(answer.outcome), Reason: string(answer.reason), Arrived: answer.arrived, Status: answer.status,
-		TookMS: milliseconds(took), Occupancy: answer.load.Occupancy(),
-	})
-}
-
-// tellIfLost helps a node that replied without knowing any configuration.
-func (x *exchange) tellIfLost(choice *choice, answer *reply) {
-	if answer.incarnation != "" && answer.version == 0 && choice.node != x.node.settings().Node {
-		x.node.exchanger.tell(choice.address)
-	}
-}
-
-// sendRepeatable sends to another node, and gives up when that node shows no
-// sign of life.
-func (x *exchange) sendRepeatable(ctx context.Context, choice *choice, call *wire.SidecarCall) *reply {
-	ctx, abandon := context.WithCancelCause(ctx)
-	watched := x.node.liveness.begin(choice.node, choice.address, abandon)
-	answer := x.node.peers.call(ctx, choice.address, call, x.header, x.body)
-	watched.end(answer.incarnation != "")
-	if answer.outcome == Unknown && errors.Is(context.Cause(ctx), errSilent) {
-		answer.reason = reasonSilent
-	}
-	if answer.stream == nil {
-		abandon(nil)
-	}
-	return answer
-}
-
-// sendOnce sends a request that may run at most once. When the connection to the
-// node breaks, the node is asked what became of the request.
-func (x *exchange) sendOnce(ctx context.Context, choice *choice, call *wire.SidecarCall) *reply {
-	call.Key = strconv.FormatUint(rand.Uint64(), 36)
-	call.Incarnation = x.node.membership.incarnation(choice.node)
-	watched := x.node.liveness.begin(choice.node, choice.address, nil)
-	defer func() { watched.end(false) }()
-	answer := x.node.peers.call(ctx, choice.address, call, x.header, x.body)
-	for range settleTries {
-		if answer.outcome != Unknown || answer.reason != reasonLost || call.Incarnation == "" || ctx.Err() != nil {
-			break
-		}
-		deadline, _ := ctx.Deadline()
-		call.Remaining = time.Until(deadline).Microseconds()
-		answer = x.node.peers.settle(ctx, choice.address, call)
-	}
-	if answer.reason == reasonIncarnation {
-		x.node.membership.restarted(choice.node, answer.incarnation)
-	}
-	return answer
-}
-
-// settleTries is how often a node is asked what became of a request.
-const settleTries = 3
-
-// answer gives the target's answer to the sender.
-func (x *exchange) answer(given *reply) {
-	defer given.close()
-	header := x.writer.Header()
-	for name, values := range given.header {
-		header[name] = values
-	}
-	withoutGuess(header)
-	if given.stream == nil {
-		header.Set("Content-Length", strconv.Itoa(len(given.body)))
-		x.writer.WriteHeader(given.status)
-		_, _ = x.writer.Write(given.body)
-		x.ended(given.status, reasonNone, 0)
-		return
-	}
-	if given.length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(given.length, 10))
-	}
-	x.writer.WriteHeader(given.status)
-	if _, err := io.Copy(x.writer, given.stream); err != nil {
-		x.ended(0, reasonLost, 0)
-		panic(http.ErrAbortHandler)
-	}
-	x.ended(given.status, reasonNone, 0)
-}
-
-// Times after which a refused sender may come back.
-const (
-	unreadyRetryAfter  = 500 * time.Millisecond
-	overloadRetryAfter = 400 * time.Millisecond
-)
-
-// giveUp writes the final answer of a request that no target answered. "Not run"
-// is said only where no sending may have run.
-func (x *exchange) giveUp(ctx context.Context, last *reply) {
-	defer last.close()
-	if x.lacked = last.full(); x.lacked && x.parent != nil {
-		// It would have waited for all the time that it had.
-		x.parent.add([]wire.Need{{Service: x.service, Calls: 1, Occupancy: -1, Wait: x.hold}})
-	}
-	if x.request.Context().Err() != nil {
-		x.ended(0, reasonCancelled, 0)
-		panic(http.ErrAbortHandler)
-	}
-	switch {
-	case !x.mayRun:
-		x.refuse(http.StatusServiceUnavailable, last.reason, jittered(overloadRetryAfter))
-	case ctx.Err() != nil:
-		x.refuse(http.StatusGatewayTimeout, reasonTimeout, 0)
-	default:
-		x.refuse(http.StatusBadGateway, last.reason, 0)
-	}
-}
-
-func jittered(span time.Duration) time.Duration {
-	return span + time.Duration(rand.Int64N(int64(span)))
-}
-
-// refuse writes an answer of the node's own.
-func (x *exchange) refuse(status int, reason Reason, retryAfter time.Duration) {
-	header := x.writer.Header()
-	if x.id != "" {
-		header.Set(x.node.options.Headers.RequestID, x.id)
-	}
-	if retryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
-	}
-	header.Set("Content-Type", "text/plain")
-	header.Set("Content-Length", strconv.Itoa(len(reason)))
-	x.writer.WriteHeader(status)
-	_, _ = io.WriteString(x.writer, string(reason))
-	x.ended(status, reason, retryAfter)
-}
--- a/internal/sidecar/exchange_test.go
+++ b/internal/sidecar/exchange_test.go
@@ -19,7 +19,7 @@
 func countedNode(t *testing.T, name string) (n *Node, address string, bytes *atomic.Int64) {
 	t.Helper()
 	n = memberNode(name, name)
-	n.peers = newPeerClient((&net.Dialer{}).DialContext)
+	n.peers = newPeerClient((&net.Dialer{}).DialContext, Headers{})
 	n.exchanger = &exchanger{node: n}
 	bytes = &atomic.Int64{}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -8,6 +8,8 @@
 import (
 	"net/http"
 	"strings"
+
+	"github.com/landingmast/landingmast/internal/wire"
 )
 
 // Headers are the names of the headers that clients, nodes and targets use.
@@ -61,3 +63,29 @@
 	}
 	return named
 }
+
+// shorten takes out of a request between two nodes what its SidecarCall tells too.
+func (h Headers) shorten(header http.Header) {
+	delete(header, h.RequestID)
+	delete(header, h.Deadline)
+}
+
+// restore gives an answer the id of its request, which the node that asked knows. A node
+// of the release before sends it.
+func (h Headers) restore(answer *reply, call *wire.SidecarCall) {
+	if h.RequestID != "" && answer.outcome == Answered && answer.header.Get(h.RequestID) == "" {
+		answer.header.Set(h.RequestID, call.RequestID)
+	}
+}
+
+// without gives the reply without a header. A reply that is kept for a sender that asks
+// again stays as it is.
+func (r *reply) without(name string) *reply {
+	if r.header.Get(name) == "" {
+		return r
+	}
+	short := *r
+	short.header = r.header.Clone()
+	short.header.Del(name)
+	return &short
+}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -123,7 +123,11 @@
 		i.write(w, notRun(reasonCancelled))
 		return
 	}
-	i.write(w, i.serve(ctx, call, endToEnd(r.Header), body))
+	answer := i.serve(ctx, call, endToEnd(r.Header), body)
+	if r.Header.Get(i.node.options.Headers.RequestID) == "" {
+		answer = answer.without(i.node.options.Headers.RequestID)
+	}
+	i.write(w, answer)
 }
 
 // receive reads the body of a request, whole unless it is long.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -95,7 +95,7 @@
 	n.services = newServices(settings.Node, settings.Zone, n.now, budget(settings), settings.FirstStart)
 	n.ingress = newIngress(n)
 	n.egress = &egress{node: n}
-	n.peers = newPeerClient(options.Dial)
+	n.peers = newPeerClient(options.Dial, options.Headers)
 	n.membership = newMembership(n)
 	n.registration = newRegistration(n)
 	n.follower = newFollower(n)
--- a/internal/sidecar/overload.go
+++ b/internal/sidecar/overload.go
@@ -46,9 +46,10 @@
 type ending struct {
 	route  *intent.Route
 	limit  time.Duration // inside which its answer was wanted
-	needs  []wire.Need   // what its last sending needed
-	lacked bool          // there was no room for it in time
-	left   bool          // its client left, or nothing was learned of its chain
+	took   time.Duration
+	needs  []wire.Need // what its last sending needed
+	lacked bool        // there was no room for it in time
+	left   bool        // its client left, or nothing was learned of its chain
 }
 
 // end notes the end of a client's request.
@@ -61,7 +62,7 @@
 		o.core.Leave(now, one.route.Name)
 		return
 	}
-	o.core.End(now, one.route.Name, needsOf(one.needs), steps, one.limit, one.lacked)
+	o.core.End(now, one.route.Name, overload.Ended{Needs: needsOf(one.needs), Steps: steps, Limit: one.limit, Took: one.took, Lacked: one.lacked})
 }
 
 // stepsAboveLeast is how many priorities the route stands above the least
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -33,10 +33,11 @@
 // peerClient sends requests to other nodes.
 type peerClient struct {
 	transport *http.Transport
+	names     Headers
 }
 
-func newPeerClient(dial Dialer) *peerClient {
-	return &peerClient{transport: &http.Transport{
+func newPeerClient(dial Dialer, names Headers) *peerClient {
+	return &peerClient{names: names, transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
 			defer cancel()
@@ -76,6 +77,7 @@
 		Header: header.Clone(), ProtoMajor: 1, ProtoMinor: 1,
 	})
 	hideKeys(request.Header)
+	p.names.shorten(request.Header)
 	request.Header.Set(wire.HeaderSidecarCall, head)
 	grant(request.Header, call.Granted)
 	if _, present := request.Header["User-Agent"]; !present {
@@ -93,7 +95,9 @@
 	if err != nil {
 		return unanswered(ctx, connected.Load())
 	}
-	return readReply(ctx, response)
+	answer := readReply(ctx, response)
+	p.names.restore(answer, call)
+	return answer
 }
 
 // post sends a control message to the node at an address and gives the answer's body.
@@ -140,7 +144,9 @@
 		}
 		return unknown(reasonLost)
 	}
-	return readReply(ctx, response)
+	answer := readReply(ctx, response)
+	p.names.restore(answer, call)
+	return answer
 }
 
 // unanswered sorts a failed round trip: without a connection nothing was sent.
