--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -5,7 +5,6 @@
 package slots
 
 import (
-	"math"
 	"sort"
 	"time"
 )
@@ -105,14 +104,11 @@
 // queueFactor bounds the queue as a multiple of the slots.
 const queueFactor = 8
 
-// usableShare is the share of a target's slots from which on some targets turn slow:
-// at 19 of 20 in use they take 1.3 times as long (masr-claims scale-1, docs/DECISIONS.md).
+// usableShare is the share of a target's slots that is used: some targets turn
+// slow when they are nearly full.
 const usableShare = 0.95
 
-// usable is the most slots of a target that are used: fewer than usableShare of them.
-func usable(slots int) int {
-	return max(int(math.Ceil(usableShare*float64(slots)))-1, 1)
-}
+func usable(slots int) int { return max(int(float64(slots)*usableShare), 1) }
 
 // New makes a gate for a target with so many slots.
 func New(slots int) *Gate {
