--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -28,7 +28,7 @@
 
 // DefaultConfig gives the values that docs/DECISIONS.md was measured with.
 func DefaultConfig() Config {
-	return Config{Bearable: 0.1, Step: 0.2, BearableMost: 0.5, Window: DefaultWindow(), Smoothing: 250 * time.Millisecond}
+	return Config{Bearable: 0.3, Step: 0.15, BearableMost: 0.6, Window: DefaultWindow(), Smoothing: 250 * time.Millisecond}
 }
 
 // Need is what one request needs of a service: calls there, with all below it.
--- a/internal/core/overload/window.go
+++ b/internal/core/overload/window.go
@@ -31,7 +31,7 @@
 
 // DefaultWindow gives the values that docs/DECISIONS.md was measured with.
 func DefaultWindow() WindowConfig {
-	return WindowConfig{First: 16, Least: 0.3, Room: 2, RoomFactor: 1.5, PeakLife: 5 * time.Second, Pressed: 0.5, PressedFor: 2 * time.Second, Grow: 0.5, Shrink: 0.5, GrowLeast: 0.25}
+	return WindowConfig{First: 32, Least: 0.3, Room: 2, RoomFactor: 1.5, PeakLife: 5 * time.Second, Pressed: 0.5, PressedFor: 2 * time.Second, Grow: 0.5, Shrink: 0.5, GrowLeast: 0.25}
 }
 
 // Window bounds the requests of one route that are in flight from one node while the
@@ -121,7 +121,7 @@
 // note learns how long requests take without waits, and how often one ends.
 func (w *Window) note(now time.Duration, trip Trip) {
 	if w.fresh {
-		w.alone, w.gap = float64(trip.alone()), float64(now)
+		w.alone, w.gap, w.endedAt = float64(trip.alone()), float64(trip.Took)/max(w.peak, 1), now
 	}
 	w.alone += tripWeight * (float64(trip.alone()) - w.alone)
 	w.gap += tripWeight * (float64(now-w.endedAt) - w.gap)
