--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -59,6 +59,7 @@
 	suspected  bool
 	lossShare  float64 // moving share of the sendings that the target lost
 	lossAt     time.Duration
+	seen       map[string]*seen // by class
 }
 
 // Balancer holds the targets of one service. It is not safe for concurrent use.
--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -52,6 +52,7 @@
 
 // expectation is what is known of a request before a target is chosen for it.
 type expectation struct {
+	class   string
 	typical time.Duration // mean hold time of the service's targets
 	takes   float64       // ns at a target with that hold time
 	limit   float64       // ns
@@ -59,7 +60,7 @@
 }
 
 func (b *Balancer) expect(wish Wish) expectation {
-	x := expectation{typical: b.typicalHold(), limit: float64(wish.Limit), far: farCost}
+	x := expectation{class: wish.Class, typical: b.typicalHold(), limit: float64(wish.Limit), far: farCost}
 	x.takes = float64(x.typical)
 	if known := b.classes[wish.Class]; known != nil {
 		if known.takes > 0 {
@@ -93,7 +94,7 @@
 // cost estimates what is lost when a request is sent to the target now.
 func (b *Balancer) cost(now time.Duration, e *Endpoint, x expectation) float64 {
 	busy := b.occupied(now, e)
-	takes := x.takes * e.slowness(x.typical) * (1 + (busyFactor-1)*min(busy, 1)) * (1 + b.config.Noise*b.random.Float64())
+	takes := e.takes(now, x) * (1 + (busyFactor-1)*min(busy, 1)) * (1 + b.config.Noise*b.random.Float64())
 	if now < e.Cold {
 		takes *= coldFactor
 	}
@@ -124,6 +125,48 @@
 	return float64(count+1) / float64(max(e.Slots, 1))
 }
 
+// takes is the time, in ns, that the request is expected to take at the target: what
+// others of its class took there lately, else what they take at the other targets, by
+// half of the difference in hold times. The other half stands for the calls that
+// requests make: those take as long from any target.
+func (e *Endpoint) takes(now time.Duration, x expectation) float64 {
+	if seen := e.seen[x.class]; seen != nil && now-seen.at < seenLife {
+		return seen.takes
+	}
+	return x.takes * (1 + e.slowness(x.typical)) / 2
+}
+
+// seen is what requests of one class took at one target.
+type seen struct {
+	takes float64 // ns
+	at    time.Duration
+}
+
+const (
+	// seenLife is the age from which it counts no more: a target that was slow is tried
+	// again.
+	seenLife = 3 * time.Second
+	// seenWeight is the weight of one answer in it.
+	seenWeight = 0.2
+)
+
+// noteTook takes in what one request took.
+func (e *Endpoint) noteTook(now time.Duration, class string, took time.Duration) {
+	one := e.seen[class]
+	if one == nil || now-one.at >= seenLife {
+		if len(e.seen) >= maxClasses {
+			clear(e.seen)
+		}
+		if e.seen == nil {
+			e.seen = map[string]*seen{}
+		}
+		e.seen[class] = &seen{takes: float64(took), at: now}
+		return
+	}
+	one.takes += seenWeight * (float64(took) - one.takes)
+	one.at = now
+}
+
 // slowness is the target's hold time against the typical one.
 func (e *Endpoint) slowness(typical time.Duration) float64 {
 	if e.report.Hold <= 0 || typical <= 0 {
@@ -145,7 +188,7 @@
 
 // class is what is learned of the requests of one class.
 type class struct {
-	takes float64 // ns, at a target with the typical hold time; 0: not known
+	takes float64 // ns, mean over the targets; 0: not known
 	bytes float64 // mean size of an answer
 }
 
@@ -175,11 +218,11 @@
 	if bytes >= 0 {
 		one.bytes += classWeight * (float64(bytes) - one.bytes)
 	}
-	takes := float64(took) / e.slowness(b.typicalHold())
+	e.noteTook(now, name, took)
 	if one.takes == 0 {
-		one.takes = takes
+		one.takes = float64(took)
 	}
-	one.takes += classWeight * (takes - one.takes)
+	one.takes += classWeight * (float64(took) - one.takes)
 }
 
 // The share of a target's sendings that it loses fades without news, so that the
--- a/internal/sidecar/identify.go
+++ b/internal/sidecar/identify.go
@@ -47,12 +47,18 @@
 	searchAfter = 150 * time.Millisecond // a heartbeat may come first
 	searchEvery = 500 * time.Millisecond
 	searchTries = 4
+	// intentPoll is the pause between two looks for a configuration, without which it
+	// is not known how to ask.
+	intentPoll = 10 * time.Millisecond
 )
 
 // findTarget asks who stands at the target's address when the node has come back
 // and the target was running all along: the next heartbeat may be seconds away.
 func (n *Node) findTarget(ctx context.Context) {
 	pause(ctx, searchAfter)
+	for n.intent.Load() == nil && ctx.Err() == nil {
+		pause(ctx, intentPoll)
+	}
 	for range searchTries {
 		if n.target.current() != nil || ctx.Err() != nil {
 			return
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -267,7 +267,7 @@
 // Times of a planned stop.
 const (
 	stopLeast   = 2500 * time.Millisecond // until clients have seen that the node is not ready
-	leaveBefore = 150 * time.Millisecond  // the other nodes are told before that; news take a few ms
+	leaveBefore = 50 * time.Millisecond   // the other nodes are told before that; news take a few ms
 	stopReserve = 500 * time.Millisecond  // of the grace, for the end of the process
 	stopPoll    = 10 * time.Millisecond
 )
