A test that ends a sending at the moment it begins

Cause: samples of no time at all made a target look instant. Ruled out: a fault of the code: no sending takes no time. Change: the test's sendings take their hold time; what it checks is the same.

--- a/internal/sidecar/routes_test.go
+++ b/internal/sidecar/routes_test.go
@@ -147,10 +147,11 @@
 				picked := s.get("s").pick(now, balancer.Wish{}, nil)
 				if picked.node == "bad" {
 					toBad++
-					picked.done(now, tc.ends)
+					picked.done(now+load.Hold, tc.ends)
 					continue
 				}
-				picked.done(now, &reply{outcome: Answered, reason: reasonNone, arrived: true, status: 200, load: slots.Load{Slots: 40, Running: 20, Hold: 800 * time.Millisecond}})
+				const hold = 800 * time.Millisecond
+				picked.done(now+hold, &reply{outcome: Answered, reason: reasonNone, arrived: true, status: 200, load: slots.Load{Slots: 40, Running: 20, Hold: hold}})
 			}
 			if tc.left {
 				g.Expect(toBad).To(BeNumerically("<", 40))
