--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -57,12 +57,17 @@
 
 // ServeHTTP takes a request.
 func (e *egress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	end, refused := e.node.begin(w, e.node.stopping.Load())
+	end, refused := e.node.begin(w, e.node.planned.stopping.Load(), &e.node.planned.closing)
 	defer end()
 	names := e.node.options.Headers
+	isCall := e.node.ingress.runs(r.Header.Get(names.RequestID))
+	if !isCall {
+		e.node.clients.Add(1)
+		defer e.node.clients.Add(-1)
+	}
 	x := &exchange{node: e.node, writer: w, request: r, id: r.Header.Get(names.RequestID), intent: e.node.intent.Load(), started: e.node.now()}
 	switch {
-	case refused && !e.node.ingress.runs(x.id):
+	case refused && !isCall:
 		x.refuse(http.StatusServiceUnavailable, reasonStopping, unreadyRetryAfter)
 		return
 	case x.intent == nil:
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -103,7 +103,7 @@
 
 // ServeHTTP takes a request of another node.
 func (i *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	end, refused := i.node.begin(w, i.node.leaving.Load())
+	end, refused := i.node.begin(w, i.node.planned.leaving.Load(), &i.node.planned.closed)
 	defer end()
 	if refused {
 		i.write(w, notRun(reasonStopping))
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -44,7 +44,7 @@
 	record := &wire.NodeRecord{
 		Node: settings.Node, Incarnation: m.node.incarnation,
 		Address: settings.Listen.Inbound, Zone: settings.Zone, Service: report.Service, Instance: report.Instance, Slots: report.Slots,
-		Serving: report.Instance != "" && !report.Draining && !m.node.leaving.Load(),
+		Serving: report.Instance != "" && !report.Draining && !m.node.planned.leaving.Load(),
 		Cold:    max(coldTill-m.node.now(), 0).Milliseconds(),
 	}
 	m.mutex.Lock()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -66,10 +66,9 @@
 	exchanger    *exchanger
 	news         *spreader
 	liveness     *liveness
-	stopping     atomic.Bool // by plan: not ready, requests are still served
-	leaving      atomic.Bool // the other nodes are told to send the target nothing more through this node
-	closing      atomic.Bool // requests are refused, but for calls of what runs
-	inFlight     atomic.Int64
+	planned      plannedStop
+	inFlight     atomic.Int64 // requests of clients, of the target and of other nodes
+	clients      atomic.Int64 // of them those of clients
 	storeHealth  storeHealth
 	servers      []*http.Server
 	listeners    []net.Listener
@@ -220,19 +219,7 @@
 	return nil
 }
 
-func (n *Node) ready() bool { return n.intent.Load() != nil && !n.stopping.Load() }
-
-// begin counts a request as in flight until end is called. refused tells that the
-// node takes no more work: the request must not be passed on, unless it is a call of
-// one that runs. last has the connection end with the answer.
-func (n *Node) begin(w http.ResponseWriter, last bool) (end func(), refused bool) {
-	n.inFlight.Add(1)
-	if last {
-		w.Header().Set("Connection", "close")
-	}
-	_ = http.NewResponseController(w).EnableFullDuplex()
-	return func() { n.inFlight.Add(-1) }, n.closing.Load()
-}
+func (n *Node) ready() bool { return n.intent.Load() != nil && !n.planned.stopping.Load() }
 
 // Run serves until ctx ends, then stops as planned; the end of hurry ends the
 // wait for requests in flight.
@@ -263,76 +250,3 @@
 	n.stop(hurry)
 	return nil
 }
-
-// Times of a planned stop.
-const (
-	stopLeast   = 2500 * time.Millisecond // until clients have seen that the node is not ready
-	leaveBefore = 50 * time.Millisecond   // the other nodes are told before that; news take a few ms
-	stopReserve = 500 * time.Millisecond  // of the grace, for the end of the process
-	stopPoll    = 10 * time.Millisecond
-)
-
-// stop is the planned stop: not ready at once, requests are still served, and
-// the process ends when none is in flight. The target beside the node goes on: the
-// other nodes send it requests until shortly before the node takes none.
-func (n *Node) stop(hurry context.Context) {
-	n.stopping.Store(true)
-	n.follower.resign()
-	n.events.Add(eventlog.Node{Change: "stopping", Incarnation: n.incarnation, InFlight: n.inFlight.Load()}, eventlog.State)
-	began := time.Now()
-	latest := began.Add(time.Duration(n.settings().Bounds.Grace) - stopReserve)
-	if n.store != nil {
-		n.registration.withdraw()
-	}
-	pause(hurry, min(stopLeast, time.Duration(n.settings().Bounds.Grace)/2)-leaveBefore)
-	n.leaving.Store(true)
-	n.membership.changed()
-	pause(hurry, leaveBefore)
-	// From here on clients get no more work done; what runs may still make its calls.
-	n.closing.Store(true)
-	for hurry.Err() == nil && time.Now().Before(latest) && n.inFlight.Load() > 0 {
-		pause(hurry, stopPoll)
-	}
-	if hurry.Err() == nil {
-		n.closeServers(latest)
-	}
-	for _, server := range n.servers {
-		_ = server.Close()
-	}
-	n.liveness.close()
-	n.peers.transport.CloseIdleConnections()
-	n.target.close()
-	n.events.Add(eventlog.Node{Change: "stopped", Incarnation: n.incarnation, InFlight: n.inFlight.Load(), TookMS: milliseconds(time.Since(began))}, eventlog.State)
-}
-
-// flushTime is how long answers may take to be written out once nothing is in
-// flight: their handlers have returned, net/http has not.
-const flushTime = 200 * time.Millisecond
-
-// closeServers closes the servers without cutting a request: those in flight end,
-// those that still come on open connections are refused. It returns when all
-// connections are idle, or when nothing has been in flight for flushTime, or at the
-// time given.
-func (n *Node) closeServers(latest time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), latest)
-	defer cancel()
-	var servers sync.WaitGroup
-	for _, server := range n.servers {
-		servers.Go(func() { _ = server.Shutdown(ctx) })
-	}
-	idle := make(chan struct{})
-	go func() {
-		defer close(idle)
-		servers.Wait()
-	}()
-	for quiet := time.Now(); ctx.Err() == nil && time.Since(quiet) < flushTime; pause(ctx, stopPoll) {
-		select {
-		case <-idle:
-			return
-		default:
-		}
-		if n.inFlight.Load() > 0 {
-			quiet = time.Now()
-		}
-	}
-}
--- /dev/null
+++ b/internal/sidecar/stop.go
@@ -0,0 +1,113 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+)
+
+// plannedStop is how far the planned stop of a node has come. Each step includes those
+// before it.
+type plannedStop struct {
+	stopping atomic.Bool // not ready; all requests are still served
+	closing  atomic.Bool // clients' requests are refused; calls of what runs are not
+	leaving  atomic.Bool // the other nodes are told to send nothing more through this one
+	closed   atomic.Bool // requests of other nodes are refused too
+}
+
+// Times of a planned stop.
+const (
+	stopLeast    = 2500 * time.Millisecond // until clients have seen that the node is not ready
+	leaveBefore  = 50 * time.Millisecond   // the other nodes are told before that; news take a few ms
+	leaveReserve = 1500 * time.Millisecond // of the grace, for what the target runs by then
+	stopReserve  = 500 * time.Millisecond  // of the grace, for the end of the process
+	stopPoll     = 10 * time.Millisecond
+)
+
+// begin counts a request as in flight until end is called. refused tells that no more are
+// taken: the request must not be passed on, unless it is a call of one that runs. last
+// has the connection end with the answer.
+func (n *Node) begin(w http.ResponseWriter, last bool, closed *atomic.Bool) (end func(), refused bool) {
+	n.inFlight.Add(1)
+	if last {
+		w.Header().Set("Connection", "close")
+	}
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	return func() { n.inFlight.Add(-1) }, closed.Load()
+}
+
+// stop is the planned stop: not ready at once, requests are still served, and the process
+// ends when none is in flight. The target beside the node goes on: the other nodes send
+// it requests until those of the node's own clients have ended.
+func (n *Node) stop(hurry context.Context) {
+	n.planned.stopping.Store(true)
+	n.follower.resign()
+	n.events.Add(eventlog.Node{Change: "stopping", Incarnation: n.incarnation, InFlight: n.inFlight.Load()}, eventlog.State)
+	began := time.Now()
+	grace := time.Duration(n.settings().Bounds.Grace)
+	latest := began.Add(grace - stopReserve)
+	if n.store != nil {
+		n.registration.withdraw()
+	}
+	pause(hurry, min(stopLeast, grace/2))
+	n.planned.closing.Store(true)
+	awaitNone(hurry, &n.clients, began.Add(grace-leaveReserve))
+	n.planned.leaving.Store(true)
+	n.membership.changed()
+	pause(hurry, leaveBefore)
+	n.planned.closed.Store(true)
+	awaitNone(hurry, &n.inFlight, latest)
+	if hurry.Err() == nil {
+		n.closeServers(latest)
+	}
+	for _, server := range n.servers {
+		_ = server.Close()
+	}
+	n.liveness.close()
+	n.peers.transport.CloseIdleConnections()
+	n.target.close()
+	n.events.Add(eventlog.Node{Change: "stopped", Incarnation: n.incarnation, InFlight: n.inFlight.Load(), TookMS: milliseconds(time.Since(began))}, eventlog.State)
+}
+
+// awaitNone returns when nothing is counted any more, or at the time given.
+func awaitNone(hurry context.Context, count *atomic.Int64, latest time.Time) {
+	for hurry.Err() == nil && time.Now().Before(latest) && count.Load() > 0 {
+		pause(hurry, stopPoll)
+	}
+}
+
+// flushTime is how long answers may take to be written out once nothing is in
+// flight: their handlers have returned, net/http has not.
+const flushTime = 200 * time.Millisecond
+
+// closeServers closes the servers without cutting a request: those in flight end,
+// those that still come on open connections are refused. It returns when all
+// connections are idle, or when nothing has been in flight for flushTime, or at the
+// time given.
+func (n *Node) closeServers(latest time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), latest)
+	defer cancel()
+	var servers sync.WaitGroup
+	for _, server := range n.servers {
+		servers.Go(func() { _ = server.Shutdown(ctx) })
+	}
+	idle := make(chan struct{})
+	go func() {
+		defer close(idle)
+		servers.Wait()
+	}()
+	for quiet := time.Now(); ctx.Err() == nil && time.Since(quiet) < flushTime; pause(ctx, stopPoll) {
+		select {
+		case <-idle:
+			return
+		default:
+		}
+		if n.inFlight.Load() > 0 {
+			quiet = time.Now()
+		}
+	}
+}
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -30,7 +30,7 @@
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			g.Expect(err).NotTo(HaveOccurred())
 			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				end, refused := n.begin(w, false)
+				end, refused := n.begin(w, false, &n.planned.closed)
 				defer end()
 				if refused {
 					w.WriteHeader(http.StatusServiceUnavailable)
@@ -56,7 +56,7 @@
 			closed := make(chan struct{})
 			go func() {
 				defer close(closed)
-				n.closing.Store(true)
+				n.planned.closed.Store(true)
 				n.closeServers(time.Now().Add(2 * time.Second))
 			}()
 			answer, err := io.ReadAll(conn)
