--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -104,14 +104,14 @@
 	var cost float64
 	expected := b.expect(wish)
 	for _, endpoint := range b.order {
-		if excluded[endpoint.Node] || now < endpoint.avoidUntil {
+		if excluded[endpoint.Node] || now < endpoint.avoidUntil || wish.Only != nil && !wish.Only[endpoint.Node] {
 			continue
 		}
 		if estimate := b.cost(now, endpoint, expected); best == nil || estimate < cost {
 			best, cost = endpoint, estimate
 		}
 	}
-	if best == nil && desperate {
+	if best == nil && desperate && wish.Only == nil {
 		best = b.leastAvoided(excluded)
 	}
 	return best
--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -11,6 +11,8 @@
 	Class string
 	// Limit is the time inside which the answer is wanted; 0: not known.
 	Limit time.Duration
+	// Only holds the nodes that may be chosen; nil: any.
+	Only map[string]bool
 }
 
 // The cost of a target is what is expected to be lost there, as a part of the worth of
--- a/internal/core/repeats/repeats.go
+++ b/internal/core/repeats/repeats.go
@@ -68,6 +68,29 @@
 	return spent+count <= b.config.Ratio*b.worst(slice)+b.config.Allowance
 }
 
+// AllowsPaced tells whether so many repeats fit that are wanted since targets decline
+// calls. That lasts: a part of what is left is kept for the seconds to come.
+func (b *Budget) AllowsPaced(now time.Duration, count float64) bool {
+	if !b.Allows(now, count) {
+		return false
+	}
+	slice := b.slice(now)
+	left := b.config.Ratio*b.worst(slice) + b.config.Allowance - b.spent.between(slice-windowSlices, slice)
+	return count <= b.atOnce(slice, left)
+}
+
+// spentAtOnce is the part of what is left at the beginning of a slice that may go in it.
+const spentAtOnce = 1.0 / 3
+
+// leastAtOnce is what may go in a slice in any case.
+const leastAtOnce = 10
+
+// atOnce gives what may still go in the slice.
+func (b *Budget) atOnce(slice int64, left float64) float64 {
+	now := b.spent.between(slice, slice)
+	return max(spentAtOnce*(left+now), leastAtOnce) - now
+}
+
 // worst gives the requests that count in the window, of all that a repeat in the
 // slice lies in, in which fewest do.
 func (b *Budget) worst(slice int64) float64 {
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -50,8 +50,6 @@
 // Times of a request.
 const (
 	defaultDeadline = 10 * time.Second // of a sender that names none
-	maxBounces      = 8                // sendings that no target saw
-	maxFulls        = 3                // of them those for which there was no room in time
 	bodyGrace       = 50 * time.Millisecond
 )
 
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -30,6 +30,7 @@
 	mutex    sync.Mutex
 	balancer *balancer.Balancer
 	budget   *repeats.Budget
+	ration   repeats.Ration // which chains may repeat; guarded by the mutex of services
 }
 
 type globalRandom struct{}
@@ -188,17 +189,23 @@
 
 // repeat takes a repeat of a request to a service out of the budgets of all services
 // that it would reach: the calls of a run that is a repeat are repeats themselves. It
-// gives false, and takes nothing, when one of them has none left.
-func (s *services) repeat(service string, needs map[string]float64) bool {
+// gives false, and takes nothing, when one of them has none left, or when repeats are
+// short and go to chains of a lower rank.
+func (s *services) repeat(service string, needs map[string]float64, rank float64, declined bool) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.now()
+	called := s.getLocked(service)
+	if !called.ration.Allows(now, rank) {
+		return false
+	}
 	part := s.share.Of(now, s.config.Allowance)
 	for name, calls := range needs {
-		if !s.getLocked(name).allows(now, calls, s.config.Ratio, part) {
+		if !s.getLocked(name).allows(now, calls, s.config.Ratio, part, declined && name == service) {
 			if name != service {
 				s.keep.Short(now)
 			}
+			called.ration.Denied(now)
 			return false
 		}
 	}
@@ -209,11 +216,14 @@
 }
 
 // allows tells whether so many repeats fit into the ratio and the node's part of
-// the allowance.
-func (s *service) allows(now time.Duration, calls, ratio, part float64) bool {
+// the allowance; paced, whether they fit into what may go now.
+func (s *service) allows(now time.Duration, calls, ratio, part float64, paced bool) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.budget.SetBounds(ratio, part)
+	if paced {
+		return s.budget.AllowsPaced(now, calls)
+	}
 	return s.budget.Allows(now, calls)
 }
 
@@ -223,11 +233,12 @@
 	s.budget.Spend(now, calls)
 }
 
-// repeat takes a repeat of a route's request out of the budgets.
-func (n *Node) repeat(route *intent.Route, service string) bool {
+// repeat takes a repeat of a route's request out of the budgets. rank is that of its chain.
+// declined tells that the target declined the sending before.
+func (n *Node) repeat(route *intent.Route, service string, rank float64, declined bool) bool {
 	needs := n.overload.needs(route)
 	needs[service] = max(needs[service], 1)
-	if !n.services.repeat(service, needs) {
+	if !n.services.repeat(service, needs, rank, declined) {
 		n.metrics.Denied.WithLabelValues(service).Inc()
 		return false
 	}
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -4,10 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"github.com/landingmast/landingmast/internal/core/balancer"
+	"github.com/landingmast/landingmast/internal/core/repeats"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/wire"
 )
@@ -15,16 +18,16 @@
 // send tries targets until one answers or nothing more can be tried.
 func (x *exchange) send(ctx context.Context) {
 	target := x.node.services.get(x.service)
-	excluded := map[string]bool{}
+	tried := &triedTargets{excluded: map[string]bool{}}
 	last := notRun(reasonNoTarget)
-	for bounces, fulls := 0, 0; bounces < maxBounces && fulls < maxFulls && ctx.Err() == nil; {
-		choice := target.pick(x.node.now(), x.wish(ctx), excluded)
+	for ctx.Err() == nil && tried.mayGoOn() {
+		choice := target.pick(x.node.now(), x.wish(ctx, tried), tried.excluded)
 		if choice == nil {
 			break
 		}
 		last.close()
 		began := x.node.now()
-		last = x.attempt(ctx, choice, bounces)
+		last = x.attempt(ctx, choice, tried.bounces)
 		x.noteSend(choice, last, x.node.now()-began)
 		choice.done(x.node.now(), last)
 		if last.reason == reasonUnreachable && last.incarnation == "" && choice.node != x.node.settings().Node {
@@ -32,13 +35,9 @@
 		}
 		x.tellIfLost(choice, last)
 		x.learn(last)
+		tried.add(choice.node, last)
 		if last.arrived {
 			x.arrivals++
-		} else {
-			bounces++
-		}
-		if last.full() {
-			fulls++
 		}
 		if last.outcome == Unknown {
 			x.mayRun = true
@@ -47,28 +46,69 @@
 			x.answer(last)
 			return
 		}
-		excluded[choice.node] = true
-		if !x.again(last) {
+		if !x.again(last, tried) {
 			break
 		}
 	}
 	x.giveUp(ctx, last)
 }
 
-// wish is what the request asks of a target: an answer within its route's objective,
-// and before its time is up.
-func (x *exchange) wish(ctx context.Context) balancer.Wish {
-	deadline, _ := ctx.Deadline()
-	wish := balancer.Wish{Class: x.route.Name, Limit: time.Until(deadline)}
-	if left := x.route.Objective - (x.node.now() - x.started); left > 0 {
-		wish.Limit = min(wish.Limit, left)
+// triedTargets are the targets that a request was sent to.
+type triedTargets struct {
+	excluded map[string]bool // nodes that are not to be chosen again
+	declined map[string]bool // nodes whose targets said each time that they did not run it
+	arrived  int             // targets that it reached
+	bounces  int             // sendings that no target saw
+	fulls    int             // of them those for which there was no room in time
+	declines int             // sendings that a target declined
+}
+
+// Bounds of the sendings of one request.
+const (
+	maxBounces  = 8 // sendings that no target saw
+	maxFulls    = 3 // of them those for which there was no room in time
+	maxDeclines = 12
+)
+
+func (t *triedTargets) mayGoOn() bool {
+	return t.bounces < maxBounces && t.fulls < maxFulls && t.declines < maxDeclines
+}
+
+func (t *triedTargets) add(node string, answer *reply) {
+	if answer.full() {
+		t.fulls++
 	}
-	return wish
+	if !answer.arrived {
+		t.bounces++
+		t.excluded[node] = true
+		return
+	}
+	if !t.declined[node] {
+		t.arrived++
+	}
+	if answer.outcome != NotRun || answer.reason != reasonTargetShed {
+		t.excluded[node] = true
+		delete(t.declined, node)
+		return
+	}
+	t.declines++
+	if t.declined == nil {
+		t.declined = map[string]bool{}
+	}
+	t.declined[node] = true
 }
 
-// again tells whether another target may be tried after a sending that brought
-// no answer.
-func (x *exchange) again(last *reply) bool {
+// only gives the targets that are left to a request that may reach no more than most:
+// those that declined it and may take it another time. nil: all.
+func (t *triedTargets) only(most int) map[string]bool {
+	if t.arrived < most {
+		return nil
+	}
+	return t.declined
+}
+
+// again tells whether another sending may be tried after one that brought no answer.
+func (x *exchange) again(last *reply, tried *triedTargets) bool {
 	if !x.body.replayable() {
 		return false
 	}
@@ -78,10 +118,35 @@
 	if last.outcome == Unknown && !x.route.Kind.Repeatable() {
 		return false
 	}
-	if x.arrivals >= max(x.route.MaxAttempts, 1) || x.repeat {
+	if x.repeat || tried.arrived >= x.mostTargets() && len(tried.declined) == 0 {
 		return false
 	}
-	return x.node.repeat(x.route, x.service)
+	return x.node.repeat(x.route, x.service, x.rank(), last.reason == reasonTargetShed)
+}
+
+// mostTargets is how many targets the request may reach.
+func (x *exchange) mostTargets() int { return max(x.route.MaxAttempts, 1) }
+
+// rank is the rank of the request's chain where repeats are short. All nodes that calls
+// of the chain are made on give it the same.
+func (x *exchange) rank() float64 {
+	priorities := 1
+	if current := x.node.intent.Load(); current != nil {
+		priorities = current.LeastPriority() + 1
+	}
+	start, _, _ := strings.Cut(x.id, ".")
+	return repeats.Rank(x.importance/importanceStep, priorities, xxhash.Sum64String(start))
+}
+
+// wish is what the request asks of a target: an answer within its route's objective,
+// and before its time is up.
+func (x *exchange) wish(ctx context.Context, tried *triedTargets) balancer.Wish {
+	deadline, _ := ctx.Deadline()
+	wish := balancer.Wish{Class: x.route.Name, Limit: time.Until(deadline), Only: tried.only(x.mostTargets())}
+	if left := x.route.Objective - (x.node.now() - x.started); left > 0 {
+		wish.Limit = min(wish.Limit, left)
+	}
+	return wish
 }
 
 // attempt sends the request to one target.
