--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -179,13 +179,13 @@
 
 // late estimates the chance that a request is late whose expected time is a share of
 // its limit. Times spread: of those that take half of the limit on the mean one in
-// eight is late. Beyond the limit it goes on rising, so that the faster target is
+// sixteen is late. Beyond the limit it goes on rising, so that the faster target is
 // chosen also where both are too slow.
 func late(share float64) float64 {
 	if share > 1 {
-		return 1 + 3*(share-1)
+		return 1 + 4*(share-1)
 	}
-	return share * share * share
+	return share * share * share * share
 }
 
 // class is what is learned of the requests of one class.
--- a/internal/core/overload/window.go
+++ b/internal/core/overload/window.go
@@ -31,7 +31,7 @@
 
 // DefaultWindow gives the values that docs/DECISIONS.md was measured with.
 func DefaultWindow() WindowConfig {
-	return WindowConfig{First: 32, Least: 0.3, Room: 2, RoomFactor: 1.5, PeakLife: 5 * time.Second, Pressed: 0.5, PressedFor: 2 * time.Second, Grow: 0.5, Shrink: 0.5, GrowLeast: 0.25}
+	return WindowConfig{First: 8, Least: 0.3, Room: 2, RoomFactor: 1.5, PeakLife: 5 * time.Second, Pressed: 0.5, PressedFor: 2 * time.Second, Grow: 0.5, Shrink: 0.5, GrowLeast: 0.25}
 }
 
 // Window bounds the requests of one route that are in flight from one node while the
@@ -45,16 +45,17 @@
 	inFlight int
 	peak     float64
 	peakAt   time.Duration
-	fresh    bool          // no request has ended yet
-	alone    float64       // ns: mean time of a request without its waits
+	alone    float64       // ns: mean time of a request without its waits; 0: none has ended
 	gap      float64       // ns: mean time between two ends
 	endedAt  time.Duration // the last end
 	pressed  time.Duration // in force until then
 }
 
-// NewWindow makes the window of a process that starts now.
+// NewWindow makes the window of a route whose first request comes now. Whether its chain
+// is short of anything is not known: the window is in force until one request after the
+// other has not waited.
 func NewWindow(config WindowConfig, now time.Duration) *Window {
-	return &Window{config: config, limit: config.First, fresh: true, pressed: now + config.PressedFor, peakAt: now}
+	return &Window{config: config, limit: config.First, pressed: now + config.PressedFor, peakAt: now}
 }
 
 // Share gives the chance with which the next request is let in.
@@ -120,7 +121,7 @@
 
 // note learns how long requests take without waits, and how often one ends.
 func (w *Window) note(now time.Duration, trip Trip) {
-	if w.fresh {
+	if w.alone == 0 {
 		w.alone, w.gap, w.endedAt = float64(trip.alone()), float64(trip.Took)/max(w.peak, 1), now
 	}
 	w.alone += tripWeight * (float64(trip.alone()) - w.alone)
@@ -139,17 +140,13 @@
 func (w *Window) End(now time.Duration, trip Trip) {
 	w.inFlight--
 	w.note(now, trip)
-	most := w.config.Room + w.config.RoomFactor*w.fadedPeak(now)
-	switch {
-	case trip.pressing(w.config.Pressed):
+	most := max(w.config.Room+w.config.RoomFactor*w.fadedPeak(now), w.config.First)
+	if trip.pressing(w.config.Pressed) {
 		if now >= w.pressed {
 			w.limit = w.ending(trip.Bearable)
 		}
 		w.pressed = now + w.config.PressedFor
-	case w.fresh:
-		w.pressed = now // nothing waits at the start
 	}
-	w.fresh = false
 	fits := trip.fits()
 	if fits < 1 {
 		w.limit += w.config.Shrink * (fits - 1)
