--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -210,7 +210,8 @@
 }
 
 // Answered notes that the target gave a whole answer of so many bytes to a request of a
-// class after some time; below 0: its size is not known.
+// class; below 0: its size is not known. took is its time without the wait for a slot:
+// how long one waits is told by the newest report.
 func (b *Balancer) Answered(now time.Duration, e *Endpoint, name string, bytes int64, took time.Duration) {
 	e.note(now, 0)
 	one := b.class(name)
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -118,7 +118,7 @@
 	case answer.wasted():
 		s.balancer.Lost(now, c.endpoint)
 	case answer.outcome == Answered:
-		s.balancer.Answered(now, c.endpoint, c.class, answer.bytes(), now-c.sent)
+		s.balancer.Answered(now, c.endpoint, c.class, answer.bytes(), now-c.sent-answer.waited)
 	}
 	switch answer.reason {
 	case reasonUnreachable, reasonSilent:
