Settings: a policy section that switches mechanisms off

Cause: an ablation needs each mechanism to be left out by itself. Ruled out: builds with tags: the users' operators could not use them. Change: policy.off names mechanisms, checked at start; all are on by default.

--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -38,6 +38,9 @@
 	SuspectFor time.Duration
 	// RefusedFor is how long a target is left alone that said it is leaving.
 	RefusedFor time.Duration
+	// NoSamples, NoZones and NoLosses leave a mechanism out: own samples of how long
+	// requests take, the cost of other zones, that of lost answers.
+	NoSamples, NoZones, NoLosses bool
 }
 
 // DefaultConfig gives the values that docs/DECISIONS.md was measured with.
--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -73,6 +73,9 @@
 	if x.limit <= 0 {
 		x.limit = limitUnsaid * x.takes
 	}
+	if b.config.NoZones {
+		x.far = 0
+	}
 	return x
 }
 
@@ -103,7 +106,10 @@
 	if busy > 1 {
 		takes *= busy
 	}
-	cost := lossCost*e.losses(now) + busyCost*min(max(busy-busyFrom, 0)/(1-busyFrom), 1)
+	cost := busyCost * min(max(busy-busyFrom, 0)/(1-busyFrom), 1)
+	if !b.config.NoLosses {
+		cost += lossCost * e.losses(now)
+	}
 	if busy > 1 {
 		cost += queueCost + queueSlot*(busy-1)
 	}
@@ -221,7 +227,9 @@
 	if bytes >= 0 {
 		one.bytes += classWeight * (float64(bytes) - one.bytes)
 	}
-	e.noteTook(now, name, took)
+	if !b.config.NoSamples {
+		e.noteTook(now, name, took)
+	}
 	if one.takes == 0 {
 		one.takes = float64(took)
 	}
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -88,6 +88,7 @@
 	hold     learned             // of all requests
 	classes  map[string]*learned // by class
 	draining bool
+	beginAll bool // also what cannot end in its time
 }
 
 // holdWeight is the weight of one request in the mean hold time. The first ones
@@ -115,6 +116,9 @@
 	return &Gate{slots: usable(slots), running: map[uint64]sent{}, hold: learned{mean: float64(firstHold)}, classes: map[string]*learned{}}
 }
 
+// BeginAll has the gate begin also what cannot end in its time.
+func (g *Gate) BeginAll() { g.beginAll = true }
+
 // SetSlots changes the number of slots.
 func (g *Gate) SetSlots(now time.Duration, slots int) []Decision {
 	g.slots = usable(slots)
@@ -182,6 +186,9 @@
 
 // needed is the time that a request of a class needs at the target.
 func (g *Gate) needed(class string) time.Duration {
+	if g.beginAll {
+		return 0
+	}
 	if one := g.classes[class]; one != nil && one.known() {
 		return time.Duration(neededOfClass * one.mean)
 	}
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+	"github.com/landingmast/landingmast/internal/sidecar/settings"
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
@@ -218,7 +219,11 @@
 // id of a call is the id of the request that made it, a dot and a part of its
 // own; where ids look otherwise the request stands for itself.
 func (x *exchange) findParent() {
-	x.importance = importanceOf(x.route, x.limit())
+	limit := x.limit()
+	if !x.node.policyOn(settings.Urgency) {
+		limit = 0
+	}
+	x.importance = importanceOf(x.route, limit)
 	dot := strings.LastIndexByte(x.id, '.')
 	if dot <= 0 {
 		return
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -92,6 +92,7 @@
 	n.metrics = metrics.New(n.gauges())
 	n.overload = newOverloadControl(n)
 	n.services = newServices(settings.Node, settings.Zone, n.now, budget(settings), settings.FirstStart)
+	n.services.policy = settings.Policy
 	n.ingress = newIngress(n)
 	n.egress = &egress{node: n}
 	n.peers = newPeerClient(options.Dial, options.Headers)
@@ -101,7 +102,7 @@
 	n.exchanger = &exchanger{node: n}
 	n.news = &spreader{node: n}
 	n.liveness = newLiveness(n.now, n.peers.pingPeer, livenessEvents{lost: n.silent, still: n.services.suspect, back: n.heardAgain})
-	n.target = &localTarget{now: n.now, roster: roster.New(), changed: n.targetChanged, link: n.newLink, identify: n.identify}
+	n.target = &localTarget{now: n.now, roster: roster.New(), changed: n.targetChanged, link: n.newLink, identify: n.identify, beginAll: !n.policyOn(inTime)}
 	return n, n.listen()
 }
 
@@ -118,12 +119,21 @@
 // settings gives the settings in force.
 func (n *Node) settings() *settings.Settings { return n.checked.Load() }
 
+// inTime stands in New, where the settings hide the package.
+const inTime = settings.InTime
+
+// policyOn tells whether a mechanism is in use.
+func (n *Node) policyOn(m settings.Mechanism) bool {
+	checked := n.checked.Load()
+	return checked == nil || checked.Policy.On(m)
+}
+
 // Reload puts changed settings in force: the target's service and address, bounds
 // and budgets. Names and listening addresses stay until the next start.
 func (n *Node) Reload(changed *settings.Settings) {
 	before := n.settings()
 	merged := *changed
-	merged.Node, merged.Zone, merged.Listen, merged.Store, merged.FirstStart = before.Node, before.Zone, before.Listen, before.Store, before.FirstStart
+	merged.Node, merged.Zone, merged.Listen, merged.Store, merged.FirstStart, merged.Policy = before.Node, before.Zone, before.Listen, before.Store, before.FirstStart, before.Policy
 	n.checked.Store(&merged)
 	n.services.setBudget(budget(&merged))
 	n.events.Add(eventlog.Node{Change: "reloaded", Incarnation: n.incarnation}, eventlog.State)
--- a/internal/sidecar/overload.go
+++ b/internal/sidecar/overload.go
@@ -7,6 +7,7 @@
 
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/core/overload"
+	"github.com/landingmast/landingmast/internal/sidecar/settings"
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
@@ -31,7 +32,10 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	now := o.node.now()
-	share, decisive = o.core.Share(now, route.Name)
+	share = 1
+	if o.node.policyOn(settings.Window) {
+		share, decisive = o.core.Share(now, route.Name)
+	}
 	if decisive != "" {
 		occupancy = o.core.Occupancy(decisive)
 	}
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -9,6 +9,7 @@
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/core/repeats"
 	"github.com/landingmast/landingmast/internal/core/slots"
+	"github.com/landingmast/landingmast/internal/sidecar/settings"
 )
 
 // services holds what the node knows of each service: its targets and the budget
@@ -23,6 +24,7 @@
 	byName map[string]*service
 	share  *repeats.Share // the node's part of the allowance for repeats
 	keep   repeats.Keep   // what it keeps of the budgets of its requests
+	policy settings.Policy
 }
 
 // service is one service as this node sees it.
@@ -54,7 +56,7 @@
 	known := s.byName[name]
 	if known == nil {
 		known = &service{
-			balancer: balancer.New(balancer.DefaultConfig(), s.node, s.zone, globalRandom{}),
+			balancer: balancer.New(s.balancing(), s.node, s.zone, globalRandom{}),
 			budget:   repeats.New(s.config),
 		}
 		s.byName[name] = known
@@ -62,6 +64,15 @@
 	return known
 }
 
+// balancing sets the balancers as the policy says.
+func (s *services) balancing() balancer.Config {
+	config := balancer.DefaultConfig()
+	config.NoSamples = !s.policy.On(settings.Samples)
+	config.NoZones = !s.policy.On(settings.Zones)
+	config.NoLosses = !s.policy.On(settings.Losses)
+	return config
+}
+
 // update sets the targets of every service.
 func (s *services) update(targets map[string][]balancer.Target) {
 	s.mutex.Lock()
@@ -130,6 +141,9 @@
 
 // suspect leaves the target beside a node alone that gives no sign of life.
 func (s *services) suspect(node string) {
+	if !s.policy.On(settings.Suspicion) {
+		return
+	}
 	s.each(node, func(b *balancer.Balancer, e *balancer.Endpoint) { b.Suspect(s.now(), e) })
 }
 
@@ -184,6 +198,9 @@
 func (s *services) kept(now time.Duration) float64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if !s.policy.On(settings.Grants) {
+		return grantUnsaid
+	}
 	return s.keep.Of(now)
 }
 
@@ -196,7 +213,7 @@
 	defer s.mutex.Unlock()
 	now := s.now()
 	called := s.getLocked(service)
-	if !called.ration.Allows(now, rank) {
+	if s.policy.On(settings.Ration) && !called.ration.Allows(now, rank) {
 		return false
 	}
 	part := s.share.Of(now, s.config.Allowance)
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -12,13 +12,14 @@
 	"github.com/landingmast/landingmast/internal/core/balancer"
 	"github.com/landingmast/landingmast/internal/core/repeats"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+	"github.com/landingmast/landingmast/internal/sidecar/settings"
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
 // send tries targets until one answers or nothing more can be tried.
 func (x *exchange) send(ctx context.Context) {
 	target := x.node.services.get(x.service)
-	tried := &triedTargets{excluded: map[string]bool{}}
+	tried := &triedTargets{excluded: map[string]bool{}, once: !x.node.policyOn(settings.Declined)}
 	last := notRun(reasonNoTarget)
 	for ctx.Err() == nil && tried.mayGoOn() {
 		choice := target.pick(x.node.now(), x.wish(ctx, tried), tried.excluded)
@@ -55,6 +56,7 @@
 
 // triedTargets are the targets that a request was sent to.
 type triedTargets struct {
+	once     bool            // no target is chosen twice
 	excluded map[string]bool // nodes that are not to be chosen again
 	declined map[string]bool // nodes whose targets said each time that they did not run it
 	arrived  int             // targets that it reached
@@ -86,7 +88,7 @@
 	if !t.declined[node] {
 		t.arrived++
 	}
-	if answer.outcome != NotRun || answer.reason != reasonTargetShed {
+	if t.once || answer.outcome != NotRun || answer.reason != reasonTargetShed {
 		t.excluded[node] = true
 		delete(t.declined, node)
 		return
@@ -118,7 +120,7 @@
 	if last.outcome == Unknown && !x.route.Kind.Repeatable() {
 		return false
 	}
-	if x.repeat || tried.arrived >= x.mostTargets() && len(tried.declined) == 0 {
+	if x.repeat || !x.node.policyOn(settings.Repeats) || tried.arrived >= x.mostTargets() && len(tried.declined) == 0 {
 		return false
 	}
 	return x.node.repeat(x.route, x.service, x.rank(), last.reason == reasonTargetShed)
--- /dev/null
+++ b/internal/sidecar/settings/policy_test.go
@@ -0,0 +1,37 @@
+package settings
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestMechanismsAreOnUnlessNamed(t *testing.T) {
+	g := NewWithT(t)
+	for _, m := range mechanisms {
+		g.Expect(Policy{}.On(m)).To(BeTrue())
+		g.Expect(Policy{Off: []Mechanism{m}}.On(m)).To(BeFalse())
+	}
+}
+
+func TestPolicyIsChecked(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		off  []Mechanism
+		want string // part of the error; empty: none
+	}{
+		{"nothing off", nil, ""},
+		{"all off", mechanisms, ""},
+		{"no such mechanism", []Mechanism{Window, "door"}, `"door" is no mechanism`},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			err := Policy{Off: tc.off}.validate()
+			if tc.want == "" {
+				g.Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			g.Expect(err).To(MatchError(And(ContainSubstring(tc.want), ContainSubstring("policy.off"), ContainSubstring("remedy"))))
+		})
+	}
+}
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -32,6 +32,8 @@
 	Bounds Bounds `yaml:"bounds"`
 	// Retries bounds repeated requests.
 	Retries Retries `yaml:"retries"`
+	// Policy says how the node decides; it stays until the next start.
+	Policy Policy `yaml:"policy"`
 }
 
 // Target is the application beside the node.
@@ -169,6 +171,9 @@
 			return bad(address.key, "write it as IP:port", "address %q is not usable", address.value)
 		}
 	}
+	if err := s.Policy.validate(); err != nil {
+		return err
+	}
 	return s.validateNumbers()
 }
 
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -21,6 +21,7 @@
 	now      func() time.Duration
 	link     func() *targetlink.Link
 	changed  func()                                          // called without the mutex
+	beginAll bool                                            // gates begin also what cannot end in its time
 	identify func(ctx context.Context) (roster.Report, bool) // asks the target itself
 
 	mutex    sync.Mutex
@@ -257,6 +258,9 @@
 			t.gate.links.Close()
 		}
 		t.gate = newGate(t.now, report, t.link())
+		if t.beginAll {
+			t.gate.core.BeginAll()
+		}
 	}
 	t.gate.setSlots(report.Slots)
 	if report.Draining {
