--- a/internal/core/repeats/repeats_test.go
+++ b/internal/core/repeats/repeats_test.go
@@ -58,3 +58,25 @@
 		}
 	})
 }
+
+// While targets decline calls a third of what is left may go in a second, so that there
+// are repeats in each second of a long trouble.
+func TestPacedRepeatsLeaveSomeForLater(t *testing.T) {
+	g := NewWithT(t)
+	budget := New(Config{Ratio: 0.2, Allowance: 300, Window: 10 * time.Second})
+	var spent []int
+	for second := range 6 {
+		now := time.Duration(second) * time.Second
+		count := 0
+		for budget.AllowsPaced(now, 1) {
+			budget.Spend(now, 1)
+			count++
+		}
+		spent = append(spent, count)
+	}
+	g.Expect(spent[0]).To(Equal(100))
+	for i := 1; i < len(spent); i++ {
+		g.Expect(spent[i]).To(And(BeNumerically(">", 10), BeNumerically("<", spent[i-1])))
+	}
+	g.Expect(budget.Allows(5*time.Second, 20)).To(BeTrue(), "what is not paced still finds some")
+}
