--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -22,6 +22,7 @@
 	ctx        context.Context
 	importance int
 	repeat     bool
+	granted    float64 // part of the budgets for repeats that is left to its calls
 
 	mutex sync.Mutex
 	needs map[string]wire.Need
@@ -34,8 +35,13 @@
 	for _, need := range needs {
 		sum := r.needs[need.Service]
 		sum.Service = need.Service
-		sum.Calls += need.Calls
-		sum.Occupancy, sum.Wait = need.Occupancy, need.Wait // the newest
+		if calls := sum.Calls + need.Calls; calls > 0 {
+			sum.Wait = (sum.Wait*time.Duration(sum.Calls) + need.Wait*time.Duration(need.Calls)) / time.Duration(calls)
+			sum.Calls = calls
+		}
+		if need.Occupancy >= 0 {
+			sum.Occupancy = need.Occupancy // the newest
+		}
 		r.needs[need.Service] = sum
 	}
 }
@@ -97,7 +103,7 @@
 
 // ServeHTTP takes a request of another node.
 func (i *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	end, refused := i.node.begin(w, i.node.leaving.Load())
+	end, refused := i.node.begin(w, i.node.planned.leaving.Load(), &i.node.planned.closed)
 	defer end()
 	if refused {
 		i.write(w, notRun(reasonStopping))
@@ -108,6 +114,7 @@
 		i.write(w, notRun(reasonBadMessage))
 		return
 	}
+	call.Granted = grantedBy(r.Header)
 	remaining := time.Duration(call.Remaining) * time.Microsecond
 	ctx, cancel := context.WithTimeout(r.Context(), remaining)
 	defer cancel()
@@ -116,7 +123,11 @@
 		i.write(w, notRun(reasonCancelled))
 		return
 	}
-	i.write(w, i.serve(ctx, call, endToEnd(r.Header), body))
+	answer := i.serve(ctx, call, endToEnd(r.Header), body)
+	if r.Header.Get(i.node.options.Headers.RequestID) == "" {
+		answer = answer.without(i.node.options.Headers.RequestID)
+	}
+	i.write(w, answer)
 }
 
 // receive reads the body of a request, whole unless it is long.
@@ -149,7 +160,7 @@
 		header[name] = values
 	}
 	header.Set(wire.HeaderSidecarResult, head)
-	if waits := waitsOf(answer.needs); waits != "" {
+	if waits := waitsOf(answer); waits != "" {
 		header.Set(wire.HeaderSidecarWaits, waits)
 	}
 	withoutGuess(header)
@@ -232,12 +243,13 @@
 		answer = i.run(ctx, gate, id, call, header, body)
 	}
 	answer.load, _ = gate.load()
+	answer.waited = decision.Waited
 	return answer
 }
 
 // run sends the request to the target and reads its answer.
 func (i *ingress) run(ctx context.Context, gate *gate, id uint64, call *wire.SidecarCall, header http.Header, body *payload) *reply {
-	request := &running{id: call.RequestID, ctx: ctx, importance: call.Importance, repeat: call.Repeat, needs: map[string]wire.Need{}}
+	request := &running{id: call.RequestID, ctx: ctx, importance: call.Importance, repeat: call.Repeat, granted: call.Granted, needs: map[string]wire.Need{}}
 	i.running.add(call.RequestID, request)
 	answer := i.exchange(ctx, gate, call, header, body)
 	i.running.remove(call.RequestID, request)
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -9,6 +9,7 @@
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/core/repeats"
 	"github.com/landingmast/landingmast/internal/core/slots"
+	"github.com/landingmast/landingmast/internal/sidecar/settings"
 )
 
 // services holds what the node knows of each service: its targets and the budget
@@ -22,6 +23,8 @@
 	mutex  sync.Mutex
 	byName map[string]*service
 	share  *repeats.Share // the node's part of the allowance for repeats
+	keep   repeats.Keep   // what it keeps of the budgets of its requests
+	policy settings.Policy
 }
 
 // service is one service as this node sees it.
@@ -29,6 +32,7 @@
 	mutex    sync.Mutex
 	balancer *balancer.Balancer
 	budget   *repeats.Budget
+	ration   repeats.Ration // which chains may repeat; guarded by the mutex of services
 }
 
 type globalRandom struct{}
@@ -52,7 +56,7 @@
 	known := s.byName[name]
 	if known == nil {
 		known = &service{
-			balancer: balancer.New(balancer.DefaultConfig(), s.node, s.zone, globalRandom{}),
+			balancer: balancer.New(s.balancing(), s.node, s.zone, globalRandom{}),
 			budget:   repeats.New(s.config),
 		}
 		s.byName[name] = known
@@ -60,6 +64,15 @@
 	return known
 }
 
+// balancing sets the balancers as the policy says.
+func (s *services) balancing() balancer.Config {
+	config := balancer.DefaultConfig()
+	config.NoSamples = !s.policy.On(settings.Samples)
+	config.NoZones = !s.policy.On(settings.Zones)
+	config.NoLosses = !s.policy.On(settings.Losses)
+	return config
+}
+
 // update sets the targets of every service.
 func (s *services) update(targets map[string][]balancer.Target) {
 	s.mutex.Lock()
@@ -84,21 +97,23 @@
 // choice is the target that a sending goes to.
 type choice struct {
 	service  *service
+	class    string
+	sent     time.Duration
 	endpoint *balancer.Endpoint
 	node     string
 	address  string
 }
 
 // pick chooses a target; nil when there is none.
-func (s *service) pick(now time.Duration, excluded map[string]bool) *choice {
+func (s *service) pick(now time.Duration, wish balancer.Wish, excluded map[string]bool) *choice {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	endpoint := s.balancer.Pick(now, excluded, true)
+	endpoint := s.balancer.Pick(now, wish, excluded, true)
 	if endpoint == nil {
 		return nil
 	}
 	s.balancer.Sent(endpoint)
-	return &choice{service: s, endpoint: endpoint, node: endpoint.Node, address: endpoint.Address}
+	return &choice{service: s, class: wish.Class, sent: now, endpoint: endpoint, node: endpoint.Node, address: endpoint.Address}
 }
 
 // done takes in what became of a sending.
@@ -114,7 +129,7 @@
 	case answer.wasted():
 		s.balancer.Lost(now, c.endpoint)
 	case answer.outcome == Answered:
-		s.balancer.Answered(now, c.endpoint, answer.bytes())
+		s.balancer.Answered(now, c.endpoint, c.class, answer.bytes(), now-c.sent-answer.waited)
 	}
 	switch answer.reason {
 	case reasonUnreachable, reasonSilent:
@@ -126,6 +141,9 @@
 
 // suspect leaves the target beside a node alone that gives no sign of life.
 func (s *services) suspect(node string) {
+	if !s.policy.On(settings.Suspicion) {
+		return
+	}
 	s.each(node, func(b *balancer.Balancer, e *balancer.Endpoint) { b.Suspect(s.now(), e) })
 }
 
@@ -160,38 +178,51 @@
 	s.budget.Request(now, requests)
 }
 
-// callShare is the part of the budget that calls bring to the node that makes
-// them; the rest they bring to the node where their chain starts, so that the
-// sum over all nodes stays within the whole.
-const callShare = 0.5
-
-// countRequest counts a request and the calls that will be made for it. Without
-// the latter a node where chains start could hardly ever repeat one: its repeats
-// take from the budgets of services that it sends nothing to itself.
-func (n *Node) countRequest(route *intent.Route, service string, isCall bool) {
+// countRequest counts a request and the calls that will be made for it. granted is the
+// part of the request's budgets that the nodes above leave to this one; the result is
+// the part that this one leaves to those below. What is kept here pays for repeats of
+// the request with all its calls; the sum over all nodes is one request.
+func (n *Node) countRequest(route *intent.Route, service string, granted float64) float64 {
 	now := n.now()
-	if isCall {
-		n.services.get(service).count(now, callShare)
-		return
-	}
-	n.services.get(service).count(now, 1)
+	kept := n.services.kept(now)
+	n.services.get(service).count(now, granted)
 	for name, calls := range n.overload.needs(route) {
 		if name != service {
-			n.services.get(name).count(now, (1-callShare)*calls)
+			n.services.get(name).count(now, granted*kept*calls)
 		}
 	}
+	return granted * (1 - kept)
 }
 
-// repeat takes a repeat out of the budgets of all services that it would reach:
-// the calls of a run that is a repeat are repeats themselves. It gives false,
-// and takes nothing, when one of them has none left.
-func (s *services) repeat(needs map[string]float64) bool {
+// kept gives the part of the budgets down the chain that stays at this node.
+func (s *services) kept(now time.Duration) float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.policy.On(settings.Grants) {
+		return grantUnsaid
+	}
+	return s.keep.Of(now)
+}
+
+// repeat takes a repeat of a request to a service out of the budgets of all services
+// that it would reach: the calls of a run that is a repeat are repeats themselves. It
+// gives false, and takes nothing, when one of them has none left, or when repeats are
+// short and go to chains of a lower rank.
+func (s *services) repeat(service string, needs map[string]float64, rank float64, declined bool) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.now()
+	called := s.getLocked(service)
+	if s.policy.On(settings.Ration) && !called.ration.Allows(now, rank) {
+		return false
+	}
 	part := s.share.Of(now, s.config.Allowance)
 	for name, calls := range needs {
-		if !s.getLocked(name).allows(now, calls, s.config.Ratio, part) {
+		if !s.getLocked(name).allows(now, calls, s.config.Ratio, part, declined && name == service) {
+			if name != service {
+				s.keep.Short(now)
+			}
+			called.ration.Denied(now)
 			return false
 		}
 	}
@@ -202,11 +233,14 @@
 }
 
 // allows tells whether so many repeats fit into the ratio and the node's part of
-// the allowance.
-func (s *service) allows(now time.Duration, calls, ratio, part float64) bool {
+// the allowance; paced, whether they fit into what may go now.
+func (s *service) allows(now time.Duration, calls, ratio, part float64, paced bool) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.budget.SetBounds(ratio, part)
+	if paced {
+		return s.budget.AllowsPaced(now, calls)
+	}
 	return s.budget.Allows(now, calls)
 }
 
@@ -216,11 +250,12 @@
 	s.budget.Spend(now, calls)
 }
 
-// repeat takes a repeat of a route's request out of the budgets.
-func (n *Node) repeat(route *intent.Route, service string) bool {
+// repeat takes a repeat of a route's request out of the budgets. rank is that of its chain.
+// declined tells that the target declined the sending before.
+func (n *Node) repeat(route *intent.Route, service string, rank float64, declined bool) bool {
 	needs := n.overload.needs(route)
 	needs[service] = max(needs[service], 1)
-	if !n.services.repeat(needs) {
+	if !n.services.repeat(service, needs, rank, declined) {
 		n.metrics.Denied.WithLabelValues(service).Inc()
 		return false
 	}
--- a/internal/sidecar/routes_test.go
+++ b/internal/sidecar/routes_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/landingmast/landingmast/internal/core/repeats"
 	"github.com/landingmast/landingmast/internal/core/slots"
 	"github.com/landingmast/landingmast/internal/sidecar/metrics"
+	"github.com/landingmast/landingmast/internal/wire"
 	. "github.com/onsi/gomega"
 )
 
@@ -24,30 +26,59 @@
 }
 
 // A node where chains start sends nothing to the deep services itself; what its
-// requests cause there must count for it. Found by incident inc-3fd7: 72 log
-// reads whose answer was lost were not repeated.
+// requests cause there must count for it, more once it lacks repeats. Found by
+// incident inc-3fd7: 72 log reads whose answer was lost were not repeated.
 func TestStartOfAChainHasABudgetForTheServicesBelow(t *testing.T) {
 	g := NewWithT(t)
 	n := budgetNode(1)
 	route := &intent.Route{Name: "read", Kind: intent.Safe, Parts: []intent.Part{{Service: "front", Weight: 1}}}
-	n.overload.core.Learn("read", []overload.Need{{Service: "front", Calls: 1}, {Service: "deep", Calls: 4}}, true)
-	for range 100 {
-		n.countRequest(route, "front", false)
+	n.overload.core.Learn(0, "read", []overload.Need{{Service: "front", Calls: 1}, {Service: "deep", Calls: 4}}, true)
+	count := func() (left float64) {
+		for range 100 {
+			left = n.countRequest(route, "front", 1)
+		}
+		return left
 	}
-	repeated := 0
-	for n.repeat(route, "front") {
-		repeated++
+	repeated := func() (count int) {
+		for n.repeat(route, "front", 0, false) {
+			count++
+		}
+		return count
+	}
+	g.Expect(count()).To(BeNumerically("~", 0.9, 1e-9))
+	g.Expect(repeated()).To(Equal(2)) // (0.2 * 100 * 4 * 0.1 + 1) / 4
+	g.Expect(count()).To(BeNumerically("~", 0.5, 1e-9), "a repeat was not made")
+	g.Expect(repeated()).To(Equal(10)) // (0.2 * 100 * 4 * 0.5 + 1) / 4, with what was left
+}
+
+// Two nodes of a chain count one request between them, also where the message does not
+// say what is left to the second: the release before did not.
+func TestCallsCountWhatTheNodesAboveLeave(t *testing.T) {
+	for _, tc := range []struct {
+		name, header string
+		want         float64
+	}{
+		{"told", "900", 0.9},
+		{"nothing left", "0", 0},
+		{"unsaid", "", grantUnsaid},
+		{"more than there is", "1001", grantUnsaid},
+		{"less than nothing", "-1", grantUnsaid},
+		{"no number", "x", grantUnsaid},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(grantedBy(http.Header{wire.HeaderSidecarGrant: {tc.header}})).To(Equal(tc.want))
+		})
 	}
-	g.Expect(repeated).To(Equal(10)) // (0.2 * 100 * 4 * 0.5 + 1) / 4
 }
 
 func TestRepeatTakesNothingWhenOneServiceHasNoBudget(t *testing.T) {
 	g := NewWithT(t)
 	n := budgetNode(2)
 	route := &intent.Route{Name: "read", Kind: intent.Safe}
-	n.overload.core.Learn("read", []overload.Need{{Service: "front", Calls: 1}, {Service: "deep", Calls: 4}}, true)
-	g.Expect(n.repeat(route, "front")).To(BeFalse())
-	g.Expect(n.services.get("front").allows(n.now(), 2, 0.2, 2)).To(BeTrue())
+	n.overload.core.Learn(0, "read", []overload.Need{{Service: "front", Calls: 1}, {Service: "deep", Calls: 4}}, true)
+	g.Expect(n.repeat(route, "front", 0, false)).To(BeFalse())
+	g.Expect(n.services.get("front").allows(n.now(), 2, 0.2, 2, false)).To(BeTrue())
 }
 
 func TestSplitKeepsToItsWeights(t *testing.T) {
@@ -83,7 +114,7 @@
 				n.services.count(tc.members)
 			}
 			route := &intent.Route{Name: "read", Kind: intent.Safe}
-			g.Expect(n.repeat(route, "front")).To(Equal(tc.want))
+			g.Expect(n.repeat(route, "front", 0, false)).To(Equal(tc.want))
 		})
 	}
 }
@@ -113,13 +144,14 @@
 			toBad := 0
 			for range 400 {
 				now += 20 * time.Millisecond
-				picked := s.get("s").pick(now, nil)
+				picked := s.get("s").pick(now, balancer.Wish{}, nil)
 				if picked.node == "bad" {
 					toBad++
-					picked.done(now, tc.ends)
+					picked.done(now+load.Hold, tc.ends)
 					continue
 				}
-				picked.done(now, &reply{outcome: Answered, reason: reasonNone, arrived: true, status: 200, load: slots.Load{Slots: 40, Running: 20, Hold: 800 * time.Millisecond}})
+				const hold = 800 * time.Millisecond
+				picked.done(now+hold, &reply{outcome: Answered, reason: reasonNone, arrived: true, status: 200, load: slots.Load{Slots: 40, Running: 20, Hold: hold}})
 			}
 			if tc.left {
 				g.Expect(toBad).To(BeNumerically("<", 40))
--- /dev/null
+++ b/internal/sidecar/send.go
@@ -0,0 +1,228 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/core/balancer"
+	"github.com/landingmast/landingmast/internal/core/repeats"
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+	"github.com/landingmast/landingmast/internal/sidecar/settings"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// send tries targets until one answers or nothing more can be tried.
+func (x *exchange) send(ctx context.Context) {
+	target := x.node.services.get(x.service)
+	tried := &triedTargets{excluded: map[string]bool{}, once: !x.node.policyOn(settings.Declined)}
+	last := notRun(reasonNoTarget)
+	for ctx.Err() == nil && tried.mayGoOn() {
+		choice := target.pick(x.node.now(), x.wish(ctx, tried), tried.excluded)
+		if choice == nil {
+			break
+		}
+		last.close()
+		began := x.node.now()
+		last = x.attempt(ctx, choice, tried.bounces)
+		x.noteSend(choice, last, x.node.now()-began)
+		choice.done(x.node.now(), last)
+		if last.reason == reasonUnreachable && last.incarnation == "" && choice.node != x.node.settings().Node {
+			x.node.liveness.revive(choice.node, choice.address)
+		}
+		x.tellIfLost(choice, last)
+		x.learn(last)
+		tried.add(choice.node, last)
+		if last.arrived {
+			x.arrivals++
+		}
+		if last.outcome == Unknown {
+			x.mayRun = true
+		}
+		if last.outcome == Answered {
+			x.answer(last)
+			return
+		}
+		if !x.again(last, tried) {
+			break
+		}
+	}
+	x.giveUp(ctx, last)
+}
+
+// triedTargets are the targets that a request was sent to.
+type triedTargets struct {
+	once     bool            // no target is chosen twice
+	excluded map[string]bool // nodes that are not to be chosen again
+	declined map[string]bool // nodes whose targets said each time that they did not run it
+	arrived  int             // targets that it reached
+	bounces  int             // sendings that no target saw
+	fulls    int             // of them those for which there was no room in time
+	declines int             // sendings that a target declined
+}
+
+// Bounds of the sendings of one request.
+const (
+	maxBounces  = 8 // sendings that no target saw
+	maxFulls    = 3 // of them those for which there was no room in time
+	maxDeclines = 12
+)
+
+func (t *triedTargets) mayGoOn() bool {
+	return t.bounces < maxBounces && t.fulls < maxFulls && t.declines < maxDeclines
+}
+
+func (t *triedTargets) add(node string, answer *reply) {
+	if answer.full() {
+		t.fulls++
+	}
+	if !answer.arrived {
+		t.bounces++
+		t.excluded[node] = true
+		return
+	}
+	if !t.declined[node] {
+		t.arrived++
+	}
+	if t.once || answer.outcome != NotRun || answer.reason != reasonTargetShed {
+		t.excluded[node] = true
+		delete(t.declined, node)
+		return
+	}
+	t.declines++
+	if t.declined == nil {
+		t.declined = map[string]bool{}
+	}
+	t.declined[node] = true
+}
+
+// only gives the targets that are left to a request that may reach no more than most:
+// those that declined it and may take it another time. nil: all.
+func (t *triedTargets) only(most int) map[string]bool {
+	if t.arrived < most {
+		return nil
+	}
+	return t.declined
+}
+
+// again tells whether another sending may be tried after one that brought no answer.
+func (x *exchange) again(last *reply, tried *triedTargets) bool {
+	if !x.body.replayable() {
+		return false
+	}
+	if !last.arrived {
+		return true
+	}
+	if last.outcome == Unknown && !x.route.Kind.Repeatable() {
+		return false
+	}
+	if x.repeat || !x.node.policyOn(settings.Repeats) || tried.arrived >= x.mostTargets() && len(tried.declined) == 0 {
+		return false
+	}
+	return x.node.repeat(x.route, x.service, x.rank(), last.reason == reasonTargetShed)
+}
+
+// mostTargets is how many targets the request may reach.
+func (x *exchange) mostTargets() int { return max(x.route.MaxAttempts, 1) }
+
+// rank is the rank of the request's chain where repeats are short. All nodes that calls
+// of the chain are made on give it the same.
+func (x *exchange) rank() float64 {
+	priorities := 1
+	if current := x.node.intent.Load(); current != nil {
+		priorities = current.LeastPriority() + 1
+	}
+	start, _, _ := strings.Cut(x.id, ".")
+	return repeats.Rank(x.importance/importanceStep, priorities, xxhash.Sum64String(start))
+}
+
+// wish is what the request asks of a target: an answer within its route's objective,
+// and before its time is up.
+func (x *exchange) wish(ctx context.Context, tried *triedTargets) balancer.Wish {
+	deadline, _ := ctx.Deadline()
+	wish := balancer.Wish{Class: x.route.Name, Limit: time.Until(deadline), Only: tried.only(x.mostTargets())}
+	if left := x.route.Objective - (x.node.now() - x.started); left > 0 {
+		wish.Limit = min(wish.Limit, left)
+	}
+	return wish
+}
+
+// attempt sends the request to one target.
+func (x *exchange) attempt(ctx context.Context, choice *choice, bounces int) *reply {
+	deadline, _ := ctx.Deadline()
+	repeatable := x.route.Kind.Repeatable()
+	call := &wire.SidecarCall{
+		RequestID: x.id, Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Service: x.service, Route: x.route.Name,
+		Caller: x.node.caller(), From: x.node.settings().Node, Importance: x.importance, Repeatable: repeatable,
+		Repeat: x.repeat || x.arrivals > 0, Attempt: x.arrivals, Remaining: time.Until(deadline).Microseconds(),
+		Version: int64(x.intent.Version), Granted: x.granted,
+	}
+	if choice.node == x.node.settings().Node {
+		return x.node.ingress.serve(ctx, call, x.header.Clone(), x.body)
+	}
+	if repeatable {
+		return x.sendRepeatable(ctx, choice, call)
+	}
+	return x.sendOnce(ctx, choice, call)
+}
+
+// noteSend keeps a sending for the log and counts it.
+func (x *exchange) noteSend(choice *choice, answer *reply, took time.Duration) {
+	x.node.metrics.Sends.WithLabelValues(x.service, string(answer.outcome), string(answer.reason)).Inc()
+	x.sends = append(x.sends, eventlog.Send{
+		Node: choice.node, Outcome: string(answer.outcome), Reason: string(answer.reason), Arrived: answer.arrived, Status: answer.status,
+		TookMS: milliseconds(took), Occupancy: answer.load.Occupancy(),
+	})
+}
+
+// tellIfLost helps a node that replied without knowing any configuration.
+func (x *exchange) tellIfLost(choice *choice, answer *reply) {
+	if answer.incarnation != "" && answer.version == 0 && choice.node != x.node.settings().Node {
+		x.node.exchanger.tell(choice.address)
+	}
+}
+
+// sendRepeatable sends to another node, and gives up when that node shows no
+// sign of life.
+func (x *exchange) sendRepeatable(ctx context.Context, choice *choice, call *wire.SidecarCall) *reply {
+	ctx, abandon := context.WithCancelCause(ctx)
+	watched := x.node.liveness.begin(choice.node, choice.address, abandon)
+	answer := x.node.peers.call(ctx, choice.address, call, x.header, x.body)
+	watched.end(answer.incarnation != "")
+	if answer.outcome == Unknown && errors.Is(context.Cause(ctx), errSilent) {
+		answer.reason = reasonSilent
+	}
+	if answer.stream == nil {
+		abandon(nil)
+	}
+	return answer
+}
+
+// sendOnce sends a request that may run at most once. When the connection to the
+// node breaks, the node is asked what became of the request.
+func (x *exchange) sendOnce(ctx context.Context, choice *choice, call *wire.SidecarCall) *reply {
+	call.Key = strconv.FormatUint(rand.Uint64(), 36)
+	call.Incarnation = x.node.membership.incarnation(choice.node)
+	watched := x.node.liveness.begin(choice.node, choice.address, nil)
+	defer func() { watched.end(false) }()
+	answer := x.node.peers.call(ctx, choice.address, call, x.header, x.body)
+	for range settleTries {
+		if answer.outcome != Unknown || answer.reason != reasonLost || call.Incarnation == "" || ctx.Err() != nil {
+			break
+		}
+		deadline, _ := ctx.Deadline()
+		call.Remaining = time.Until(deadline).Microseconds()
+		answer = x.node.peers.settle(ctx, choice.address, call)
+	}
+	if answer.reason == reasonIncarnation {
+		x.node.membership.restarted(choice.node, answer.incarnation)
+	}
+	return answer
+}
+
+// settleTries is how often a node is asked what became of a request.
+const settleTries = 3
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -8,6 +8,8 @@
 	HeaderSidecarResult = "Landingmast-Sidecar-Result"
 	HeaderSidecarPong   = "Landingmast-Sidecar-Pong"
 	HeaderSidecarWaits  = "Landingmast-Sidecar-Waits"
+	// HeaderSidecarGrant goes with a SidecarCall: its Granted, in thousandths.
+	HeaderSidecarGrant = "Landingmast-Grant"
 )
 
 // SidecarCall is the head of a request from the node where it began to the node
@@ -30,6 +32,10 @@
 	Key         string `avro:"key"`          // of this sending, for requests that may run at most once
 	Remaining   int64  `avro:"remaining_us"` // until the request is given up
 	Version     int64  `avro:"version"`      // of the configuration that the sender has
+	// Granted is the part of the budgets for repeats that the nodes above leave to the
+	// request's calls, 0 to 1. It travels in a header of its own, so that nodes of the
+	// release before read the call.
+	Granted float64 `avro:"-"`
 }
 
 // SidecarResult is the head of the answer.
@@ -54,20 +60,21 @@
 	Service   string `avro:"service"`
 	Calls     int    `avro:"calls"`
 	Occupancy int    `avro:"occupancy"` // requests at the target and waiting, in thousandths of its slots; -1: unknown
-	// Wait is how long one call waits there for a slot; it travels in Waits.
+	// Wait is how long one call waited there for a slot, mean over the calls; it travels
+	// in Waits.
 	Wait time.Duration `avro:"-"`
 }
 
-// Waits goes with a SidecarResult when requests wait somewhere below. It is a
-// message of its own, so that nodes of the release before read the result.
+// Waits goes with a SidecarResult when the request or a call below it waited for a
+// slot. It is a message of its own, so that nodes of the release before read the result.
 type Waits struct {
 	Services []ServiceWait `avro:"services"`
 }
 
-// ServiceWait is how long requests wait for slots of a service.
+// ServiceWait is how long a request's calls waited for slots of a service.
 type ServiceWait struct {
-	Service string `avro:"service"`
-	Wait    int64  `avro:"wait_us"` // of one call, mean over the service's targets
+	Service string `avro:"service"` // empty: the request itself
+	Wait    int64  `avro:"wait_us"` // of one call, mean over the calls
 }
 
 // NodeRecord is what a sidecar node tells the others of itself.
