--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -135,7 +135,7 @@
 	if r.ContentLength == 0 {
 		return &payload{}, nil
 	}
-	data, rest, err := readWhole(r.Body)
+	data, rest, err := readWhole(r.Body, r.ContentLength)
 	if err != nil {
 		return nil, err
 	}
@@ -344,7 +344,7 @@
 		_ = answer.Body.Close()
 		return unknown(reasonSpoiled)
 	}
-	data, rest, err := readWhole(answer.Body)
+	data, rest, err := readWhole(answer.Body, answer.Length)
 	if err != nil {
 		_ = answer.Body.Close()
 		if ctx.Err() != nil {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -172,7 +172,7 @@
 	}
 	answer := replyOf(result)
 	answer.takeWaits(response.Header.Get(wire.HeaderSidecarWaits))
-	data, rest, err := readWhole(response.Body)
+	data, rest, err := readWhole(response.Body, response.ContentLength)
 	if err != nil {
 		_ = response.Body.Close()
 		lost := unknown(reasonLost)
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -117,8 +117,23 @@
 // that one that breaks off can be asked for again.
 const keepBytes = 64 << 10
 
-// readWhole reads up to keepBytes. When there is more, rest gives all of it.
-func readWhole(source io.Reader) (data []byte, rest io.Reader, err error) {
+// readWhole reads up to keepBytes. When there is more, rest gives all of it. length is
+// what the sender said, -1 where it did not.
+func readWhole(source io.Reader, length int64) (data []byte, rest io.Reader, err error) {
+	if length >= 0 && length <= keepBytes {
+		// One allocation of the right size; bodies are a good part of what a hop allocates.
+		data = make([]byte, length)
+		n, err := io.ReadFull(source, data)
+		if n == 0 && err == io.EOF {
+			return nil, nil, nil // an answer to HEAD tells the length of a body that it has not
+		}
+		if err != nil {
+			return data[:n], nil, err
+		}
+		// The end of the body is read too, so that its connection can be used again.
+		_, err = io.Copy(io.Discard, source)
+		return data, nil, err
+	}
 	data, err = io.ReadAll(io.LimitReader(source, keepBytes+1))
 	if err != nil || len(data) <= keepBytes {
 		return data, nil, err
--- /dev/null
+++ b/internal/sidecar/reply_test.go
@@ -0,0 +1,54 @@
+package sidecar
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestBodiesAreReadWhole(t *testing.T) {
+	broken := errors.New("broken")
+	long := strings.Repeat("x", keepBytes+10)
+	for _, tc := range []struct {
+		name   string
+		source io.Reader
+		length int64
+		data   string
+		rest   string
+		err    error
+	}{
+		{"length told", strings.NewReader("whole"), 5, "whole", "", nil},
+		{"length not told", strings.NewReader("whole"), -1, "whole", "", nil},
+		{"empty", strings.NewReader(""), 0, "", "", nil},
+		{"length of a body that is not sent", strings.NewReader(""), 5, "", "", nil},
+		{"broken off", io.MultiReader(strings.NewReader("wh"), iotest.ErrReader(broken)), 5, "wh", "", broken},
+		{"broken off at once", iotest.ErrReader(broken), 5, "", "", broken},
+		{"ends early", strings.NewReader("wh"), 5, "wh", "", io.ErrUnexpectedEOF},
+		{"breaks after its last byte", io.MultiReader(strings.NewReader("whole"), iotest.ErrReader(broken)), 5, "whole", "", broken},
+		{"long", strings.NewReader(long), int64(len(long)), "", long, nil},
+		{"long, length not told", strings.NewReader(long), -1, "", long, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			data, rest, err := readWhole(tc.source, tc.length)
+			if tc.err != nil {
+				g.Expect(err).To(MatchError(tc.err))
+				g.Expect(string(data)).To(Equal(tc.data))
+				return
+			}
+			g.Expect(err).NotTo(HaveOccurred())
+			if tc.rest == "" {
+				g.Expect(rest).To(BeNil())
+				g.Expect(string(data)).To(Equal(tc.data))
+				return
+			}
+			all, err := io.ReadAll(rest)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(all)).To(Equal(tc.rest))
+		})
+	}
+}
