--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -24,8 +24,8 @@
 	TookMS       float64 `json:"took_ms" doc:"from its arrival to its answer"`
 	HoldMS       float64 `json:"hold_ms" doc:"longest time that it might have taken: the sender's deadline or the route's timeout"`
 	ObjectiveMS  float64 `json:"objective_ms,omitempty" doc:"time inside which the route's answer is wanted"`
-	Share        float64 `json:"share" doc:"share of the route's requests that was let in"`
-	Decisive     string  `json:"decisive,omitempty" doc:"service whose occupancy decided the share"`
+	Share        float64 `json:"share" doc:"chance with which the request was let in: 1 unless the route's window is full"`
+	Decisive     string  `json:"decisive,omitempty" doc:"service for whose slots the route's chains waited most, where the window is in force"`
 	Occupancy    float64 `json:"occupancy,omitempty" doc:"mean occupancy of that service: at its targets and waiting, over slots"`
 	RetryAfterMS float64 `json:"retry_after_ms,omitempty" doc:"when the sender was told to come back"`
 	Sends        []Send  `json:"sends,omitempty" doc:"targets that were tried, in order"`
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -36,13 +36,6 @@
 
 var mechanisms = []Mechanism{Window, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime}
 
-// Policy says how the node decides.
-type Policy struct {
-	// Off names mechanisms that are switched off, to measure what each is worth; none by
-	// default: window, urgency, grants, ration, declined, repeats, samples, zones, losses, suspicion, in_time.
-	Off []Mechanism `yaml:"off"`
-}
-
 // On tells whether a mechanism is in use.
 func (p Policy) On(m Mechanism) bool { return !slices.Contains(p.Off, m) }
 
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -86,6 +86,13 @@
 	Window bundle.Duration `yaml:"window"`
 }
 
+// Policy says how the node decides.
+type Policy struct {
+	// Off names mechanisms that are switched off, to measure what each is worth; none by
+	// default: window, urgency, grants, ration, declined, repeats, samples, zones, losses, suspicion, in_time.
+	Off []Mechanism `yaml:"off"`
+}
+
 // Defaults of the settings.
 const (
 	DefaultLease     = 30 * time.Second
