--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -216,8 +216,9 @@
 }
 
 // Answered notes that the target gave a whole answer of so many bytes to a request of a
-// class; below 0: its size is not known. took is its time without the wait for a slot:
-// how long one waits is told by the newest report.
+// class; below 0: its size is not known. took is its time without the waits for slots,
+// there and further down: how long one waits now is told by the newest reports, and
+// further down it is the same from any target.
 func (b *Balancer) Answered(now time.Duration, e *Endpoint, name string, bytes int64, took time.Duration) {
 	e.note(now, 0)
 	one := b.class(name)
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -122,17 +122,23 @@
 // Needs gives the mean number of calls that a request of the route makes to each
 // service, itself included. The map is the caller's own.
 func (c *Controller) Needs(route string) map[string]float64 {
+	needs := map[string]float64{}
+	c.EachNeed(route, func(service string, calls float64) { needs[service] = calls })
+	return needs
+}
+
+// EachNeed calls f with the mean number of calls that a request of the route makes to
+// each service, itself included.
+func (c *Controller) EachNeed(route string, f func(service string, calls float64)) {
 	one := c.routes[route]
 	if one == nil {
-		return map[string]float64{}
+		return
 	}
-	needs := make(map[string]float64, len(one.needs))
 	for service, calls := range one.needs {
 		if calls >= needLeast {
-			needs[service] = calls
+			f(service, calls)
 		}
 	}
-	return needs
 }
 
 // Share gives the share of a route's requests that is let in now, and the service that
--- a/internal/sidecar/overload.go
+++ b/internal/sidecar/overload.go
@@ -86,6 +86,14 @@
 	return o.core.Needs(route.Name)
 }
 
+// eachNeed calls f for each service that the route's requests need. f must not ask the
+// controller.
+func (o *overloadControl) eachNeed(route *intent.Route, f func(service string, calls float64)) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.core.EachNeed(route.Name, f)
+}
+
 // learn takes in what a sending told; served tells that needs are those of a
 // request that was served.
 func (o *overloadControl) learn(route *intent.Route, needs []wire.Need, served bool) {
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -77,6 +77,20 @@
 	return int64(len(r.body))
 }
 
+// unwaited gives what is left of a sending's time without the waits for slots, its own and
+// those of the calls below it. Calls side by side wait at the same time, so that a part
+// always remains.
+func (r *reply) unwaited(took time.Duration) time.Duration {
+	waited := r.waited
+	for _, need := range r.needs {
+		waited += time.Duration(need.Calls) * need.Wait
+	}
+	return max(took-waited, took/leastUnwaited)
+}
+
+// leastUnwaited is the part of a sending's time that is never taken for waiting.
+const leastUnwaited = 4
+
 // wasted tells that the target took the request and its answer was lost or spoiled.
 // Requests that ran out of time do not count: in a shortage they do so everywhere
 // (tried and given up, docs/incidents/inc-d364.md).
--- a/internal/sidecar/reply_test.go
+++ b/internal/sidecar/reply_test.go
@@ -6,7 +6,9 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
+	"github.com/landingmast/landingmast/internal/wire"
 	. "github.com/onsi/gomega"
 )
 
@@ -52,3 +54,21 @@
 		})
 	}
 }
+
+func TestTimeWithoutTheWaitsOfAChain(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		reply reply
+		want  time.Duration
+	}{
+		{"no wait", reply{}, 400 * time.Millisecond},
+		{"its own", reply{waited: 100 * time.Millisecond}, 300 * time.Millisecond},
+		{"of its calls", reply{needs: []wire.Need{{Calls: 4, Wait: 50 * time.Millisecond}}}, 200 * time.Millisecond},
+		{"of calls side by side", reply{needs: []wire.Need{{Calls: 8, Wait: 50 * time.Millisecond}}}, 100 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(tc.reply.unwaited(400 * time.Millisecond)).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -129,7 +129,7 @@
 	case answer.wasted():
 		s.balancer.Lost(now, c.endpoint)
 	case answer.outcome == Answered:
-		s.balancer.Answered(now, c.endpoint, c.class, answer.bytes(), now-c.sent-answer.waited)
+		s.balancer.Answered(now, c.endpoint, c.class, answer.bytes(), answer.unwaited(now-c.sent))
 	}
 	switch answer.reason {
 	case reasonUnreachable, reasonSilent:
@@ -186,11 +186,11 @@
 	now := n.now()
 	kept := n.services.kept(now)
 	n.services.get(service).count(now, granted)
-	for name, calls := range n.overload.needs(route) {
+	n.overload.eachNeed(route, func(name string, calls float64) {
 		if name != service {
 			n.services.get(name).count(now, granted*kept*calls)
 		}
-	}
+	})
 	return granted * (1 - kept)
 }
 
