--- /dev/null
+++ b/internal/sidecar/judge.go
@@ -0,0 +1,103 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/sidecar/targetlink"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// exchange sends a request to the target and says what its answer is worth.
+func (i *ingress) exchange(ctx context.Context, gate *gate, call *wire.SidecarCall, header http.Header, body *payload) *reply {
+	names := i.node.options.Headers
+	deadline, _ := ctx.Deadline()
+	remaining := time.Until(deadline).Milliseconds()
+	if remaining < 1 {
+		return notRun(reasonTimeout)
+	}
+	header.Set(names.RequestID, call.RequestID)
+	header.Set(names.Deadline, strconv.FormatInt(remaining, 10))
+	header.Set(names.ExpectInstance, gate.instance)
+	header.Set(names.Caller, call.Caller)
+	answer, err := gate.links.Do(ctx, &targetlink.Request{
+		ID: call.RequestID, Method: call.Method, URI: call.URI, Host: call.Host, Header: header,
+		Body: body.data, Stream: body.stream, Length: body.length,
+	})
+	if err != nil {
+		return i.failed(ctx, err)
+	}
+	return i.judge(ctx, gate, answer)
+}
+
+func (i *ingress) failed(ctx context.Context, err error) *reply {
+	switch {
+	case errors.Is(err, targetlink.ErrNotSent):
+		return notRun(reasonUnreachable)
+	case ctx.Err() != nil:
+		return unknown(endOf(ctx))
+	case errors.Is(err, targetlink.ErrSpoiled):
+		return unknown(reasonSpoiled)
+	default:
+		return unknown(reasonLost)
+	}
+}
+
+// endOf tells the end of a request's time from the end of its sender's interest.
+// The sender counts the same time and may close its connection a little before the
+// time is up here.
+func endOf(ctx context.Context) Reason {
+	deadline, bounded := ctx.Deadline()
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || bounded && time.Until(deadline) < closeMargin {
+		return reasonTimeout
+	}
+	return reasonCancelled
+}
+
+// closeMargin is how long before the end of a request's time a close of its
+// connection counts as that end.
+const closeMargin = 25 * time.Millisecond
+
+// judge tells what the target's answer is worth.
+func (i *ingress) judge(ctx context.Context, gate *gate, answer *targetlink.Answer) *reply {
+	names := i.node.options.Headers
+	if answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(names.NotRun) != "" {
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, keepBytes))
+		_ = answer.Body.Close()
+		declined := notRun(reasonTargetShed)
+		declined.arrived = true
+		if answer.Status == http.StatusMisdirectedRequest {
+			declined.reason = reasonMisdirected
+			if other := answer.Header.Get(names.Instance); other != "" && other != gate.instance {
+				i.node.target.replaced(gate.instance)
+			}
+		}
+		return declined
+	}
+	if answer.Header.Get(names.Signature) == "" && answer.Status < http.StatusBadRequest || answer.Header.Get("Content-Encoding") != "" {
+		_ = answer.Body.Close()
+		return unknown(reasonSpoiled)
+	}
+	data, rest, err := readWhole(answer.Body, answer.Length)
+	if err != nil {
+		_ = answer.Body.Close()
+		if ctx.Err() != nil {
+			return unknown(endOf(ctx))
+		}
+		return unknown(reasonLost)
+	}
+	given := &reply{outcome: Answered, reason: reasonNone, arrived: true, status: answer.Status, header: endToEnd(answer.Header), body: data, length: answer.Length}
+	if rest == nil {
+		_ = answer.Body.Close()
+		return given
+	}
+	given.stream = struct {
+		io.Reader
+		io.Closer
+	}{rest, answer.Body}
+	return given
+}
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/balancer"
-	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/core/repeats"
 	"github.com/landingmast/landingmast/internal/core/slots"
 	"github.com/landingmast/landingmast/internal/sidecar/settings"
@@ -178,91 +177,6 @@
 	s.budget.Request(now, requests)
 }
 
-// countRequest counts a request and the calls that will be made for it. granted is the
-// part of the request's budgets that the nodes above leave to this one; the result is
-// the part that this one leaves to those below. What is kept here pays for repeats of
-// the request with all its calls; the sum over all nodes is one request.
-func (n *Node) countRequest(route *intent.Route, service string, granted float64) float64 {
-	now := n.now()
-	kept := n.services.kept(now)
-	n.services.get(service).count(now, granted)
-	n.overload.eachNeed(route, func(name string, calls float64) {
-		if name != service {
-			n.services.get(name).count(now, granted*kept*calls)
-		}
-	})
-	return granted * (1 - kept)
-}
-
-// kept gives the part of the budgets down the chain that stays at this node.
-func (s *services) kept(now time.Duration) float64 {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if !s.policy.On(settings.Grants) {
-		return grantUnsaid
-	}
-	return s.keep.Of(now)
-}
-
-// repeat takes a repeat of a request to a service out of the budgets of all services
-// that it would reach: the calls of a run that is a repeat are repeats themselves. It
-// gives false, and takes nothing, when one of them has none left, or when repeats are
-// short and go to chains of a lower rank.
-func (s *services) repeat(service string, needs map[string]float64, rank float64, declined bool) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	now := s.now()
-	called := s.getLocked(service)
-	if s.policy.On(settings.Ration) && !called.ration.Allows(now, rank) {
-		return false
-	}
-	part := s.share.Of(now, s.config.Allowance)
-	for name, calls := range needs {
-		if !s.getLocked(name).allows(now, calls, s.config.Ratio, part, declined && name == service) {
-			if name != service {
-				s.keep.Short(now)
-			}
-			called.ration.Denied(now)
-			return false
-		}
-	}
-	for name, calls := range needs {
-		s.getLocked(name).spend(now, calls)
-	}
-	return true
-}
-
-// allows tells whether so many repeats fit into the ratio and the node's part of
-// the allowance; paced, whether they fit into what may go now.
-func (s *service) allows(now time.Duration, calls, ratio, part float64, paced bool) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.budget.SetBounds(ratio, part)
-	if paced {
-		return s.budget.AllowsPaced(now, calls)
-	}
-	return s.budget.Allows(now, calls)
-}
-
-func (s *service) spend(now time.Duration, calls float64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.budget.Spend(now, calls)
-}
-
-// repeat takes a repeat of a route's request out of the budgets. rank is that of its chain.
-// declined tells that the target declined the sending before.
-func (n *Node) repeat(route *intent.Route, service string, rank float64, declined bool) bool {
-	needs := n.overload.needs(route)
-	needs[service] = max(needs[service], 1)
-	if !n.services.repeat(service, needs, rank, declined) {
-		n.metrics.Denied.WithLabelValues(service).Inc()
-		return false
-	}
-	n.metrics.Repeats.WithLabelValues(service).Inc()
-	return true
-}
-
 // gateLoad is the load of the target beside the node.
 func (n *Node) gateLoad() slots.Load {
 	if gate := n.target.current(); gate != nil {
@@ -271,50 +185,3 @@
 	}
 	return slots.Load{}
 }
-
-// setBudget changes the bounds of repeats.
-func (s *services) setBudget(config repeats.Config) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.config = config
-}
-
-// splitter keeps the shares of a route's parts close to their weights.
-type splitter struct {
-	mutex  sync.Mutex
-	credit map[string][]float64 // by route
-}
-
-// choose gives the service that a request of the route goes to: each part gains
-// its weight's share of credit with each request, the richest is taken.
-func (s *splitter) choose(route *intent.Route) string {
-	if len(route.Parts) == 1 {
-		return route.Parts[0].Service
-	}
-	total := 0
-	for _, part := range route.Parts {
-		total += part.Weight
-	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	credit := s.credit[route.Name]
-	if len(credit) != len(route.Parts) {
-		credit = make([]float64, len(route.Parts))
-		for index := range credit {
-			credit[index] = rand.Float64()
-		}
-		s.credit[route.Name] = credit
-	}
-	best := -1
-	for index, part := range route.Parts {
-		if part.Weight == 0 {
-			continue
-		}
-		credit[index] += float64(part.Weight) / float64(total)
-		if best < 0 || credit[index] > credit[best] {
-			best = index
-		}
-	}
-	credit[best]--
-	return route.Parts[best].Service
-}
