--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -152,6 +152,12 @@
 	return share, one.slowest
 }
 
+// Window gives how many requests of the route are in flight and how many fit.
+func (c *Controller) Window(now time.Duration, route string) (inFlight int, fits float64) {
+	w := c.route(now, route).window
+	return w.InFlight(), w.Limit()
+}
+
 // Begin notes that a request of the route was let in.
 func (c *Controller) Begin(now time.Duration, route string) { c.route(now, route).window.Begin(now) }
 
--- a/internal/logquery/logquery.go
+++ b/internal/logquery/logquery.go
@@ -139,6 +139,9 @@
 	if line.text("decisive") != "" {
 		words += fmt.Sprintf(", %.2f of the route let in because %s is at %.2f of its slots", line.number("share"), line.text("decisive"), line.number("occupancy"))
 	}
+	if fits := line.number("fits"); fits > 0 {
+		words += fmt.Sprintf(", %.0f of the route were in flight here and %.1f fit", line.number("in_flight"), fits)
+	}
 	if after := line.number("retry_after_ms"); after > 0 {
 		words += fmt.Sprintf(", told to come back after %.0f ms", after)
 	}
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -41,11 +41,9 @@
 	mayRun     bool        // one of them may have run
 
 	// What the log tells of the request.
-	hold      time.Duration
-	share     float64
-	decisive  string
-	occupancy float64
-	sends     []eventlog.Send
+	hold  time.Duration
+	door  doorView
+	sends []eventlog.Send
 }
 
 // Times of a request.
@@ -174,11 +172,11 @@
 // are running always are: work has gone into them.
 func (x *exchange) admitted() bool {
 	if x.parent != nil {
-		x.share = 1
+		x.door.share = 1
 		return true
 	}
 	var admitted bool
-	admitted, x.share, x.decisive, x.occupancy = x.node.overload.admit(x.route)
+	admitted, x.door = x.node.overload.admit(x.route)
 	return admitted
 }
 
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -27,6 +27,8 @@
 	Share        float64 `json:"share" doc:"chance with which the request was let in: 1 unless the route's window is full"`
 	Decisive     string  `json:"decisive,omitempty" doc:"service for whose slots the route's chains waited most, where the window is in force"`
 	Occupancy    float64 `json:"occupancy,omitempty" doc:"mean occupancy of that service: at its targets and waiting, over slots"`
+	InFlight     int     `json:"in_flight,omitempty" doc:"requests of the route in flight from here when it was refused"`
+	Fits         float64 `json:"fits,omitempty" doc:"how many of them the route's window held then"`
 	RetryAfterMS float64 `json:"retry_after_ms,omitempty" doc:"when the sender was told to come back"`
 	Sends        []Send  `json:"sends,omitempty" doc:"targets that were tried, in order"`
 }
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -176,8 +176,8 @@
 	}
 	event := eventlog.Request{
 		Request: x.id, Service: x.service, Version: x.node.version(), Importance: x.importance, Status: status, Reason: string(reason),
-		TookMS: milliseconds(took), HoldMS: milliseconds(x.hold), Share: x.share, Decisive: x.decisive, Occupancy: x.occupancy,
-		RetryAfterMS: milliseconds(retryAfter), Sends: x.sends,
+		TookMS: milliseconds(took), HoldMS: milliseconds(x.hold), Share: x.door.share, Decisive: x.door.decisive, Occupancy: x.door.occupancy,
+		RetryAfterMS: milliseconds(retryAfter), Sends: x.sends, InFlight: x.door.inFlight, Fits: x.door.fits,
 	}
 	if x.route != nil {
 		event.Route = x.route.Name
--- a/internal/sidecar/overload.go
+++ b/internal/sidecar/overload.go
@@ -25,25 +25,34 @@
 	return &overloadControl{node: node, core: overload.New(overload.DefaultConfig())}
 }
 
-// admit decides whether a client's request on the route is let in, and tells the
-// share that is, the service that decides it and that service's occupancy. end must
-// follow when it is.
-func (o *overloadControl) admit(route *intent.Route) (admitted bool, share float64, decisive string, occupancy float64) {
+// doorView is what decided whether a client's request was let in.
+type doorView struct {
+	share     float64 // chance with which it was
+	decisive  string  // service for whose slots its chain waits most; empty: none is known to
+	occupancy float64 // of that service
+	inFlight  int     // of a refused one: requests of its route that were
+	fits      float64 // and how many its window held
+}
+
+// admit decides whether a client's request on the route is let in. end must follow when
+// it is.
+func (o *overloadControl) admit(route *intent.Route) (admitted bool, view doorView) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	now := o.node.now()
-	share = 1
+	view.share = 1
 	if o.node.policyOn(settings.Window) {
-		share, decisive = o.core.Share(now, route.Name)
+		view.share, view.decisive = o.core.Share(now, route.Name)
 	}
-	if decisive != "" {
-		occupancy = o.core.Occupancy(decisive)
+	if view.decisive != "" {
+		view.occupancy = o.core.Occupancy(view.decisive)
 	}
-	admitted = share >= 1 || rand.Float64() < share
-	if admitted {
+	if view.share >= 1 || rand.Float64() < view.share {
 		o.core.Begin(now, route.Name)
+		return true, view
 	}
-	return admitted, share, decisive, occupancy
+	view.inFlight, view.fits = o.core.Window(now, route.Name)
+	return false, view
 }
 
 // ending is how a client's request ended that was let in.
