Keys, tenants, proof of a fresh configuration, and quotas by keepers

Change: intent reads tenants and finds a key's holder by one look-up; the key stays at the node where a request began. freshness: evidence is the begin of a question, confirmed by followers at the store, asked for by the others. quota: one keeper for each of four groups of tenants, by a key with a lease in the store; shares for half of the demand, the rest is a pool of tokens; a property plays late, lost and overtaking messages, pauses, restarts and keepers that come and go. Tests of the virtual mesh for keys, revocation and limits in every trouble pass (27 s).

--- a/internal/core/intent/intent.go
+++ b/internal/core/intent/intent.go
@@ -1,5 +1,5 @@
 // Package intent is the operators' versioned configuration as the sidecar
-// nodes use it: routes by host and path prefix, services and limits. It holds no
+// nodes use it: routes by host and path prefix, services, tenants and limits. It holds no
 // names of any platform; an adapter reads the operators' form into it. An Intent
 // is immutable once Seal was called and may then be shared between goroutines.
 package intent
@@ -45,6 +45,7 @@
 	Objective   time.Duration // time inside which an answer is worth its full value
 	Priority    int           // 0 is the most important
 	MaxAttempts int           // most targets that one request may reach
+	Public      bool          // its requests need no key
 	Parts       []Part        // at least one
 }
 
@@ -69,9 +70,11 @@
 	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
-	Source   []byte // what it was read from, for other nodes
+	Tenants  []*Tenant // none: requests need no key
+	Source   []byte    // what it was read from, for other nodes
 
 	byHost        map[string][]*Route // longest prefix first
+	tenants       tenantIndex
 	leastPriority int
 }
 
@@ -90,7 +93,7 @@
 	for _, routes := range i.byHost {
 		sort.SliceStable(routes, func(a, b int) bool { return len(routes[a].Prefix) > len(routes[b].Prefix) })
 	}
-	return nil
+	return i.tenants.build(i.Tenants)
 }
 
 func (i *Intent) check(route *Route) error {
--- /dev/null
+++ b/internal/core/quota/account.go
@@ -0,0 +1,212 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+// account is what a keeper knows of one tenant.
+type account struct {
+	limit    Limit
+	pool     float64 // tokens that are in no share
+	lacking  float64 // tokens that requests lacked and that have not come in since
+	at       time.Duration
+	holdings map[string]*holding // by process
+}
+
+// drawn are tokens for requests that wait, which may not have reached their node yet.
+type drawn struct {
+	number int64 // of the answer that they went with
+	tokens float64
+	until  time.Duration
+}
+
+// holding is what one process holds of a tenant, or may hold.
+type holding struct {
+	grants   []granted // by rising number
+	underWay []drawn
+	demand   float64
+	seen     time.Duration
+}
+
+// granted is a share that a process may have.
+type granted struct {
+	number int64 // 0: of an earlier reign
+	share  Share
+	until  time.Duration
+}
+
+// confirm takes in what the process says that it holds. Shares given before that one have
+// been replaced; shares given after it may be under way.
+func (h *holding) confirm(now time.Duration, reign int64, report Report) {
+	h.demand, h.seen = report.Demand, now
+	if report.Left <= 0 {
+		return
+	}
+	if report.Grant.Reign != reign {
+		h.grants = append([]granted{{share: report.Held, until: now + report.Left}}, h.grants...)
+		return
+	}
+	h.grants = slices.DeleteFunc(h.grants, func(one granted) bool { return one.number < report.Grant.Number })
+	h.underWay = slices.DeleteFunc(h.underWay, func(one drawn) bool { return one.number <= report.Grant.Number })
+}
+
+// grantsMost is the number of shares of one process that are told apart.
+const grantsMost = 8
+
+func (h *holding) offer(one granted) {
+	h.grants = append(h.grants, one)
+	if len(h.grants) <= grantsMost {
+		return
+	}
+	merged := h.grants[1]
+	merged.share, merged.until = merged.share.larger(h.grants[0].share), max(merged.until, h.grants[0].until)
+	h.grants = append([]granted{merged}, h.grants[2:]...)
+}
+
+// held is the most that the process may hold.
+func (h *holding) held(now time.Duration) (most Share) {
+	for _, one := range h.grants {
+		if now < one.until {
+			most = most.larger(one.share)
+		}
+	}
+	return most
+}
+
+func (h *holding) over(now time.Duration) bool {
+	return now-h.seen >= forgotten && !slices.ContainsFunc(h.grants, func(one granted) bool { return now < one.until })
+}
+
+// refill adds to the pool what came in since, at the rate that was in no share. Shares
+// only end between two answers, so that those of the last one are the most.
+func (a *account) refill(now time.Duration, config Config) {
+	free := a.limit.Rate - a.shared(a.at, nil).Rate
+	income := max(free, 0) * (now - a.at).Seconds()
+	a.pool += income
+	a.lacking = max(a.lacking-income, 0)
+	a.at = now
+	for process, one := range a.holdings {
+		one.grants = slices.DeleteFunc(one.grants, func(g granted) bool { return now >= g.until })
+		if one.over(now) {
+			delete(a.holdings, process)
+		}
+	}
+	a.clip(now, config)
+}
+
+// clip keeps what lies ready within the depth of the limit.
+func (a *account) clip(now time.Duration, config Config) {
+	a.pool = max(min(a.pool, a.room(now, config)), 0)
+}
+
+// room is how many tokens the pool may hold.
+func (a *account) room(now time.Duration, config Config) float64 {
+	room := config.depth(a.limit) - a.shared(now, nil).Depth
+	for _, one := range a.holdings {
+		one.underWay = slices.DeleteFunc(one.underWay, func(d drawn) bool { return now >= d.until })
+		for _, d := range one.underWay {
+			room -= d.tokens
+		}
+	}
+	return max(room, 0)
+}
+
+// shared is what processes hold or may hold, but for one of them.
+func (a *account) shared(now time.Duration, except *holding) (sum Share) {
+	for _, one := range a.holdings {
+		if one == except {
+			continue
+		}
+		held := one.held(now)
+		sum.Rate += held.Rate
+		sum.Depth += held.Depth
+	}
+	return sum
+}
+
+func (a *account) holding(process string) *holding {
+	one := a.holdings[process]
+	if one == nil {
+		one = &holding{}
+		a.holdings[process] = one
+	}
+	return one
+}
+
+// Parts of a limit that are given as shares.
+const (
+	// sharedRate is the most of its demand for which a node gets a rate, leastRate the least
+	// of the limit that all rates together have, wastedRate what is lost of such a rate, as a part of the demand: what comes in while the stock is
+	// full is nobody's. With the clients of a tenant thinly spread over 71 nodes, rates
+	// for the whole demand lost so much that a third of the requests below the limit was
+	// refused. Where demand comes near to the limit there is less to lose.
+	sharedRate = 0.5
+	leastRate  = 0.1
+	wastedRate = 0.65
+	// sharedDepth leaves some of the stock to the pool.
+	sharedDepth = 0.8
+	// usefulDepth is the least that a stock needs for one request; a node gets no more
+	// than for some requests and for depthTime of its demand.
+	usefulDepth = 1
+	someDepth   = 2
+	depthTime   = 2 * time.Second
+	// ahead is the part of the pool that one answer gives for requests to come.
+	ahead = 0.25
+	// forgotten is the time without a report after which a demand no longer counts.
+	forgotten = 5 * time.Second
+)
+
+// demand is what all processes that reported lately need, in requests a second.
+func (a *account) demand(now time.Duration) (total float64) {
+	for _, one := range a.holdings {
+		if now-one.seen < forgotten {
+			total += one.demand
+		}
+	}
+	return total
+}
+
+// share gives a process its part by its part of the demand, as far as it is free.
+func (a *account) share(now time.Duration, config Config, held *holding) Share {
+	if held.demand < demandLeast {
+		return Share{}
+	}
+	total, others := a.demand(now), a.shared(now, held)
+	depth := sharedDepth * config.depth(a.limit)
+	given := Share{Depth: max(depth*held.demand/total, usefulDepth)}
+	given.Depth = min(given.Depth, someDepth+held.demand*depthTime.Seconds(), depth-others.Depth)
+	if given.Depth < usefulDepth {
+		return Share{}
+	}
+	rate := max((a.limit.Rate-total)/wastedRate, leastRate*a.limit.Rate) * held.demand / total
+	given.Rate = max(min(sharedRate*held.demand, rate, a.limit.Rate-others.Rate), 0)
+	return given
+}
+
+// draw takes tokens out of the pool: for requests that wait, then for requests to come, as
+// far as the node's stock has room. Tokens that the pool has no room for since depth has
+// gone to the node go with it: else a tenant's first requests would find empty stocks.
+func (a *account) draw(now time.Duration, config Config, held *holding, report Report, given granted) int {
+	urgent := max(min(report.Need, int(a.pool)), 0)
+	if urgent > 0 {
+		a.pool -= float64(urgent)
+		held.underWay = append(held.underWay, drawn{number: given.number, tokens: float64(urgent), until: now + Travel})
+	}
+	later := max(min(report.Want-report.Need, int(ahead*a.pool)), int(a.pool-a.room(now, config)))
+	later = max(min(later, int(given.share.Depth-report.Stock), int(a.pool)), 0)
+	a.pool -= float64(later)
+	return urgent + later
+}
+
+// againMost bounds the time after which a node may ask again.
+const againMost = 2 * time.Second
+
+// again is when there may be tokens for what was lacking, as far as that can be told.
+func (a *account) again(now time.Duration) time.Duration {
+	free := a.limit.Rate - a.shared(now, nil).Rate
+	if free <= 0 {
+		return againMost
+	}
+	return min(time.Duration(max(a.lacking-a.pool, 1)/free*float64(time.Second)), againMost)
+}
--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -57,6 +57,7 @@
 	}
 	switch {
 	case !x.mayRun:
+		x.node.quotas.giveBack(x.holder)
 		x.refuse(http.StatusServiceUnavailable, last.reason, jittered(overloadRetryAfter))
 	case ctx.Err() != nil:
 		x.refuse(http.StatusGatewayTimeout, reasonTimeout, 0)
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -23,11 +23,11 @@
 // new one.
 func (f *follower) followConfiguration(ctx context.Context) {
 	n := f.node
-	f.follow(ctx, n.options.ConfigurationKey, restOfConfiguration, func(items []store.Item, _ bool) {
+	f.follow(ctx, n.options.ConfigurationKey, restOfConfiguration, func(items []store.Item, _ bool, _ int64) {
 		before := n.version()
 		for _, item := range items {
 			if item.Key == n.options.ConfigurationKey && !item.Gone {
-				n.install(item.Value, sourceStore)
+				_, _ = n.installStored(&item) // an error is logged where it occurs
 			}
 		}
 		if n.version() > before {
@@ -56,33 +56,43 @@
 		cancel()
 		n.storeResult("read", err)
 		if err == nil && item != nil {
-			n.install(item.Value, sourceStore)
+			_, _ = n.installStored(item) // an error is logged where it occurs
 			return
 		}
 		pause(ctx, configurationAgain+time.Duration(rand.Int64N(int64(configurationSpread))))
 	}
 }
 
-// install puts a configuration in force unless a newer one is.
-func (n *Node) install(data []byte, source string) {
+// installStored puts a configuration of the store in force unless a newer one is. It gives
+// its version.
+func (n *Node) installStored(item *store.Item) (uint64, error) {
+	version, err := n.install(item.Value, sourceStore)
+	if err == nil {
+		n.freshness.stored(version, item.Revision)
+	}
+	return version, err
+}
+
+// install puts a configuration in force unless a newer one is. It gives its version.
+func (n *Node) install(data []byte, source string) (uint64, error) {
 	read, err := n.options.ReadIntent(data)
 	if err != nil {
 		n.events.Add(eventlog.Configuration{Before: n.version(), Source: source, Error: err.Error()}, eventlog.State)
-		return
+		return 0, err
 	}
 	read.Source = data
 	for {
 		current := n.intent.Load()
 		if current != nil && current.Version >= read.Version {
-			return
+			return read.Version, nil
 		}
 		if n.intent.CompareAndSwap(current, read) {
 			before := uint64(0)
 			if current != nil {
 				before = current.Version
 			}
-			n.events.Add(eventlog.Configuration{Version: read.Version, Before: before, Routes: len(read.Routes), Source: source}, eventlog.State)
-			return
+			n.events.Add(eventlog.Configuration{Version: read.Version, Before: before, Routes: len(read.Routes), Tenants: len(read.Tenants), Source: source}, eventlog.State)
+			return read.Version, nil
 		}
 	}
 }
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -28,7 +28,10 @@
 	intent     *intent.Intent
 	route      *intent.Route
 	service    string
-	parent     *running // request of the target that made this one; nil for a client's
+	parent     *running       // request of the target that made this one; nil for a client's
+	fresh      bool           // the configuration was confirmed lately enough for keys, as of the arrival
+	holder     *intent.Tenant // whose key a client's request carries; nil: none
+	tenant     string         // to which the request belongs; empty: none
 	importance int
 	repeat     bool
 	granted    float64 // part of the request's budgets for repeats that goes down the chain
@@ -63,7 +66,11 @@
 		e.node.clients.Add(1)
 		defer e.node.clients.Add(-1)
 	}
-	x := &exchange{node: e.node, writer: w, request: r, id: r.Header.Get(names.RequestID), intent: e.node.intent.Load(), started: e.node.now()}
+	x := &exchange{node: e.node, writer: w, request: r, id: r.Header.Get(names.RequestID), started: e.node.now()}
+	// Freshness is looked at before the configuration is taken: one that comes in between
+	// is newer than what was confirmed, the other way round it might be older.
+	x.fresh = e.node.freshness.holds()
+	x.intent = e.node.intent.Load()
 	switch {
 	case refused && !isCall:
 		x.refuse(http.StatusServiceUnavailable, reasonStopping, unreadyRetryAfter)
@@ -80,6 +87,11 @@
 		x.refuse(http.StatusNotFound, reasonNoRoute, 0)
 		return
 	}
+	x.hold = x.holdTime()
+	x.findParent()
+	if !x.identify() {
+		return
+	}
 	if status, reason := refusedBySize(r, x.intent.Limits); status != 0 {
 		w.Header().Set("Connection", "close")
 		x.refuse(status, reason, 0)
@@ -124,11 +136,9 @@
 }
 
 func (x *exchange) serve() {
-	hold := x.holdTime()
-	x.hold = hold
+	hold := x.hold
 	ctx, cancel := context.WithTimeout(x.request.Context(), hold)
 	defer cancel()
-	x.findParent()
 	if x.parent != nil {
 		stop := context.AfterFunc(x.parent.ctx, cancel)
 		defer stop()
@@ -148,9 +158,16 @@
 	}
 	x.body = body
 	x.header = endToEnd(x.request.Header)
+	if len(x.intent.Tenants) > 0 {
+		x.node.options.Headers.hideIdentity(x.header)
+	}
+	if !x.withinQuota(ctx) {
+		return
+	}
 	x.service = x.node.splitter.choose(x.route)
 	x.granted = x.node.countRequest(x.route, x.service, x.grantedAbove())
 	if !x.admitted() {
+		x.node.quotas.giveBack(x.holder)
 		x.refuse(http.StatusServiceUnavailable, reasonSheds, comeBack(x.clientTime()))
 		return
 	}
@@ -218,6 +235,10 @@
 	x.node.overload.learn(x.route, needs, answer.outcome == Answered && answer.status < http.StatusBadRequest)
 }
 
+// callSeparator stands between the id of a request and the part of its own that a call
+// which its target makes has.
+const callSeparator = "."
+
 // findParent looks for the request at the target for which this one is made. The
 // id of a call is the id of the request that made it, a dot and a part of its
 // own; where ids look otherwise the request stands for itself.
@@ -227,7 +248,7 @@
 		limit = 0
 	}
 	x.importance = importanceOf(x.route, limit)
-	dot := strings.LastIndexByte(x.id, '.')
+	dot := strings.LastIndex(x.id, callSeparator)
 	if dot <= 0 {
 		return
 	}
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -14,6 +14,7 @@
 // made there.
 type Request struct {
 	Request      string  `json:"request" doc:"id of the client's attempt, or of the target's call"`
+	Tenant       string  `json:"tenant,omitempty" doc:"tenant whose key the chain's first request carried"`
 	Parent       string  `json:"parent,omitempty" doc:"id of the request at the target beside this node that made the call"`
 	Route        string  `json:"route,omitempty" doc:"route that fits"`
 	Service      string  `json:"service,omitempty" doc:"service that it goes to"`
@@ -76,6 +77,7 @@
 	Version uint64 `json:"version" doc:"its version"`
 	Before  uint64 `json:"before" doc:"version in force before"`
 	Routes  int    `json:"routes" doc:"number of its routes"`
+	Tenants int    `json:"tenants,omitempty" doc:"number of its tenants"`
 	Source  string `json:"source" doc:"store or peer"`
 	Error   string `json:"error,omitempty" doc:"why it was refused"`
 }
@@ -108,6 +110,23 @@
 	AwayMS float64 `json:"away_ms,omitempty" doc:"how long it was away"`
 }
 
+// Freshness tells when requests with keys begin to be refused since the configuration was
+// not confirmed lately, and when that ends.
+type Freshness struct {
+	Change  string  `json:"change" doc:"unconfirmed (requests with keys are refused) or confirmed"`
+	Version uint64  `json:"version" doc:"that was the newest when it was confirmed last"`
+	AgeMS   float64 `json:"age_ms" doc:"how long ago that was"`
+}
+
+// Keeper is a change of what the node does as the keeper of quotas.
+type Keeper struct {
+	Shard  int    `json:"shard" doc:"group of tenants"`
+	Change string `json:"change" doc:"taken over, not taken over, names not written or ended"`
+	Reign  int64  `json:"reign,omitempty" doc:"number of the taking over, the store's revision then"`
+	Listed int    `json:"listed,omitempty" doc:"nodes that may hold parts of the keeper before"`
+	Error  string `json:"error,omitempty" doc:"why"`
+}
+
 // Node is a change of the process itself.
 type Node struct {
 	Change      string  `json:"change" doc:"started, reloaded, reload refused, stopping, stopped or panic"`
@@ -147,10 +166,16 @@
 // Kind implements Event.
 func (Node) Kind() string { return "node" }
 
+// Kind implements Event.
+func (Freshness) Kind() string { return "freshness" }
+
+// Kind implements Event.
+func (Keeper) Kind() string { return "keeper" }
+
 // Kind implements Event.
 func (Omitted) Kind() string { return "omitted" }
 
 // All gives one event of each kind, for the reference page.
 func All() []Event {
-	return []Event{Request{}, Run{}, Settle{}, Configuration{}, Target{}, Member{}, Store{}, Node{}, Omitted{}}
+	return []Event{Request{}, Run{}, Settle{}, Configuration{}, Target{}, Member{}, Store{}, Freshness{}, Keeper{}, Node{}, Omitted{}}
 }
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -106,7 +106,7 @@
 func (e *exchanger) take(message *wire.Exchange) {
 	e.node.membership.learnFromPeer(message.Records)
 	if len(message.Configuration) > 0 {
-		e.node.install(message.Configuration, sourcePeer)
+		_, _ = e.node.install(message.Configuration, sourcePeer) // an error is logged where it occurs
 	}
 }
 
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -25,10 +25,17 @@
 func (f *follower) followRecords(ctx context.Context) {
 	prefix := f.node.options.NodePrefix
 	m := f.node.membership
-	f.follow(ctx, prefix, restOfRecords, func(items []store.Item, whole bool) {
+	f.follow(ctx, f.node.options.RecordPrefix, restOfRecords, func(items []store.Item, whole bool, at int64) {
+		f.node.takeKeepers(items)
+		if whole {
+			f.node.noteAbsentKeepers(items, at)
+		}
 		seen := map[string]bool{}
 		for _, item := range items {
-			name := strings.TrimPrefix(item.Key, prefix)
+			name, is := strings.CutPrefix(item.Key, prefix)
+			if !is {
+				continue
+			}
 			seen[name] = true
 			if item.Gone {
 				f.lapsed(name)
@@ -81,7 +88,7 @@
 //
 // rest is the least time between an event and the next watch: events that come in
 // a row are then fetched with one call.
-func (f *follower) follow(ctx context.Context, prefix string, rest time.Duration, take func(items []store.Item, whole bool)) {
+func (f *follower) follow(ctx context.Context, prefix string, rest time.Duration, take func(items []store.Item, whole bool, at int64)) {
 	at := int64(-1)
 	for ctx.Err() == nil {
 		if at < 0 {
@@ -98,7 +105,7 @@
 				continue
 			}
 			at = revision
-			take(items, true)
+			take(items, true, at)
 		}
 		events, revision, err := f.node.store.Watch(ctx, prefix, at, watchWait)
 		if ctx.Err() != nil {
@@ -113,7 +120,7 @@
 			pause(ctx, retryLeast+time.Duration(rand.Int64N(int64(retrySpread))))
 		default:
 			at = max(at, revision)
-			take(events, false)
+			take(events, false, at)
 			if len(events) > 0 {
 				pause(ctx, max(rest, f.fairRest()))
 			}
--- a/internal/sidecar/follower.go
+++ b/internal/sidecar/follower.go
@@ -28,6 +28,8 @@
 	hears     map[string]bool // by what is followed: its last call succeeded
 	gone      map[string]goneNode
 	following bool
+	told      string // follower of the zone that last said that it hears the store
+	toldAt    time.Duration
 }
 
 type goneNode struct {
@@ -71,11 +73,39 @@
 func (f *follower) heard(name string, well bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if well {
+		f.told, f.toldAt = name, f.node.now()
+	}
 	if f.election != nil {
 		f.election.Beat(f.node.now(), name, well)
 	}
 }
 
+// toldFor is how long the word of a follower counts that it hears the store: three beats
+// and some time on the way.
+const toldFor = 3*beatEvery + 100*time.Millisecond
+
+// address gives that of another follower of the zone that hears the store; empty: none is known.
+func (f *follower) address() string {
+	f.mutex.Lock()
+	name, recent := f.told, f.node.now()-f.toldAt < toldFor
+	f.mutex.Unlock()
+	if name == "" || !recent {
+		return ""
+	}
+	if record := f.node.membership.record(name); record != nil {
+		return record.Address
+	}
+	return ""
+}
+
+// reaches tells whether the node follows the store and the store answers it.
+func (f *follower) reaches() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.election != nil && f.election.Follows(f.node.now()) && f.hears[probed]
+}
+
 // follows tells whether the node follows the store now.
 func (f *follower) follows() bool {
 	f.mutex.Lock()
@@ -104,6 +134,7 @@
 		if now := f.node.now(); follows && now-beaten >= beatEvery {
 			beaten = now
 			f.decide(ctx)
+			f.node.offices.fill(ctx)
 			f.beat(ctx)
 		}
 	}
@@ -192,7 +223,7 @@
 			return false
 		}
 	}
-	return f.hears[f.node.options.NodePrefix]
+	return f.hears[f.node.options.RecordPrefix]
 }
 
 // beat tells the zone that the node follows the store, and what it has lost. A
--- /dev/null
+++ b/internal/sidecar/freshness.go
@@ -0,0 +1,242 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/core/freshness"
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+	"github.com/landingmast/landingmast/internal/store"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// Times of the proof that the configuration is fresh. A node's evidence is at most
+// confirmEvery and askEvery old while its follower reaches the store, 1.4 s. An outage of
+// the store then has to last 3.6 s of the users' five before a key is refused; they do
+// not count on requests with keys after three.
+const (
+	confirmEvery   = 800 * time.Millisecond // of a follower, at the store
+	confirmTimeout = 400 * time.Millisecond
+	askEvery       = 600 * time.Millisecond // of the others, at their follower
+	askTimeout     = 250 * time.Millisecond
+	// elsewhereAfter is the age from which a node asks nodes of other zones too,
+	// directAfter that from which it reads the store itself.
+	elsewhereAfter = 1800 * time.Millisecond
+	directAfter    = 2500 * time.Millisecond
+	// directRest is the least time between two such reads of one node.
+	directRest = 900 * time.Millisecond
+)
+
+// freshnessPath tells how fresh a node's configuration is.
+const freshnessPath = "/freshness"
+
+// prover keeps the evidence that the node's configuration is fresh. Followers confirm it
+// at the store, the other nodes ask their zone's follower. An age that somebody pushed
+// would prove nothing, since the message may have lain anywhere for long; an age that was
+// asked for proves that it was no greater when the question began.
+type prover struct {
+	node *Node
+
+	mutex    sync.Mutex
+	evidence freshness.Evidence
+	revision int64 // of the configuration in the store, for the version in force; 0: not known
+	version  uint64
+	lost     bool // the evidence was too old for keys at the last look
+	direct   time.Duration
+}
+
+// holds tells whether the configuration is fresh enough for a key to be believed.
+func (p *prover) holds() bool {
+	bound := p.node.settings().Keys.Bound()
+	if bound == 0 {
+		return true
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.evidence.Within(p.node.now(), bound)
+}
+
+// age gives how old the evidence is; false: there is none.
+func (p *prover) age() (age time.Duration, version uint64, known bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.evidence.Age(p.node.now())
+}
+
+// confirm takes in that version was the newest as of a moment.
+func (p *prover) confirm(asOf time.Duration, version uint64) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.evidence.Confirm(asOf, version, p.node.version())
+}
+
+// stored notes the revision with which the store has a version.
+func (p *prover) stored(version uint64, revision int64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if version >= p.version {
+		p.version, p.revision = version, revision
+	}
+}
+
+// wanted tells whether evidence is of use: some tenant holds keys that may be taken away.
+func (p *prover) wanted() bool {
+	current := p.node.intent.Load()
+	return current != nil && len(current.Tenants) > 0 && p.node.settings().Keys.Bound() > 0
+}
+
+// run keeps the evidence young until ctx ends.
+func (p *prover) run(ctx context.Context) {
+	pause(ctx, time.Duration(rand.Int64N(int64(askEvery))))
+	for ctx.Err() == nil {
+		rest := askEvery
+		if p.wanted() {
+			rest = p.renew(ctx)
+		}
+		p.noteLoss()
+		pause(ctx, rest)
+	}
+}
+
+// renew gets younger evidence and gives the time until the next try.
+func (p *prover) renew(ctx context.Context) time.Duration {
+	nearest := p.node.follower.address()
+	switch {
+	case p.node.follower.reaches():
+		if p.atStore(ctx) {
+			return confirmEvery
+		}
+	case p.ask(ctx, nearest):
+		return askEvery
+	}
+	age, _, known := p.age()
+	if !known || age > elsewhereAfter || nearest == "" {
+		if p.ask(ctx, p.node.membership.addressElsewhere()) {
+			return askEvery
+		}
+	}
+	if !known || age > directAfter {
+		p.atStoreRarely(ctx)
+	}
+	return askEvery / 2
+}
+
+// ask asks another node how fresh its configuration is.
+func (p *prover) ask(ctx context.Context, address string) bool {
+	if address == "" {
+		return false
+	}
+	asked := p.node.now()
+	call, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	told, err := p.node.peers.freshness(call, address)
+	if err != nil {
+		return false
+	}
+	for index := range told.Keepers {
+		p.node.keepers.learn(&told.Keepers[index])
+	}
+	if !told.Known {
+		return false
+	}
+	if uint64(told.Version) > p.node.version() {
+		p.node.news.fetch(address)
+	}
+	return p.confirm(freshness.Told(asked, time.Duration(told.Age)*time.Microsecond), uint64(told.Version))
+}
+
+// atStoreRarely reads the store on the node's own account, when nobody else can tell.
+func (p *prover) atStoreRarely(ctx context.Context) {
+	if p.node.store == nil {
+		return
+	}
+	now := p.node.now()
+	if p.direct != 0 && now-p.direct < directRest {
+		return
+	}
+	p.direct = now
+	p.atStore(ctx)
+}
+
+// atStore confirms at the store that the configuration in force is the newest, or takes
+// the newest one.
+func (p *prover) atStore(ctx context.Context) bool {
+	p.mutex.Lock()
+	version, revision := p.version, p.revision
+	p.mutex.Unlock()
+	asked := p.node.now()
+	call, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if revision == 0 || version != p.node.version() {
+		return p.read(call, asked)
+	}
+	newer, err := p.node.store.Unchanged(call, p.node.options.ConfigurationKey, revision)
+	p.node.storeResult("confirm", err)
+	switch {
+	case err == nil:
+		return p.confirm(asked, version)
+	case errors.Is(err, store.ErrConflict) && newer != nil:
+		return p.take(newer, asked)
+	}
+	return false
+}
+
+// read reads the configuration whole.
+func (p *prover) read(ctx context.Context, asked time.Duration) bool {
+	item, _, err := p.node.store.Get(ctx, p.node.options.ConfigurationKey)
+	p.node.storeResult("read", err)
+	if err != nil || item == nil {
+		return false
+	}
+	return p.take(item, asked)
+}
+
+// take puts a configuration of the store in force; the question for it began at asked.
+func (p *prover) take(item *store.Item, asked time.Duration) bool {
+	version, err := p.node.installStored(item)
+	return err == nil && p.confirm(asked, version)
+}
+
+// noteLoss logs when keys are refused for want of evidence, and when no longer.
+func (p *prover) noteLoss() {
+	bound := p.node.settings().Keys.Bound()
+	age, version, known := p.age()
+	lost := p.wanted() && (!known || age >= bound)
+	if lost == p.lost {
+		return
+	}
+	p.lost = lost
+	change := "confirmed"
+	if lost {
+		change = "unconfirmed"
+	}
+	p.node.events.Add(eventlog.Freshness{Change: change, Version: version, AgeMS: milliseconds(age)}, eventlog.State)
+}
+
+// ServeHTTP answers the question of another node.
+func (p *prover) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	age, version, known := p.age()
+	encoded, err := wire.FreshnessCodec.Encode(&wire.Freshness{Known: known, Version: int64(version), Age: age.Microseconds(), Keepers: p.node.keepers.all()})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	bare(w)
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+	_, _ = io.WriteString(w, string(encoded))
+}
+
+// freshness asks the node at an address how fresh its configuration is.
+func (p *peerClient) freshness(ctx context.Context, address string) (*wire.Freshness, error) {
+	read, err := p.post(ctx, address, freshnessPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	return wire.FreshnessCodec.Decode(read)
+}
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -22,6 +22,9 @@
 	Load           string // running, waiting, slots
 	NotRun         string // the target did not run the request
 	Caller         string // service on the machine where the request began
+	Tenant         string // whose key the client's request carried; set by nodes alone
+	Key            string // carries a client's key
+	KeyScheme      string // word before the key
 }
 
 // hopByHop are the headers that belong to one connection (RFC 9110, 7.6.1).
--- /dev/null
+++ b/internal/sidecar/identity.go
@@ -0,0 +1,84 @@
+package sidecar
+
+import (
+	"net/http"
+	"strings"
+)
+
+// Who a request belongs to is settled once, at the node where it began: a client's
+// request belongs to the tenant that holds its key, a call of a target to the tenant of
+// the request that made it. The key stays at that node; other nodes and targets get the
+// tenant's name.
+
+// key gives the key that a request carries; empty: none.
+func (h Headers) key(header http.Header) string {
+	scheme, key, found := strings.Cut(header.Get(h.Key), " ")
+	if !found || !strings.EqualFold(scheme, h.KeyScheme) {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// hideIdentity takes out of a request what only nodes may tell of its tenant, in every
+// spelling that a target might read as such, and its key.
+func (h Headers) hideIdentity(header http.Header) {
+	for name := range header {
+		if sameField(name, h.Tenant) || sameField(name, h.Key) {
+			delete(header, name)
+		}
+	}
+}
+
+// sameField tells whether two names of header fields are one to a reader that takes
+// underscores for hyphens, as gateways to CGI-like programs do.
+func sameField(a, b string) bool {
+	return len(a) == len(b) && strings.EqualFold(strings.ReplaceAll(a, "_", "-"), b)
+}
+
+// identify settles the tenant of the request. false: it was refused.
+func (x *exchange) identify() bool {
+	if x.parent != nil {
+		x.tenant = x.parent.tenant
+		return true
+	}
+	if len(x.intent.Tenants) == 0 {
+		return true
+	}
+	key := x.node.options.Headers.key(x.request.Header)
+	if key == "" {
+		return x.identifyWithoutKey()
+	}
+	if !x.fresh {
+		x.refuse(http.StatusServiceUnavailable, reasonStale, unreadyRetryAfter)
+		return false
+	}
+	x.holder = x.intent.Holder(key)
+	if x.holder != nil {
+		x.tenant = x.holder.Name
+		return true
+	}
+	if x.intent.NeedsKey(x.route) {
+		x.refuseKey()
+		return false
+	}
+	return true
+}
+
+// identifyWithoutKey lets requests of public routes in. A call whose parent is no longer
+// at the target is refused as not run: its parent's answer can reach nobody.
+func (x *exchange) identifyWithoutKey() bool {
+	switch {
+	case !x.intent.NeedsKey(x.route):
+		return true
+	case strings.Contains(x.id, callSeparator):
+		x.refuse(http.StatusServiceUnavailable, reasonOrphan, unreadyRetryAfter)
+	default:
+		x.refuseKey()
+	}
+	return false
+}
+
+func (x *exchange) refuseKey() {
+	x.writer.Header().Set("WWW-Authenticate", x.node.options.Headers.KeyScheme)
+	x.refuse(http.StatusUnauthorized, reasonUnknownKey, 0)
+}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -20,6 +20,7 @@
 	ctx        context.Context
 	importance int
 	repeat     bool
+	tenant     string  // to which it belongs; empty: none
 	granted    float64 // part of the budgets for repeats that is left to its calls
 
 	mutex sync.Mutex
@@ -95,7 +96,7 @@
 
 // runs tells that the id is that of a call of a request at the target.
 func (i *ingress) runs(id string) bool {
-	dot := strings.LastIndexByte(id, '.')
+	dot := strings.LastIndex(id, callSeparator)
 	return dot > 0 && i.running.find(id[:dot]) != nil
 }
 
@@ -113,6 +114,7 @@
 		return
 	}
 	call.Granted = grantedBy(r.Header)
+	call.Tenant = r.Header.Get(wire.HeaderSidecarTenant)
 	remaining := time.Duration(call.Remaining) * time.Microsecond
 	ctx, cancel := context.WithTimeout(r.Context(), remaining)
 	defer cancel()
@@ -247,7 +249,7 @@
 
 // run sends the request to the target and reads its answer.
 func (i *ingress) run(ctx context.Context, gate *gate, id uint64, call *wire.SidecarCall, header http.Header, body *payload) *reply {
-	request := &running{id: call.RequestID, ctx: ctx, importance: call.Importance, repeat: call.Repeat, granted: call.Granted, needs: map[string]wire.Need{}}
+	request := &running{id: call.RequestID, ctx: ctx, importance: call.Importance, repeat: call.Repeat, tenant: call.Tenant, granted: call.Granted, needs: map[string]wire.Need{}}
 	i.running.add(call.RequestID, request)
 	answer := i.exchange(ctx, gate, call, header, body)
 	i.running.remove(call.RequestID, request)
--- a/internal/sidecar/judge.go
+++ b/internal/sidecar/judge.go
@@ -24,6 +24,9 @@
 	header.Set(names.Deadline, strconv.FormatInt(remaining, 10))
 	header.Set(names.ExpectInstance, gate.instance)
 	header.Set(names.Caller, call.Caller)
+	if call.Tenant != "" {
+		header.Set(names.Tenant, call.Tenant)
+	}
 	answer, err := gate.links.Do(ctx, &targetlink.Request{
 		ID: call.RequestID, Method: call.Method, URI: call.URI, Host: call.Host, Header: header,
 		Body: body.data, Stream: body.stream, Length: body.length,
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -31,7 +31,9 @@
 	Headers          Headers
 	Store            store.Store // nil: none
 	ConfigurationKey string      // key of the operators' configuration
-	NodePrefix       string      // where the nodes' records lie
+	RecordPrefix     string      // where all that the nodes keep lies
+	NodePrefix       string      // below it, where the nodes' records lie
+	QuotaPrefix      string      // below it, where the keepers of quotas are named
 	ReadIntent       func(data []byte) (*intent.Intent, error)
 	Control          func(targets *Targets) http.Handler  // serves the targets' heartbeats
 	Ready            func(ready func() bool) http.Handler // serves the question whether the node takes work
@@ -65,6 +67,10 @@
 	follower     *follower
 	exchanger    *exchanger
 	news         *spreader
+	freshness    *prover
+	keepers      directory
+	offices      *offices
+	quotas       *quotas
 	liveness     *liveness
 	planned      plannedStop
 	inFlight     atomic.Int64 // requests of clients, of the target and of other nodes
@@ -101,6 +107,9 @@
 	n.follower = newFollower(n)
 	n.exchanger = &exchanger{node: n}
 	n.news = &spreader{node: n}
+	n.freshness = &prover{node: n}
+	n.offices = newOffices(n)
+	n.quotas = newQuotas(n)
 	n.liveness = newLiveness(n.now, n.peers.pingPeer, livenessEvents{lost: n.silent, still: n.services.suspect, back: n.heardAgain})
 	n.target = &localTarget{now: n.now, roster: roster.New(), changed: n.targetChanged, link: n.newLink, identify: n.identify, beginAll: !n.policyOn(inTime)}
 	return n, n.listen()
@@ -217,6 +226,8 @@
 	mux.Handle("POST "+settlePath, n.ingress.once)
 	mux.Handle("POST "+exchangePath, n.exchanger)
 	mux.Handle("POST "+newsPath, n.news)
+	mux.Handle("POST "+freshnessPath, n.freshness)
+	mux.Handle("POST "+quotaPath, n.offices)
 	mux.HandleFunc("GET "+pingPath, n.servePing)
 	return mux
 }
@@ -245,6 +256,11 @@
 		n.background.Go(func() { n.registration.run(background) })
 		n.background.Go(func() { n.follower.run(background) })
 		n.background.Go(func() { n.findConfiguration(background) })
+		n.background.Go(func() { n.freshness.run(background) })
+		n.background.Go(func() { n.offices.run(background) })
+		for shard := range quotaShards {
+			n.background.Go(func() { n.quotas.run(background, shard) })
+		}
 	}
 	n.background.Go(func() { n.exchanger.run(background) })
 	n.background.Go(func() { n.events.Run(background) })
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -176,7 +176,7 @@
 		return
 	}
 	event := eventlog.Request{
-		Request: x.id, Service: x.service, Version: x.node.version(), Importance: x.importance, Status: status, Reason: string(reason),
+		Request: x.id, Tenant: x.tenant, Service: x.service, Version: x.node.version(), Importance: x.importance, Status: status, Reason: string(reason),
 		TookMS: milliseconds(took), HoldMS: milliseconds(x.hold), Share: x.door.share, Decisive: x.door.decisive, Occupancy: x.door.occupancy,
 		RetryAfterMS: milliseconds(retryAfter), Sends: x.sends, InFlight: x.door.inFlight, Fits: x.door.fits,
 	}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -80,6 +80,9 @@
 	p.names.shorten(request.Header)
 	request.Header.Set(wire.HeaderSidecarCall, head)
 	grant(request.Header, call.Granted)
+	if call.Tenant != "" {
+		request.Header.Set(wire.HeaderSidecarTenant, call.Tenant)
+	}
 	if _, present := request.Header["User-Agent"]; !present {
 		request.Header["User-Agent"] = []string{""}
 	}
@@ -104,7 +107,10 @@
 func (p *peerClient) post(ctx context.Context, address, path string, data []byte) ([]byte, error) {
 	request := &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: path}, Host: address,
-		Header: http.Header{"User-Agent": {""}}, Body: io.NopCloser(bytes.NewReader(data)), ContentLength: int64(len(data)),
+		Header: http.Header{"User-Agent": {""}},
+	}
+	if len(data) > 0 {
+		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(data)), int64(len(data))
 	}
 	response, err := p.transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -47,6 +47,11 @@
 	reasonStopping     Reason = "stopping"
 	reasonBodyTooLarge Reason = "body_too_large" // for the operators' limits
 	reasonHeadTooLarge Reason = "head_too_large"
+	reasonUnknownKey   Reason = "unknown_key"         // no tenant holds the key, or none came
+	reasonStale        Reason = "stale_configuration" // not confirmed lately enough to trust a key
+	reasonOrphan       Reason = "parent_gone"         // a call whose request is not at the target
+	reasonQuota        Reason = "over_quota"          // the tenant's limit over all nodes is reached
+	reasonNoAllowance  Reason = "no_allowance"        // nobody could be asked for a part of the limit
 )
 
 // reply is what became of one sending of a request.
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -136,7 +136,7 @@
 	if current := x.node.intent.Load(); current != nil {
 		priorities = current.LeastPriority() + 1
 	}
-	start, _, _ := strings.Cut(x.id, ".")
+	start, _, _ := strings.Cut(x.id, callSeparator)
 	return repeats.Rank(x.importance/importanceStep, priorities, xxhash.Sum64String(start))
 }
 
@@ -159,7 +159,7 @@
 		RequestID: x.id, Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Service: x.service, Route: x.route.Name,
 		Caller: x.node.caller(), From: x.node.settings().Node, Importance: x.importance, Repeatable: repeatable,
 		Repeat: x.repeat || x.arrivals > 0, Attempt: x.arrivals, Remaining: time.Until(deadline).Microseconds(),
-		Version: int64(x.intent.Version), Granted: x.granted,
+		Version: int64(x.intent.Version), Granted: x.granted, Tenant: x.tenant,
 	}
 	if choice.node == x.node.settings().Node {
 		return x.node.ingress.serve(ctx, call, x.header.Clone(), x.body)
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -32,6 +32,10 @@
 	Bounds Bounds `yaml:"bounds"`
 	// Retries bounds repeated requests.
 	Retries Retries `yaml:"retries"`
+	// Keys bounds how long a key counts that was taken away.
+	Keys Keys `yaml:"keys"`
+	// Quotas bounds the requests of a tenant over all nodes.
+	Quotas Quotas `yaml:"quotas"`
 	// Policy says how the node decides; it stays until the next start.
 	Policy Policy `yaml:"policy"`
 }
@@ -86,6 +90,33 @@
 	Window bundle.Duration `yaml:"window"`
 }
 
+// Keys bounds how long a key counts that was taken away.
+type Keys struct {
+	// FailClosed has requests with keys refused while the node cannot prove that its configuration is fresh; default false.
+	FailClosed bool `yaml:"fail_closed"`
+	// Revoke is the age from which a configuration is not fresh; default 5s.
+	Revoke bundle.Duration `yaml:"revoke"`
+}
+
+// Bound gives the age from which a configuration is too old to believe a key; 0: none.
+func (k Keys) Bound() time.Duration {
+	if !k.FailClosed {
+		return 0
+	}
+	return time.Duration(k.Revoke)
+}
+
+// Quotas bounds the requests of a tenant over all nodes: in no window more than
+// (rate x window + burst) x (1 + overshoot) + slack run.
+type Quotas struct {
+	// Window is the sliding window; default 5s.
+	Window bundle.Duration `yaml:"window"`
+	// Overshoot is the share beyond a limit that is borne; default 0.1.
+	Overshoot float64 `yaml:"overshoot"`
+	// Slack is the number of requests beyond it that is borne; default 20.
+	Slack float64 `yaml:"slack"`
+}
+
 // Policy says how the node decides.
 type Policy struct {
 	// Off names mechanisms that are switched off, to measure what each is worth; none by
@@ -101,6 +132,11 @@
 	DefaultRatio     = 0.2
 	DefaultAllowance = 50
 	DefaultWindow    = 10 * time.Second
+	// DefaultRevoke and the bounds of quotas are those of the users' pages.
+	DefaultRevoke         = 5 * time.Second
+	DefaultQuotaWindow    = 5 * time.Second
+	DefaultQuotaOvershoot = 0.1
+	DefaultQuotaSlack     = 20
 )
 
 // Load reads a settings file and checks it.
@@ -140,6 +176,14 @@
 	orDefault(&s.Bounds.Drain, DefaultDrain)
 	orDefault(&s.Bounds.Grace, DefaultGrace)
 	orDefault(&s.Retries.Window, DefaultWindow)
+	orDefault(&s.Keys.Revoke, DefaultRevoke)
+	orDefault(&s.Quotas.Window, DefaultQuotaWindow)
+	if s.Quotas.Overshoot == 0 {
+		s.Quotas.Overshoot = DefaultQuotaOvershoot
+	}
+	if s.Quotas.Slack == 0 {
+		s.Quotas.Slack = DefaultQuotaSlack
+	}
 	if s.Retries.Ratio == 0 {
 		s.Retries.Ratio = DefaultRatio
 	}
@@ -188,7 +232,14 @@
 	for _, span := range []struct {
 		key   string
 		value bundle.Duration
-	}{{"store.lease", s.Store.Lease}, {"bounds.drain", s.Bounds.Drain}, {"bounds.grace", s.Bounds.Grace}, {"retries.window", s.Retries.Window}} {
+	}{
+		{"store.lease", s.Store.Lease},
+		{"bounds.drain", s.Bounds.Drain},
+		{"bounds.grace", s.Bounds.Grace},
+		{"retries.window", s.Retries.Window},
+		{"keys.revoke", s.Keys.Revoke},
+		{"quotas.window", s.Quotas.Window},
+	} {
 		if value := time.Duration(span.value); value < 100*time.Millisecond || value > 10*time.Minute {
 			return bad(span.key, "use 100ms to 10m", "%s is out of range", value)
 		}
@@ -196,6 +247,12 @@
 	if s.Retries.Ratio < 0 || s.Retries.Ratio > 1 {
 		return bad("retries.ratio", "use 0 to 1", "%g is out of range", s.Retries.Ratio)
 	}
+	if s.Quotas.Overshoot < 0 || s.Quotas.Overshoot > 1 {
+		return bad("quotas.overshoot", "use 0 to 1", "%g is out of range", s.Quotas.Overshoot)
+	}
+	if s.Quotas.Slack < 0 {
+		return bad("quotas.slack", "use 0 or more", "%g is negative", s.Quotas.Slack)
+	}
 	if s.Store.ReadsPerSecond < 0 {
 		return bad("store.reads_per_second", "use 0 (not known) or more", "%g is negative", s.Store.ReadsPerSecond)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -62,6 +62,9 @@
 	// Watch waits for changes below a prefix after a revision; no events and a
 	// revision when none came within wait.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+	// Unchanged asks whether a key still has a revision; ErrConflict comes with the key as
+	// it is then, nil when it is gone.
+	Unchanged(ctx context.Context, key string, revision int64) (newer *Item, err error)
 	// Probe asks for a sign of life, as cheaply as the service allows.
 	Probe(ctx context.Context) error
 	// Put writes a key and gives the new revision.
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -10,6 +10,8 @@
 	HeaderSidecarWaits  = "Landingmast-Sidecar-Waits"
 	// HeaderSidecarGrant goes with a SidecarCall: its Granted, in thousandths.
 	HeaderSidecarGrant = "Landingmast-Grant"
+	// HeaderSidecarTenant goes with a SidecarCall: its Tenant.
+	HeaderSidecarTenant = "Landingmast-Tenant"
 )
 
 // SidecarCall is the head of a request from the node where it began to the node
@@ -36,6 +38,9 @@
 	// request's calls, 0 to 1. It travels in a header of its own, so that nodes of the
 	// release before read the call.
 	Granted float64 `avro:"-"`
+	// Tenant is the name of the tenant that the request belongs to, empty: none. It travels
+	// in a header of its own.
+	Tenant string `avro:"-"`
 }
 
 // SidecarResult is the head of the answer.
@@ -127,7 +132,97 @@
 	TurnedAway bool   `avro:"turned_away"` // the store does not serve it
 }
 
+// Freshness answers the question how fresh a node's configuration is.
+type Freshness struct {
+	Known   bool  `avro:"known"`   // the node has evidence
+	Version int64 `avro:"version"` // that was the newest when it was confirmed
+	Age     int64 `avro:"age_us"`  // how long before the answer it was confirmed
+	// Keepers are those of the quotas that the node knows of.
+	Keepers []Keeper `avro:"keepers"`
+}
+
+// Keeper names the node that keeps the quotas of a group of tenants.
+type Keeper struct {
+	Shard       int    `avro:"shard"`
+	Node        string `avro:"node"`
+	Address     string `avro:"address"`
+	Incarnation string `avro:"incarnation"` // of its process
+	Revision    int64  `avro:"revision"`    // of its record in the store; a higher one is newer
+}
+
+// KeeperRecord is what a keeper keeps in the store.
+type KeeperRecord struct {
+	Node        string   `avro:"node"`
+	Incarnation string   `avro:"incarnation"`
+	Address     string   `avro:"address"`
+	Listed      []string `avro:"listed"` // nodes that may hold parts of limits
+}
+
+// QuotaAsk is the question of a node for parts of the limits of a group of tenants.
+type QuotaAsk struct {
+	Holder      string        `avro:"holder"` // name of the node and its address
+	Incarnation string        `avro:"incarnation"`
+	Shard       int           `avro:"shard"`
+	Complete    bool          `avro:"complete"` // Reports tell all that the node holds
+	Reports     []QuotaReport `avro:"reports"`
+}
+
+// QuotaReport is what a node needs and holds of one tenant's limit.
+type QuotaReport struct {
+	Tenant string  `avro:"tenant"`
+	Demand float32 `avro:"demand"` // requests a second
+	Need   int     `avro:"need"`   // requests that wait for a token
+	Want   int     `avro:"want"`   // tokens
+	Stock  float32 `avro:"stock"`  // tokens that it has
+	Rate   float32 `avro:"rate"`   // of its share, tokens a second
+	Depth  float32 `avro:"depth"`  // most tokens in stock
+	Reign  int64   `avro:"reign"`  // of the keeper that gave the share
+	Number int64   `avro:"number"` // of the share there
+	Left   int64   `avro:"left_us"`
+}
+
+// QuotaAnswer is a keeper's answer.
+type QuotaAnswer struct {
+	Keeps      bool             `avro:"keeps"`  // the node keeps the quotas of the group
+	Listed     bool             `avro:"listed"` // the asking node may hold parts; else it is to ask again
+	Reign      int64            `avro:"reign"`  // of the keeper
+	Allotments []QuotaAllotment `avro:"allotments"`
+}
+
+// QuotaAllotment is a node's part of one tenant's limit.
+type QuotaAllotment struct {
+	Tenant    string  `avro:"tenant"`
+	Rate      float32 `avro:"rate"`
+	Depth     float32 `avro:"depth"`
+	Number    int64   `avro:"number"`
+	Life      int64   `avro:"life_us"` // of the share, from the begin of the question
+	Tokens    int     `avro:"tokens"`
+	Again     int64   `avro:"again_us"` // when there may be more tokens; 0: no guess
+	Unsettled bool    `avro:"unsettled"`
+}
+
 const (
+	freshnessSchema = `{"type":"record","name":"Freshness","fields":[
+{"name":"known","type":"boolean"},{"name":"version","type":"long"},{"name":"age_us","type":"long"},
+{"name":"keepers","type":{"type":"array","items":{"type":"record","name":"Keeper","fields":[
+{"name":"shard","type":"int"},{"name":"node","type":"string"},{"name":"address","type":"string"},
+{"name":"incarnation","type":"string"},{"name":"revision","type":"long"}]}},"default":[]}]}`
+	keeperRecordSchema = `{"type":"record","name":"KeeperRecord","fields":[
+{"name":"node","type":"string"},{"name":"incarnation","type":"string"},{"name":"address","type":"string"},
+{"name":"listed","type":{"type":"array","items":"string"},"default":[]}]}`
+	quotaAskSchema = `{"type":"record","name":"QuotaAsk","fields":[
+{"name":"holder","type":"string"},{"name":"incarnation","type":"string"},{"name":"shard","type":"int"},
+{"name":"complete","type":"boolean"},
+{"name":"reports","type":{"type":"array","items":{"type":"record","name":"QuotaReport","fields":[
+{"name":"tenant","type":"string"},{"name":"demand","type":"float"},{"name":"need","type":"int"},{"name":"want","type":"int"},{"name":"stock","type":"float"},
+{"name":"rate","type":"float"},{"name":"depth","type":"float"},
+{"name":"reign","type":"long"},{"name":"number","type":"long"},{"name":"left_us","type":"long"}]}},"default":[]}]}`
+	quotaAnswerSchema = `{"type":"record","name":"QuotaAnswer","fields":[
+{"name":"keeps","type":"boolean"},{"name":"listed","type":"boolean"},{"name":"reign","type":"long"},
+{"name":"allotments","type":{"type":"array","items":{"type":"record","name":"QuotaAllotment","fields":[
+{"name":"tenant","type":"string"},{"name":"rate","type":"float"},{"name":"depth","type":"float"},
+{"name":"number","type":"long"},{"name":"life_us","type":"long"},
+{"name":"tokens","type":"int"},{"name":"again_us","type":"long"},{"name":"unsettled","type":"boolean"}]}},"default":[]}]}`
 	exchangeSchema = `{"type":"record","name":"Exchange","fields":[
 {"name":"digest","type":"long"},{"name":"version","type":"long"},
 {"name":"records","type":{"type":"array","items":` + nodeRecordSchema + `},"default":[]},
@@ -193,4 +288,8 @@
 	WaitsCodec         = NewCodec[Waits](maxHeaderMessage, waitsSchema)
 	PongCodec          = NewCodec[Pong](maxHeaderMessage, pongSchema)
 	NodeRecordCodec    = NewCodec[NodeRecord](maxHeaderMessage, nodeRecordSchema)
+	FreshnessCodec     = NewCodec[Freshness](maxExchange, freshnessSchema)
+	KeeperRecordCodec  = NewCodec[KeeperRecord](maxExchange, keeperRecordSchema)
+	QuotaAskCodec      = NewCodec[QuotaAsk](maxExchange, quotaAskSchema)
+	QuotaAnswerCodec   = NewCodec[QuotaAnswer](maxExchange, quotaAnswerSchema)
 )
