--- a/internal/core/quota/account.go
+++ b/internal/core/quota/account.go
@@ -9,15 +9,15 @@
 type account struct {
 	limit    Limit
 	pool     float64 // tokens that are in no share
-	lacking  float64 // tokens that requests lacked and that have not come in since
 	at       time.Duration
 	holdings map[string]*holding // by process
 	// Sums over all holdings, so that an answer does not look at each. What ends between
 	// two sweeps still counts.
-	held   Share
-	flight float64 // tokens under way to requests
-	demand float64
-	swept  time.Duration
+	held    Share
+	flight  float64 // tokens under way to requests
+	demand  float64
+	lacking float64 // tokens that processes lacked at their last questions
+	swept   time.Duration
 }
 
 // sweepEvery is the time after which sums are counted anew.
@@ -35,6 +35,7 @@
 	grants   []granted // by rising number
 	underWay []drawn
 	demand   float64
+	lacks    float64 // tokens that were not there at its last question
 	seen     time.Duration
 	counted  counted
 }
@@ -44,6 +45,7 @@
 	held   Share
 	flight float64
 	demand float64
+	lacks  float64
 }
 
 // granted is a share that a process may have.
@@ -104,16 +106,20 @@
 	if now-one.seen < forgotten {
 		is.demand = one.demand
 	}
+	if now-one.seen < lacksFor {
+		is.lacks = one.lacks
+	}
 	a.held.Rate += is.held.Rate - one.counted.held.Rate
 	a.held.Depth += is.held.Depth - one.counted.held.Depth
 	a.flight += is.flight - one.counted.flight
 	a.demand += is.demand - one.counted.demand
+	a.lacking += is.lacks - one.counted.lacks
 	one.counted = is
 }
 
 // sweep drops what has ended and counts the sums anew.
 func (a *account) sweep(now time.Duration) {
-	a.held, a.flight, a.demand, a.swept = Share{}, 0, 0, now
+	a.held, a.flight, a.demand, a.lacking, a.swept = Share{}, 0, 0, 0, now
 	for process, one := range a.holdings {
 		one.grants = slices.DeleteFunc(one.grants, func(g granted) bool { return now >= g.until })
 		one.underWay = slices.DeleteFunc(one.underWay, func(d drawn) bool { return now >= d.until })
@@ -129,9 +135,7 @@
 // refill adds to the pool what came in since, at the rate that was in no share. Shares
 // only end between two answers, so that those of the last one are the most.
 func (a *account) refill(now time.Duration, config Config, withheld float64) {
-	income := max(a.limit.Rate-a.shared(withheld), 0) * (now - a.at).Seconds()
-	a.pool += income
-	a.lacking = max(a.lacking-income, 0)
+	a.pool += max(a.limit.Rate-a.shared(withheld), 0) * (now - a.at).Seconds()
 	a.at = now
 	if now-a.swept >= sweepEvery {
 		a.sweep(now)
@@ -172,7 +176,7 @@
 	leastRate  = 0.1
 	wastedRate = 0.65
 	// sharedDepth leaves some of the stock to the pool.
-	sharedDepth = 0.8
+	sharedDepth = 0.6
 	// usefulDepth is the least that a stock needs for one request; a node gets no more
 	// than for some requests and for depthTime of its demand.
 	usefulDepth = 1
@@ -218,6 +222,9 @@
 	return urgent + later
 }
 
+// lacksFor is how long the tokens count that a process lacked.
+const lacksFor = time.Second
+
 // againMost bounds the time after which a node may ask again.
 const againMost = 2 * time.Second
 
--- a/internal/core/quota/holder.go
+++ b/internal/core/quota/holder.go
@@ -91,6 +91,9 @@
 	return now >= h.until && h.demand.rate(now) < demandLeast
 }
 
+// wantAhead is the time for whose demand tokens are asked for.
+const wantAhead = 500 * time.Millisecond
+
 // Low tells that the stock has no token for the next request of a tenant that sends some.
 func (h *Holder) Low(now time.Duration) bool {
 	h.refill(now)
@@ -98,8 +101,8 @@
 }
 
 // Report tells the keeper what the node needs. waiting is the number of requests that
-// wait for a token now. Tokens are asked for only when the stock is low, and then as many
-// as it has room for, so that there are few questions.
+// wait for a token now. Tokens are asked for only when the stock is low, and then for some
+// time ahead, so that there are few questions; what lies in one stock another node lacks.
 func (h *Holder) Report(now time.Duration, tenant string, waiting int) Report {
 	h.refill(now)
 	report := Report{Tenant: tenant, Demand: h.demand.rate(now), Stock: h.stock, Held: h.share, Grant: h.grant, Left: max(h.until-now, 0)}
@@ -108,7 +111,8 @@
 	}
 	report.Need, report.Want = waiting, waiting
 	if waiting > 0 || h.stock < 1 {
-		report.Want += int(max(h.share.Depth-h.stock, 0))
+		ahead := 1 + report.Demand*wantAhead.Seconds()
+		report.Want += int(max(min(ahead, h.share.Depth)-h.stock, 0))
 	}
 	return report
 }
--- a/internal/core/quota/keeper.go
+++ b/internal/core/quota/keeper.go
@@ -131,8 +131,9 @@
 	k.listed[node] = max(k.listed[node], offered.until)
 	given.Tokens = one.draw(now, k.config, held, report, offered, withheld)
 	one.clip(k.config, withheld)
-	if lacks := report.Need - given.Tokens; lacks > 0 {
-		one.lacking += float64(lacks)
+	held.lacks = float64(max(report.Need-given.Tokens, 0))
+	one.count(now, held)
+	if held.lacks > 0 {
 		given.Again, given.Unsettled = one.again(withheld), withheld > 0
 	}
 	return given
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -57,7 +57,7 @@
 	admitted, _ := demandOf(k, h, time.Second, "a/1", 500, 10*time.Second)
 	g.Expect(admitted).To(BeNumerically("<=", 50+75+10*100+10))
 	g.Expect(admitted).To(BeNumerically(">=", 950))
-	ask(k, h, 11*time.Second, "a/1", 200)
+	ask(k, h, 12*time.Second, "a/1", 200)
 	g.Expect(h.Spent()).To(BeTrue())
 }
 
