Stories of limits and keys

Cause: a 429 counted as failed, and no line of story or logs lost named the tenant. Ruled out: a line of its own for each tenant; the request's line has it. Change: 429 and 401 are refusals; losses by limits are counted by tenant; two kinds of failed requests more to explain.

--- a/internal/logquery/logquery.go
+++ b/internal/logquery/logquery.go
@@ -136,6 +136,9 @@
 func tellRequest(line Line) string {
 	words := fmt.Sprintf("%s to %s by version %s: status %s, reason %s, took %.1f of %.1f ms", line.text("route"), line.text("service"),
 		line.text("version"), line.text("status"), line.text("reason"), line.number("took_ms"), line.number("hold_ms"))
+	if tenant := line.text("tenant"); tenant != "" {
+		words += ", of tenant " + tenant
+	}
 	if line.text("decisive") != "" {
 		words += fmt.Sprintf(", %.2f of the route let in because %s is at %.2f of its slots", line.number("share"), line.text("decisive"), line.number("occupancy"))
 	}
--- a/internal/logquery/lost.go
+++ b/internal/logquery/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sort"
 	"strings"
 	"time"
@@ -52,7 +53,7 @@
 	switch {
 	case status == 0:
 		return ""
-	case status == 503 && reason != "none":
+	case reason != "none" && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusUnauthorized):
 		return "refused"
 	case status >= 400:
 		return "failed"
@@ -62,6 +63,9 @@
 	return ""
 }
 
+// tenantReasons are the reasons that lie with a tenant's limit, not with a service.
+var tenantReasons = map[string]bool{"over_quota": true, "no_allowance": true}
+
 // causeOf follows a request that ended badly down to the call that made it do so.
 func causeOf(line Line, below map[string][]Line) (service, reason string) {
 	for {
@@ -69,6 +73,9 @@
 			if decisive := line.text("decisive"); reason == "overload" && decisive != "" {
 				return decisive, reason
 			}
+			if tenant := line.text("tenant"); tenant != "" && tenantReasons[reason] {
+				return "tenant " + tenant, reason
+			}
 			return line.text("service"), reason
 		}
 		var worst *Line
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -194,7 +194,7 @@
 	switch {
 	case status == 0:
 		return "left"
-	case reason != reasonNone && status == http.StatusServiceUnavailable:
+	case reason != reasonNone && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
 		return "refused"
 	case status >= http.StatusBadRequest:
 		return "failed"
