--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -52,11 +52,9 @@
 	}
 	for pause(ctx, wait); ctx.Err() == nil && n.version() == 0; {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		item, _, err := n.store.Get(call, n.options.ConfigurationKey)
+		found := n.freshness.read(call, n.now())
 		cancel()
-		n.storeResult("read", err)
-		if err == nil && item != nil {
-			_, _ = n.installStored(item) // an error is logged where it occurs
+		if found {
 			return
 		}
 		pause(ctx, configurationAgain+time.Duration(rand.Int64N(int64(configurationSpread))))
--- a/internal/sidecar/freshness.go
+++ b/internal/sidecar/freshness.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -187,7 +186,9 @@
 	return false
 }
 
-// read reads the configuration whole.
+// read reads the configuration whole; the question began at asked. A node that comes back
+// with nothing has its proof with it: after a loss of power of all 71 nodes requests with
+// keys were refused for another 0.3 s in which each asked again.
 func (p *prover) read(ctx context.Context, asked time.Duration) bool {
 	item, _, err := p.node.store.Get(ctx, p.node.options.ConfigurationKey)
 	p.node.storeResult("read", err)
@@ -229,7 +230,7 @@
 	}
 	bare(w)
 	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
-	_, _ = io.WriteString(w, string(encoded))
+	_, _ = w.Write(encoded)
 }
 
 // freshness asks the node at an address how fresh its configuration is.
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -25,7 +25,7 @@
 	completeEvery = 2 * time.Second
 	quotaTimeout  = 150 * time.Millisecond // of one question; below quota.Travel
 	quotaRest     = 20 * time.Millisecond  // after one that failed
-	quotaFailed   = 200 * time.Millisecond // after more than one
+	quotaFailed   = 100 * time.Millisecond // after more than one
 	// tokenWait is how long a request waits for a token at most: as long as one question.
 	tokenWait = 150 * time.Millisecond
 	// tokenWaitShare is the part of the time inside which its answer is wanted that a
