Only a process that is gone is followed; quota files split by job; names of the field

Cause: read as a newcomer, takeOver followed any process of the node whose process was found gone; one that had come back and kept the group again would have been overwritten while it gave shares: two keepers at once, QUOTA. Ruled out: the condition on the key's revision alone, which holds after the other's write too. Before: a second process could be followed. After: refused.

--- a/internal/core/quota/account.go
+++ b/internal/core/quota/account.go
@@ -50,19 +50,19 @@
 
 // granted is a share that a process may have.
 type granted struct {
-	number int64 // 0: of an earlier reign
+	number int64 // 0: of an earlier epoch
 	share  Share
 	until  time.Duration
 }
 
 // confirm takes in what the process says that it holds. Shares given before that one have
 // been replaced; shares given after it may be under way.
-func (h *holding) confirm(now time.Duration, reign int64, report Report) {
+func (h *holding) confirm(now time.Duration, epoch int64, report Report) {
 	h.demand, h.seen = report.Demand, now
 	if report.Left <= 0 {
 		return
 	}
-	if report.Grant.Reign != reign {
+	if report.Grant.Epoch != epoch {
 		h.grants = append([]granted{{share: report.Held, until: now + report.Left}}, h.grants...)
 		return
 	}
--- a/internal/core/quota/bound_test.go
+++ b/internal/core/quota/bound_test.go
@@ -20,7 +20,7 @@
 	at     int           // node of the keeper; -1: none
 	right  time.Duration // end of the keeper's right to give
 	lease  time.Duration // end of the lease in the store
-	reign  int64
+	epoch  int64
 	stored []string // names beside the key
 	part   float64
 	later  []event
@@ -101,14 +101,14 @@
 			f.lease = f.now + time.Duration(f.random.IntN(100))*time.Millisecond + fleetLease
 		}
 	case f.at >= 0 && f.now < f.lease:
-		f.reign++
-		f.keeper = NewKeeper(bounds, f.reign, f.now, f.part, Before{Listed: f.stored, Part: f.part, Ends: f.now + fleetLease})
+		f.epoch++
+		f.keeper = NewKeeper(bounds, f.epoch, f.now, f.part, Before{Listed: f.stored, Part: f.part, Ends: f.now + fleetLease})
 		f.right, f.lease = f.now+fleetLease, f.now+fleetLease
 	case f.now >= f.lease && f.random.IntN(20) == 0:
-		f.reign++
+		f.epoch++
 		f.at, f.stored = f.random.IntN(len(f.nodes)), nil
 		f.part = PartOf(len(f.nodes))
-		f.keeper = NewKeeper(bounds, f.reign, f.now, f.part, Before{})
+		f.keeper = NewKeeper(bounds, f.epoch, f.now, f.part, Before{})
 		f.right, f.lease = f.now+fleetLease, f.now+fleetLease
 	}
 }
--- a/internal/core/quota/keeper.go
+++ b/internal/core/quota/keeper.go
@@ -10,7 +10,7 @@
 // concurrent use.
 type Keeper struct {
 	config   Config
-	reign    int64
+	epoch    int64
 	number   int64               // of the last share given
 	accounts map[string]*account // by tenant
 	part     float64             // most of a limit that one share is
@@ -42,12 +42,12 @@
 // evenParts is the most that a share may be, in even parts of a limit.
 const evenParts = 3
 
-// NewKeeper makes a keeper that takes over at now. reign tells its shares from those of
+// NewKeeper makes a keeper that takes over at now. epoch tells its shares from those of
 // other keepers, part is the most of a limit that one share of it is. Pools begin empty:
 // what the time before has used up of a window is not known.
-func NewKeeper(config Config, reign int64, now time.Duration, part float64, before Before) *Keeper {
+func NewKeeper(config Config, epoch int64, now time.Duration, part float64, before Before) *Keeper {
 	k := &Keeper{
-		config: config, reign: reign, accounts: map[string]*account{}, part: part, listed: map[string]time.Duration{},
+		config: config, epoch: epoch, accounts: map[string]*account{}, part: part, listed: map[string]time.Duration{},
 		awaited: map[string]bool{}, before: before.Part, settled: before.Ends, clean: len(before.Listed) == 0, began: now,
 	}
 	for _, node := range before.Listed {
@@ -119,11 +119,11 @@
 func (k *Keeper) Answer(now time.Duration, node, process string, limit Limit, report Report, life time.Duration) Allotment {
 	one := k.account(now, report.Tenant, limit)
 	held := one.holding(process)
-	held.confirm(now, k.reign, report)
+	held.confirm(now, k.epoch, report)
 	one.count(now, held)
 	k.number++
 	withheld := k.withheld(now)
-	given := Allotment{Tenant: report.Tenant, Grant: Grant{Reign: k.reign, Number: k.number}, Life: life}
+	given := Allotment{Tenant: report.Tenant, Grant: Grant{Epoch: k.epoch, Number: k.number}, Life: life}
 	given.Share = one.share(k.config, held, k.part, withheld)
 	offered := granted{number: k.number, share: given.Share, until: now + life}
 	held.offer(offered)
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -59,9 +59,9 @@
 	return Share{Rate: max(s.Rate, other.Rate), Depth: max(s.Depth, other.Depth)}
 }
 
-// Grant names a share that a keeper gave: its reign, and its number there, which rises.
+// Grant names a share that a keeper gave: its epoch, and its number there, which rises.
 type Grant struct {
-	Reign  int64
+	Epoch  int64
 	Number int64
 }
 
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -122,7 +122,7 @@
 type Keeper struct {
 	Shard  int    `json:"shard" doc:"group of tenants"`
 	Change string `json:"change" doc:"taken over, not taken over, names not written, paused (the right to give ran out), resumed or ended"`
-	Reign  int64  `json:"reign,omitempty" doc:"number of the taking over, the store's revision then"`
+	Epoch  int64  `json:"epoch,omitempty" doc:"number of the taking over, the store's revision then"`
 	Listed int    `json:"listed,omitempty" doc:"nodes that may hold parts of the keeper before"`
 	Error  string `json:"error,omitempty" doc:"why"`
 }
--- a/internal/sidecar/follower.go
+++ b/internal/sidecar/follower.go
@@ -134,7 +134,7 @@
 		if now := f.node.now(); follows && now-beaten >= beatEvery {
 			beaten = now
 			f.decide(ctx)
-			f.node.offices.fill(ctx)
+			f.node.quotaServer.fill(ctx)
 			f.beat(ctx)
 		}
 	}
--- a/internal/sidecar/keepers_test.go
+++ b/internal/sidecar/keepers_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/landingmast/landingmast/internal/sidecar/settings"
 	"github.com/landingmast/landingmast/internal/wire"
 	. "github.com/onsi/gomega"
 )
@@ -41,3 +42,29 @@
 	}
 	g.Expect(len(first)).To(BeNumerically(">", 1))
 }
+
+// Only a process that is gone is followed before its lease is over.
+func TestOnlyAProcessThatIsGoneIsFollowed(t *testing.T) {
+	gone := &wire.Keeper{Node: "a", Address: "1", Incarnation: "old"}
+	for _, tc := range []struct {
+		name   string
+		self   string
+		record *wire.KeeperRecord
+		want   bool
+	}{
+		{"the process that was found gone", "b", &wire.KeeperRecord{Node: "a", Address: "1", Incarnation: "old"}, true},
+		{"its node has come back and keeps the group", "b", &wire.KeeperRecord{Node: "a", Address: "1", Incarnation: "new"}, false},
+		{"another node has taken over", "b", &wire.KeeperRecord{Node: "c", Address: "2", Incarnation: "x"}, false},
+		{"nobody keeps it", "b", nil, false},
+		{"an earlier process of the own node", "a", &wire.KeeperRecord{Node: "a", Address: "1", Incarnation: "older"}, true},
+		{"this process", "a", &wire.KeeperRecord{Node: "a", Address: "1", Incarnation: "own"}, false},
+		{"the own name at another address", "a", &wire.KeeperRecord{Node: "a", Address: "2", Incarnation: "old"}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			node := &Node{incarnation: "own"}
+			node.checked.Store(&settings.Settings{Node: tc.self})
+			g.Expect(newQuotaServer(node).mayFollow(gone, tc.record)).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -69,7 +69,7 @@
 	news         *spreader
 	freshness    *prover
 	keepers      directory
-	offices      *offices
+	quotaServer  *quotaServer
 	quotas       *quotas
 	liveness     *liveness
 	planned      plannedStop
@@ -108,7 +108,7 @@
 	n.exchanger = &exchanger{node: n}
 	n.news = &spreader{node: n}
 	n.freshness = &prover{node: n}
-	n.offices = newOffices(n)
+	n.quotaServer = newQuotaServer(n)
 	n.quotas = newQuotas(n)
 	n.liveness = newLiveness(n.now, n.peers.pingPeer, livenessEvents{lost: n.silent, still: n.services.suspect, back: n.heardAgain})
 	n.target = &localTarget{now: n.now, roster: roster.New(), changed: n.targetChanged, link: n.newLink, identify: n.identify, beginAll: !n.policyOn(inTime)}
@@ -227,7 +227,7 @@
 	mux.Handle("POST "+exchangePath, n.exchanger)
 	mux.Handle("POST "+newsPath, n.news)
 	mux.Handle("POST "+freshnessPath, n.freshness)
-	mux.Handle("POST "+quotaPath, n.offices)
+	mux.Handle("POST "+quotaPath, n.quotaServer)
 	mux.HandleFunc("GET "+pingPath, n.servePing)
 	return mux
 }
@@ -257,7 +257,7 @@
 		n.background.Go(func() { n.follower.run(background) })
 		n.background.Go(func() { n.findConfiguration(background) })
 		n.background.Go(func() { n.freshness.run(background) })
-		n.background.Go(func() { n.offices.run(background) })
+		n.background.Go(func() { n.quotaServer.run(background) })
 		for shard := range quotaShards {
 			n.background.Go(func() { n.quotas.run(background, shard) })
 		}
--- a/internal/sidecar/quotaforms.go
+++ b/internal/sidecar/quotaforms.go
@@ -13,14 +13,14 @@
 func reportTo(r quota.Report) wire.QuotaReport {
 	return wire.QuotaReport{
 		Tenant: r.Tenant, Demand: float32(r.Demand), Need: r.Need, Want: r.Want, Stock: float32(r.Stock), Rate: float32(r.Held.Rate), Depth: float32(r.Held.Depth),
-		Reign: r.Grant.Reign, Number: r.Grant.Number, Left: r.Left.Microseconds(),
+		Epoch: r.Grant.Epoch, Number: r.Grant.Number, Left: r.Left.Microseconds(),
 	}
 }
 
 func reportOf(r *wire.QuotaReport) quota.Report {
 	return quota.Report{
 		Tenant: r.Tenant, Demand: float64(r.Demand), Need: r.Need, Want: r.Want, Stock: float64(r.Stock), Held: quota.Share{Rate: float64(r.Rate), Depth: float64(r.Depth)},
-		Grant: quota.Grant{Reign: r.Reign, Number: r.Number}, Left: time.Duration(r.Left) * time.Microsecond,
+		Grant: quota.Grant{Epoch: r.Epoch, Number: r.Number}, Left: time.Duration(r.Left) * time.Microsecond,
 	}
 }
 
@@ -31,9 +31,9 @@
 	}
 }
 
-func allotmentOf(reign int64, a *wire.QuotaAllotment) quota.Allotment {
+func allotmentOf(epoch int64, a *wire.QuotaAllotment) quota.Allotment {
 	return quota.Allotment{
-		Tenant: a.Tenant, Share: quota.Share{Rate: float64(a.Rate), Depth: float64(a.Depth)}, Grant: quota.Grant{Reign: reign, Number: a.Number},
+		Tenant: a.Tenant, Share: quota.Share{Rate: float64(a.Rate), Depth: float64(a.Depth)}, Grant: quota.Grant{Epoch: epoch, Number: a.Number},
 		Life: time.Duration(a.Life) * time.Microsecond, Tokens: a.Tokens, Again: time.Duration(a.Again) * time.Microsecond, Unsettled: a.Unsettled,
 	}
 }
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -7,10 +7,8 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/core/quota"
 	"github.com/landingmast/landingmast/internal/store"
@@ -67,7 +65,7 @@
 
 // completeness is when all that the node holds was told last, and to whom.
 type completeness struct {
-	reign int64
+	epoch int64
 	at    time.Duration
 }
 
@@ -198,196 +196,6 @@
 	}
 }
 
-// run asks the keeper of a group until ctx ends. There is one question at a time, as
-// quota.Report demands.
-func (q *quotas) run(ctx context.Context, shard int) {
-	failed := 0
-	for ctx.Err() == nil {
-		if q.wanted() {
-			if q.ask(ctx, shard) {
-				failed = 0
-			} else {
-				failed++
-			}
-		}
-		q.lost[shard].Store(failed > 1)
-		switch {
-		case failed == 1:
-			pause(ctx, quotaRest)
-			continue
-		case failed > 1:
-			q.find(ctx, shard)
-			pause(ctx, quotaFailed)
-			continue
-		}
-		timer := time.NewTimer(quotaEvery)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-q.kicks[shard]:
-			pause(ctx, q.gather(shard))
-		}
-		timer.Stop()
-	}
-}
-
-// gather is the time in which requests of a group are gathered for one question.
-func (q *quotas) gather(shard int) time.Duration {
-	span := min(max(time.Duration(q.node.membership.others())*gatherEach, gatherLeast), gatherMost)
-	if q.short[shard].Load() {
-		span = min(gatherShort*span, gatherMost)
-	}
-	return span
-}
-
-// ask asks the keeper of a group for parts of the limits of its tenants.
-func (q *quotas) ask(ctx context.Context, shard int) bool {
-	keeper := q.node.keepers.of(shard)
-	if keeper == nil {
-		return false
-	}
-	asked := q.node.now()
-	message := q.question(shard)
-	if message == nil {
-		return true
-	}
-	call, cancel := context.WithTimeout(ctx, quotaTimeout)
-	defer cancel()
-	answer, err := q.send(call, keeper.Address, message)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		q.node.offices.replace(ctx, keeper)
-	}
-	if err != nil || !answer.Keeps || !answer.Listed {
-		return false
-	}
-	q.take(asked, message, answer)
-	return true
-}
-
-func (q *quotas) send(ctx context.Context, address string, message *wire.QuotaAsk) (*wire.QuotaAnswer, error) {
-	if address == q.node.settings().Listen.Inbound {
-		return q.node.offices.answer(message), nil
-	}
-	data, err := wire.QuotaAskCodec.Encode(message)
-	if err != nil {
-		return nil, err
-	}
-	read, err := q.node.peers.post(ctx, address, quotaPath, data)
-	if err != nil {
-		return nil, err
-	}
-	return wire.QuotaAnswerCodec.Decode(read)
-}
-
-// question tells what the node needs of the tenants of a group, now and then with all that
-// it holds; nil when there is nothing to tell.
-func (q *quotas) question(shard int) *wire.QuotaAsk {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	now := q.node.now()
-	message := &wire.QuotaAsk{
-		Holder: holderName(q.node.settings().Node, q.node.settings().Listen.Inbound), Incarnation: q.node.incarnation, Shard: shard, Reports: []wire.QuotaReport{},
-		Complete: q.told[shard].at == 0 || now-q.told[shard].at >= completeEvery,
-	}
-	current := q.node.intent.Load()
-	for name, one := range q.stocks {
-		if shardOf(name) != shard {
-			continue
-		}
-		if tenant := current.Tenant(name); tenant != nil {
-			one.holder.SetLimit(now, quota.Limit{Rate: tenant.Rate, Burst: tenant.Burst})
-		}
-		if one.holder.Idle(now) && len(one.waiters) == 0 {
-			delete(q.stocks, name)
-			continue
-		}
-		if message.Complete || len(one.waiters) > 0 || one.holder.Low(now) {
-			message.Reports = append(message.Reports, reportTo(one.holder.Report(now, name, len(one.waiters))))
-		}
-	}
-	if !message.Complete && len(message.Reports) == 0 {
-		return nil
-	}
-	return message
-}
-
-// take takes in a keeper's answer and tells the requests that wait.
-func (q *quotas) take(asked time.Duration, message *wire.QuotaAsk, answer *wire.QuotaAnswer) {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	now := q.node.now()
-	if told := &q.told[message.Shard]; message.Complete {
-		told.at, told.reign = asked, answer.Reign
-	} else if told.reign != answer.Reign {
-		told.at = 0 // a keeper that does not know yet what the node holds
-		q.kick(message.Shard)
-	}
-	q.short[message.Shard].Store(slices.ContainsFunc(answer.Allotments, func(a wire.QuotaAllotment) bool { return a.Again > 0 }))
-	for index := range answer.Allotments {
-		given := allotmentOf(answer.Reign, &answer.Allotments[index])
-		one := q.stocks[given.Tenant]
-		if one == nil {
-			continue
-		}
-		tokens := one.holder.Allot(now, asked, given)
-		for len(one.waiters) > 0 && (tokens > 0 || one.holder.Take(now)) {
-			tokens = max(tokens-1, 0)
-			one.waiters[0] <- true
-			one.waiters = one.waiters[1:]
-		}
-		one.holder.Store(now, tokens)
-		if len(one.waiters) == 0 {
-			continue
-		}
-		if one.holder.MayAsk(now) {
-			time.AfterFunc(given.Again, func() { q.kick(message.Shard) })
-			continue
-		}
-		for _, told := range one.waiters {
-			told <- false
-		}
-		one.waiters = nil
-	}
-}
-
-// find looks for the keeper of a group: at the zone's follower, in the store where nobody
-// knows of any.
-func (q *quotas) find(ctx context.Context, shard int) {
-	address := q.node.follower.address()
-	if address == "" {
-		address = q.node.membership.addressElsewhere()
-	}
-	q.node.freshness.ask(ctx, address)
-	if q.node.keepers.of(shard) == nil {
-		q.look(ctx)
-	}
-	q.node.offices.resume(ctx)
-}
-
-// look reads the keepers in the store, not too often.
-func (q *quotas) look(ctx context.Context) {
-	if q.node.store == nil {
-		return
-	}
-	q.mutex.Lock()
-	now := q.node.now()
-	due := q.looked == 0 || now-q.looked >= lookEvery
-	if due {
-		q.looked = now
-	}
-	q.mutex.Unlock()
-	if !due {
-		return
-	}
-	call, cancel := context.WithTimeout(ctx, keeperCall)
-	defer cancel()
-	items, _, err := q.node.store.List(call, q.node.options.QuotaPrefix)
-	q.node.storeResult("read", err)
-	if err == nil {
-		q.node.takeKeepers(items)
-	}
-}
-
 // takeKeepers learns the keepers that the store has.
 func (n *Node) takeKeepers(items []store.Item) {
 	for index := range items {
@@ -411,7 +219,7 @@
 // has at a revision.
 func (n *Node) noteAbsentKeepers(items []store.Item, at int64) {
 	for shard := range quotaShards {
-		key := n.offices.key(shard)
+		key := n.quotaServer.key(shard)
 		if !slices.ContainsFunc(items, func(item store.Item) bool { return item.Key == key }) {
 			n.keepers.lapsed(shard, at+1)
 		}
--- /dev/null
+++ b/internal/sidecar/quotaserver.go
@@ -0,0 +1,279 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/core/quota"
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+	"github.com/landingmast/landingmast/internal/store"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// Times of the keepers of quotas.
+const (
+	// keeperLease is how long the right to give parts of limits lasts without the store.
+	// Longer than most of its outages last; after it nobody holds anything that a keeper
+	// gave that is gone.
+	keeperLease = 6 * time.Second
+	keeperRenew = 1500 * time.Millisecond
+	keeperAgain = 300 * time.Millisecond // after a call that failed
+	keeperCall  = 400 * time.Millisecond // of one call
+	// turnStep is the time that the follower of each zone leaves to those before it.
+	turnStep = 400 * time.Millisecond
+	// replaceStep is that time where the keeper's process is known to be gone.
+	replaceStep = 150 * time.Millisecond
+	// settleEvery is the time between two looks for nodes that a new keeper has not heard of.
+	settleEvery = 500 * time.Millisecond
+	settleAfter = 200 * time.Millisecond // after the taking over
+	// pruneAfter is the time after which the name of a node is dropped that holds nothing:
+	// a new keeper withholds something for each name until it hears of the node.
+	pruneAfter = 2 * time.Second
+	// listGather is the time in which the names of new nodes are written together.
+	listGather = 20 * time.Millisecond
+)
+
+// quotaPath takes the questions of other nodes for parts of limits.
+const quotaPath = "/quota"
+
+// quotaServer are the groups of tenants whose quotas the node keeps. The right to do so is a
+// key in the store with a lease, so that there is one keeper at most; beside it stand the
+// names of the nodes that may hold parts, for the one that takes over.
+type quotaServer struct {
+	node *Node
+
+	overtake chan struct{} // one group is taken over at a time: all share a lease
+
+	mutex   sync.Mutex
+	lease   *store.Lease
+	right   time.Duration // end of the right to give, on the node's clock
+	paused  bool          // it has ended, and the lease may still be in the store
+	held    map[int]*quotaGroup
+	absence map[int]time.Duration // since when a group is seen without a keeper
+	taking  map[int]bool
+}
+
+// quotaGroup is one group. Its fields belong to the mutex of quotaServer.
+type quotaGroup struct {
+	keeper   *quota.Keeper
+	part     float64 // most of a limit that one share is
+	epoch    int64
+	revision int64
+	joining  map[string]bool // nodes whose names are not kept yet
+	writing  bool
+}
+
+func newQuotaServer(node *Node) *quotaServer {
+	return &quotaServer{node: node, overtake: make(chan struct{}, 1), held: map[int]*quotaGroup{}, absence: map[int]time.Duration{}, taking: map[int]bool{}}
+}
+
+// run renews the right until ctx ends.
+func (s *quotaServer) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		rest := keeperRenew
+		s.prune()
+		if lease := s.inUse(); lease != nil && !s.renew(ctx, lease) {
+			rest = keeperAgain
+		}
+		pause(ctx, rest)
+	}
+}
+
+// inUse gives the lease of the groups that are kept, nil when there is none. It is renewed
+// also when the right to give has ended: the store's leases may wait while it is away, and
+// as long as the key is there nobody else can have it.
+func (s *quotaServer) inUse() *store.Lease {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.held) == 0 {
+		return nil
+	}
+	if ended := s.node.now() >= s.right; ended != s.paused {
+		s.pauseLocked(ended)
+	}
+	return s.lease
+}
+
+// pauseLocked notes that the right to give has ended or come back.
+func (s *quotaServer) pauseLocked(ended bool) {
+	s.paused = ended
+	change := "resumed"
+	if ended {
+		change = "paused"
+	}
+	for shard, one := range s.held {
+		s.node.events.Add(eventlog.Keeper{Shard: shard, Change: change, Epoch: one.epoch}, eventlog.State)
+	}
+}
+
+// keeps tells whether the node keeps the quotas of any group.
+func (s *quotaServer) keeps() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.held) > 0
+}
+
+func (s *quotaServer) dropLocked(why string) {
+	for shard, one := range s.held {
+		s.node.events.Add(eventlog.Keeper{Shard: shard, Change: "ended", Epoch: one.epoch, Error: why}, eventlog.State)
+	}
+	s.held, s.lease, s.paused = map[int]*quotaGroup{}, nil, false
+}
+
+func (s *quotaServer) renew(ctx context.Context, lease *store.Lease) bool {
+	began := s.node.now()
+	call, cancel := context.WithTimeout(ctx, keeperCall)
+	defer cancel()
+	err := s.node.store.Keep(call, lease.ID)
+	s.node.storeResult("lease", err)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case err == nil && s.lease == lease:
+		s.right = max(s.right, began+lease.TTL)
+	case errors.Is(err, store.ErrLeaseGone) && s.lease == lease:
+		s.dropLocked("lease is gone")
+	}
+	return err == nil
+}
+
+// prune takes the names of nodes that are gone out of the records.
+func (s *quotaServer) prune() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for shard, one := range s.held {
+		if one.keeper.Prune(s.node.now(), pruneAfter) && !one.writing {
+			one.writing = true
+			go s.writeNames(shard, one)
+		}
+	}
+}
+
+// ServeHTTP answers the question of another node for parts of limits.
+func (s *quotaServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxExchange))
+	if err != nil {
+		return
+	}
+	asked, err := wire.QuotaAskCodec.Decode(data)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	encoded, err := wire.QuotaAnswerCodec.Encode(s.answer(asked))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	bare(w)
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+	_, _ = w.Write(encoded)
+}
+
+// answer gives a process its parts of the limits of a group.
+func (s *quotaServer) answer(asked *wire.QuotaAsk) *wire.QuotaAnswer {
+	answer := &wire.QuotaAnswer{Allotments: []wire.QuotaAllotment{}}
+	current := s.node.intent.Load()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	one, now := s.held[asked.Shard], s.node.now()
+	if one == nil || now >= s.right || current == nil {
+		return answer
+	}
+	answer.Keeps = true
+	if !one.keeper.Lists(asked.Holder) {
+		s.join(asked.Shard, one, asked.Holder)
+		return answer
+	}
+	answer.Listed, answer.Epoch = true, one.epoch
+	process, left := asked.Holder+"/"+asked.Incarnation, s.right-now
+	for index := range asked.Reports {
+		report := reportOf(&asked.Reports[index])
+		limit := quota.Limit{}
+		if tenant := current.Tenant(report.Tenant); tenant != nil {
+			limit = quota.Limit{Rate: tenant.Rate, Burst: tenant.Burst}
+		}
+		answer.Allotments = append(answer.Allotments, allotmentTo(one.keeper.Answer(now, asked.Holder, process, limit, report, left)))
+	}
+	if asked.Complete {
+		one.keeper.Heard(now, asked.Holder)
+	}
+	return answer
+}
+
+// join has the name of a node kept that asks for the first time; it gets nothing before.
+func (s *quotaServer) join(shard int, one *quotaGroup, name string) {
+	one.joining[name] = true
+	if one.writing {
+		return
+	}
+	one.writing = true
+	time.AfterFunc(listGather, func() { s.writeNames(shard, one) })
+}
+
+func (s *quotaServer) writeNames(shard int, one *quotaGroup) {
+	s.mutex.Lock()
+	names := one.keeper.Listed()
+	added := make([]string, 0, len(one.joining))
+	for name := range one.joining {
+		added = append(added, name)
+	}
+	lease, revision, held := s.lease, one.revision, s.held[shard] == one
+	s.mutex.Unlock()
+	var written int64
+	err := errors.New("no longer kept")
+	if held && lease != nil {
+		written, err = s.write(context.Background(), shard, lease.ID, append(names, added...), one.part, revision)
+		if errors.Is(err, store.ErrUncertain) || errors.Is(err, store.ErrConflict) {
+			written, err = s.lookAgain(shard, added)
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	one.writing = false
+	if err != nil {
+		s.node.events.Add(eventlog.Keeper{Shard: shard, Change: "names not written", Epoch: one.epoch, Error: err.Error()}, eventlog.Failure)
+		return // the nodes ask again
+	}
+	one.revision = written
+	one.keeper.List(s.node.now(), added)
+	for _, name := range added {
+		delete(one.joining, name)
+	}
+	s.node.keepers.learn(s.record(shard, written))
+}
+
+// lookAgain reads the key after a write without an answer. Names that stand there count as
+// written; a write that is done later changes nothing, since the next one goes by another
+// revision.
+func (s *quotaServer) lookAgain(shard int, added []string) (int64, error) {
+	item, record, err := s.read(context.Background(), shard)
+	if err != nil {
+		return 0, err
+	}
+	if record == nil || record.Incarnation != s.node.incarnation {
+		return 0, errors.New("another node keeps the group")
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	one := s.held[shard]
+	if one == nil {
+		return 0, errors.New("no longer kept")
+	}
+	one.revision = item.Revision
+	for _, name := range added {
+		found := false
+		for _, listed := range record.Listed {
+			found = found || listed == name
+		}
+		if !found {
+			return 0, errors.New("names are not in the store")
+		}
+	}
+	return item.Revision, nil
+}
--- /dev/null
+++ b/internal/sidecar/quotatakeover.go
@@ -0,0 +1,268 @@
+package sidecar
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/core/quota"
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+	"github.com/landingmast/landingmast/internal/store"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// fill takes over the groups that have no keeper, when it is the turn of the follower of
+// this zone.
+func (s *quotaServer) fill(ctx context.Context) {
+	if s.node.planned.stopping.Load() || !s.node.quotas.wanted() {
+		return
+	}
+	now := s.node.now()
+	zones := s.node.membership.zoneNames()
+	without := map[int]bool{}
+	for _, shard := range s.node.keepers.without() {
+		without[shard] = true
+		since, seen := s.absence[shard]
+		if !seen {
+			s.absence[shard], since = now, now
+		}
+		if now-since >= turnStep*time.Duration(turnOf(shard, s.node.settings().Zone, zones)) {
+			s.begin(ctx, shard, nil)
+		}
+	}
+	for shard := range s.absence {
+		if !without[shard] {
+			delete(s.absence, shard)
+		}
+	}
+}
+
+// resume takes over again what an earlier process of this node kept, before its lease is
+// over: nobody else can have it until then.
+func (s *quotaServer) resume(ctx context.Context) {
+	own := s.node.settings()
+	for _, one := range s.node.keepers.all() {
+		if one.Node == own.Node && one.Address == own.Listen.Inbound && one.Incarnation != s.node.incarnation {
+			s.begin(ctx, one.Shard, &one)
+		}
+	}
+}
+
+// replace takes over a group whose keeper's process is gone: nobody listens at its address
+// any more. What it gave is told by the nodes, and by those of which nobody listens either.
+func (s *quotaServer) replace(ctx context.Context, gone *wire.Keeper) {
+	if s.node.planned.stopping.Load() || !s.node.follower.reaches() {
+		return
+	}
+	turn := turnOf(gone.Shard, s.node.settings().Zone, s.node.membership.zoneNames())
+	pause(ctx, replaceStep*time.Duration(turn))
+	if known := s.node.keepers.of(gone.Shard); known != nil && known.Revision == gone.Revision {
+		s.begin(ctx, gone.Shard, gone)
+	}
+}
+
+// settle asks the nodes that a group's keeper has not heard of yet, until there are none: of
+// one at whose address nobody listens the process is gone, and what it held with it.
+func (s *quotaServer) settle(ctx context.Context) {
+	for pause(ctx, settleAfter); ctx.Err() == nil; pause(ctx, settleEvery) {
+		awaited := s.awaited()
+		if len(awaited) == 0 {
+			return
+		}
+		var asked sync.WaitGroup
+		for _, holder := range awaited {
+			asked.Go(func() { s.settleOne(ctx, holder) })
+		}
+		asked.Wait()
+	}
+}
+
+func (s *quotaServer) settleOne(ctx context.Context, holder string) {
+	call, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	if err := s.node.peers.pingPeer(call, addressOfHolder(holder)); !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, one := range s.held {
+		one.keeper.Heard(s.node.now(), holder)
+	}
+}
+
+// awaited gives the nodes that keepers here have not heard of.
+func (s *quotaServer) awaited() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var found []string
+	for _, one := range s.held {
+		for _, holder := range one.keeper.Awaited(s.node.now()) {
+			if !slices.Contains(found, holder) {
+				found = append(found, holder)
+			}
+		}
+	}
+	return found
+}
+
+// holderName names a node among those that may hold parts of limits, with its address: at
+// one address there is one process at a time.
+func holderName(node, address string) string { return node + " " + address }
+
+func addressOfHolder(holder string) string {
+	_, address, _ := strings.Cut(holder, " ")
+	return address
+}
+
+// begin takes a group over unless that is under way.
+func (s *quotaServer) begin(ctx context.Context, shard int, before *wire.Keeper) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.taking[shard] || s.held[shard] != nil {
+		return
+	}
+	s.taking[shard] = true
+	go func() {
+		err := s.takeOver(ctx, shard, before)
+		if err != nil {
+			s.node.events.Add(eventlog.Keeper{Shard: shard, Change: "not taken over", Error: err.Error()}, eventlog.Failure)
+		}
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		delete(s.taking, shard)
+	}()
+}
+
+func (s *quotaServer) takeOver(ctx context.Context, shard int, before *wire.Keeper) error {
+	s.overtake <- struct{}{}
+	defer func() { <-s.overtake }()
+	revision, known := int64(0), quota.Before{}
+	if before != nil {
+		item, record, err := s.read(ctx, shard)
+		if err != nil {
+			return err
+		}
+		if !s.mayFollow(before, record) {
+			return nil
+		}
+		// The one before may have given parts that last until its lease would have ended.
+		revision, known = item.Revision, quota.Before{Listed: record.Listed, Part: record.Part, Ends: s.node.now() + keeperLease}
+	}
+	lease, err := s.leased(ctx)
+	if err != nil {
+		return err
+	}
+	names := known.Listed
+	if before == nil {
+		for _, record := range s.node.membership.all() {
+			names = append(names, holderName(record.Node, record.Address))
+		}
+	}
+	// A node that this keeper does not hear of may be heard by the next one: the part that
+	// it may hold stays as it was.
+	part := known.Part
+	if before == nil {
+		part = quota.PartOf(len(names))
+	}
+	written, err := s.write(ctx, shard, lease.ID, names, part, revision)
+	if err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.lease != lease {
+		return errors.New("lease ended meanwhile")
+	}
+	now := s.node.now()
+	keeper := quota.NewKeeper(s.node.quotas.config(), written, now, part, known)
+	if before == nil {
+		keeper.List(now, names)
+	}
+	s.held[shard] = &quotaGroup{keeper: keeper, part: part, epoch: written, revision: written, joining: map[string]bool{}}
+	s.node.keepers.learn(s.record(shard, written))
+	if before != nil {
+		go s.settle(ctx)
+	}
+	s.node.events.Add(eventlog.Keeper{Shard: shard, Change: "taken over", Epoch: written, Listed: len(known.Listed)}, eventlog.State)
+	return nil
+}
+
+// mayFollow tells whether the record of a group is that of a process which is gone: the one
+// that was found gone, or any earlier one of this node.
+func (s *quotaServer) mayFollow(gone *wire.Keeper, record *wire.KeeperRecord) bool {
+	switch {
+	case record == nil || record.Node != gone.Node || record.Address != gone.Address:
+		return false
+	case gone.Node == s.node.settings().Node:
+		return record.Incarnation != s.node.incarnation
+	default:
+		return record.Incarnation == gone.Incarnation
+	}
+}
+
+// read gives the key of a group; nil when there is none.
+func (s *quotaServer) read(ctx context.Context, shard int) (*store.Item, *wire.KeeperRecord, error) {
+	call, cancel := context.WithTimeout(ctx, keeperCall)
+	defer cancel()
+	item, _, err := s.node.store.Get(call, s.key(shard))
+	s.node.storeResult("read", err)
+	if err != nil || item == nil {
+		return nil, nil, err
+	}
+	record, err := wire.KeeperRecordCodec.Decode(item.Value)
+	return item, record, err
+}
+
+// leased gives the lease of the groups that the node keeps.
+func (s *quotaServer) leased(ctx context.Context) (*store.Lease, error) {
+	s.inUse()
+	s.mutex.Lock()
+	known, left := s.lease, s.right-s.node.now()
+	s.mutex.Unlock()
+	if known != nil && (s.keeps() || left > keeperLease/2) {
+		return known, nil
+	}
+	began := s.node.now()
+	call, cancel := context.WithTimeout(ctx, keeperCall)
+	defer cancel()
+	lease, err := s.node.store.Grant(call, keeperLease)
+	s.node.storeResult("lease", err)
+	if err != nil {
+		return nil, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	lease.TTL = min(lease.TTL, keeperLease)
+	s.lease, s.right = &lease, began+lease.TTL
+	return s.lease, nil
+}
+
+func (s *quotaServer) key(shard int) string {
+	return s.node.options.QuotaPrefix + strconv.Itoa(shard)
+}
+
+func (s *quotaServer) record(shard int, revision int64) *wire.Keeper {
+	own := s.node.settings()
+	return &wire.Keeper{Shard: shard, Node: own.Node, Address: own.Listen.Inbound, Incarnation: s.node.incarnation, Revision: revision}
+}
+
+// write writes the key of a group if it still has a revision.
+func (s *quotaServer) write(ctx context.Context, shard int, lease int64, names []string, part float64, revision int64) (int64, error) {
+	own := s.node.settings()
+	value, err := wire.KeeperRecordCodec.Encode(&wire.KeeperRecord{
+		Node: own.Node, Incarnation: s.node.incarnation, Address: own.Listen.Inbound, Listed: names, Part: part,
+	})
+	if err != nil {
+		return 0, err
+	}
+	call, cancel := context.WithTimeout(ctx, keeperCall)
+	defer cancel()
+	written, err := s.node.store.Put(call, store.Write{Key: s.key(shard), Value: value, Lease: lease, IfRevision: &revision})
+	s.node.storeResult("keeper", err)
+	return written, err
+}
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -177,7 +177,7 @@
 	Stock  float32 `avro:"stock"`  // tokens that it has
 	Rate   float32 `avro:"rate"`   // of its share, tokens a second
 	Depth  float32 `avro:"depth"`  // most tokens in stock
-	Reign  int64   `avro:"reign"`  // of the keeper that gave the share
+	Epoch  int64   `avro:"epoch"`  // of the keeper that gave the share
 	Number int64   `avro:"number"` // of the share there
 	Left   int64   `avro:"left_us"`
 }
@@ -186,7 +186,7 @@
 type QuotaAnswer struct {
 	Keeps      bool             `avro:"keeps"`  // the node keeps the quotas of the group
 	Listed     bool             `avro:"listed"` // the asking node may hold parts; else it is to ask again
-	Reign      int64            `avro:"reign"`  // of the keeper
+	Epoch      int64            `avro:"epoch"`  // of the keeper
 	Allotments []QuotaAllotment `avro:"allotments"`
 }
 
@@ -217,9 +217,9 @@
 {"name":"reports","type":{"type":"array","items":{"type":"record","name":"QuotaReport","fields":[
 {"name":"tenant","type":"string"},{"name":"demand","type":"float"},{"name":"need","type":"int"},{"name":"want","type":"int"},{"name":"stock","type":"float"},
 {"name":"rate","type":"float"},{"name":"depth","type":"float"},
-{"name":"reign","type":"long"},{"name":"number","type":"long"},{"name":"left_us","type":"long"}]}},"default":[]}]}`
+{"name":"epoch","type":"long"},{"name":"number","type":"long"},{"name":"left_us","type":"long"}]}},"default":[]}]}`
 	quotaAnswerSchema = `{"type":"record","name":"QuotaAnswer","fields":[
-{"name":"keeps","type":"boolean"},{"name":"listed","type":"boolean"},{"name":"reign","type":"long"},
+{"name":"keeps","type":"boolean"},{"name":"listed","type":"boolean"},{"name":"epoch","type":"long"},
 {"name":"allotments","type":{"type":"array","items":{"type":"record","name":"QuotaAllotment","fields":[
 {"name":"tenant","type":"string"},{"name":"rate","type":"float"},{"name":"depth","type":"float"},
 {"name":"number","type":"long"},{"name":"life_us","type":"long"},
