Model of revocation with a bound of two steps

Cause: with a bound of one step the witness was not found (errors 0 over 15,559,595 states): nothing could be let in after the acknowledgement at all, so that the search proved little. Change: a bound of two. Ruled out: a fault in the property; the same assertions stand.

--- a/spec/revoke.pml
+++ b/spec/revoke.pml
@@ -16,7 +16,7 @@
  * acknowledgement in some run.
  */
 
-#define BOUND 1
+#define BOUND 2
 #define LAST 4
 #define NONE 100 /* before the begin of time: no evidence */
 
