--- a/internal/core/quota/account.go
+++ b/internal/core/quota/account.go
@@ -168,10 +168,12 @@
 // Parts of a limit that are given as shares.
 const (
 	// sharedRate is the most of its demand for which a node gets a rate, leastRate the least
-	// of the limit that all rates together have, wastedRate what is lost of such a rate, as a part of the demand: what comes in while the stock is
-	// full is nobody's. With the clients of a tenant thinly spread over 71 nodes, rates
-	// for the whole demand lost so much that a third of the requests below the limit was
-	// refused. Where demand comes near to the limit there is less to lose.
+	// of the limit that all rates together have. What comes in while the stock is full is
+	// nobody's: with the clients of a tenant thinly spread over 71 nodes and rates for the
+	// whole demand, 0.56 of the requests of 12 s were refused.
+	// Half is used up nearly whole, and lasts while the keeper is away. wastedRate is what a
+	// rate is taken to lose, as a part of the demand (reckoned, not measured): where demand
+	// comes near to the limit there is less to lose.
 	sharedRate = 0.5
 	leastRate  = 0.1
 	wastedRate = 0.65
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -31,8 +31,8 @@
 	tokenWaitShare = 8
 	// gatherEach is the time, for each node, in which requests without a token are asked for
 	// together, within gatherLeast and gatherMost: the questions to a keeper then do not
-	// grow with the fleet. Without it they took a third more processor time of all nodes
-	// than the requests did while all tenants were at their limits.
+	// grow with the fleet. In a profile of 32 nodes with 40 tenants at their limits and
+	// 0.15 ms, questions and answers took 4.3 s of processor time, the requests 2.4 s.
 	gatherEach  = 250 * time.Microsecond
 	gatherLeast = 4 * time.Millisecond
 	gatherMost  = 250 * time.Millisecond
