Hold back requests that end the targets that run them

Class: a failure that travels with the work, treated as one of the place where it showed. Ruled out: load (calm second, free slots); the same in the mesh, where 19 of 19 ends name one digest. Change: the node beside a target that ended notes which requests it was running, by a digest of method, host, path and body (and one more of query, caller and tenant). All nodes hear of it at once along a tree, compare each second while there is any, and the followers keep it in the store under a condition. A request at three ends is sent on by nobody, looked at where it begins and again at the gate; it gets a 503 without Retry-After. One that ends well is cleared; one that ended well of late at the gate is not suspected. A suspected request is at a target alone among suspects, so that the next end tells which one it was, and after two ends in one attempt it is not repeated. Switch hold_back in policy.

--- a/cmd/landingmastd/sidecar.go
+++ b/cmd/landingmastd/sidecar.go
@@ -65,7 +65,7 @@
 	node, err := sidecar.New(checked, sidecar.Options{
 		Headers: platform.Headers(), Store: platform.NewStore(checked.Store.Address, sidecar.DialAlive),
 		ConfigurationKey: platform.ConfigurationKey, RecordPrefix: platform.RecordPrefix, NodePrefix: platform.NodePrefix,
-		QuotaPrefix: platform.QuotaPrefix, ReadIntent: platform.ReadIntent,
+		QuotaPrefix: platform.QuotaPrefix, CrashKey: platform.CrashKey, ReadIntent: platform.ReadIntent,
 		Control: func(targets *sidecar.Targets) http.Handler { return platform.Heartbeats(targets) },
 		Ready:   platform.Readiness, Output: os.Stdout,
 	})
--- /dev/null
+++ b/internal/core/crashes/ledger.go
@@ -0,0 +1,272 @@
+package crashes
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Evidence is that a target ended while it ran a request.
+type Evidence struct {
+	Print
+	Instance string // incarnation of the target
+	Service  string
+	Route    string
+	At       int64 // ms since 1970, by the clock of the node beside the target
+	// Cleared tells that the request has ended well since, or that an operator lifted it. It
+	// is never taken back, so that nodes may hear of it in any order.
+	Cleared bool
+}
+
+// Config sets when a request is held back.
+type Config struct {
+	// Ends is the number of targets that ended with a request, after which it is held back.
+	Ends int
+	// Most bounds the evidence that is kept, in entries.
+	Most int
+}
+
+// DefaultConfig holds back what three targets ended with: the users' rule lets it reach three
+// more, which stay for what is on its way. 4,096 entries are 42 ends of targets of 96 slots
+// each with nothing ended well; about 0.6 MB.
+func DefaultConfig() Config { return Config{Ends: 3, Most: 4096} }
+
+// State is what is thought of a request.
+type State int
+
+// The states.
+const (
+	// Free requests are sent as ever.
+	Free State = iota
+	// Suspected requests were at a target when it ended.
+	Suspected
+	// Held requests are not sent.
+	Held
+)
+
+// Ledger holds the evidence that a node knows. It is not safe for concurrent use.
+type Ledger struct {
+	config  Config
+	entries map[Content][]Evidence
+	count   int
+	digest  uint64
+}
+
+// New makes an empty ledger.
+func New(config Config) *Ledger { return &Ledger{config: config, entries: map[Content][]Evidence{}} }
+
+// Add takes in evidence and gives what of it was news.
+func (l *Ledger) Add(evidence ...Evidence) (news []Evidence) {
+	for _, one := range evidence {
+		if l.add(one) {
+			news = append(news, one)
+		}
+	}
+	l.bound()
+	return news
+}
+
+func (l *Ledger) add(one Evidence) bool {
+	entries := l.entries[one.Content]
+	for index := range entries {
+		known := &entries[index]
+		if known.Variant != one.Variant || known.Instance != one.Instance {
+			continue
+		}
+		if known.Cleared || !one.Cleared {
+			return false
+		}
+		l.clear(known)
+		return true
+	}
+	l.entries[one.Content] = append(entries, one)
+	l.count++
+	l.digest ^= digestOf(&one)
+	return true
+}
+
+func (l *Ledger) clear(known *Evidence) {
+	l.digest ^= digestOf(known)
+	known.Cleared = true
+	l.digest ^= digestOf(known)
+}
+
+func digestOf(e *Evidence) uint64 {
+	text := binary.BigEndian.AppendUint64(e.Content[:], uint64(e.Variant))
+	text = append(text, e.Instance...)
+	if e.Cleared {
+		text = append(text, 1)
+	}
+	return xxhash.Sum64(text)
+}
+
+// EndedWell clears a request that a target answered, and gives what changed.
+func (l *Ledger) EndedWell(print Print) []Evidence {
+	return l.clearAll(print.Content, func(e *Evidence) bool { return e.Variant == print.Variant })
+}
+
+// Lift clears all requests of a content, and gives what changed.
+func (l *Ledger) Lift(content Content) []Evidence {
+	return l.clearAll(content, func(*Evidence) bool { return true })
+}
+
+func (l *Ledger) clearAll(content Content, of func(e *Evidence) bool) (changed []Evidence) {
+	entries := l.entries[content]
+	for index := range entries {
+		if known := &entries[index]; !known.Cleared && of(known) {
+			l.clear(known)
+			changed = append(changed, *known)
+		}
+	}
+	return changed
+}
+
+// suspicion sums up the evidence against a content that was not cleared.
+type suspicion struct {
+	own      int // targets that ended with the variant
+	ends     int // targets that ended with any variant
+	variants int
+	endsWell bool // the variant was cleared
+}
+
+func (l *Ledger) against(print Print) (s suspicion) {
+	var targets []string
+	var variants []Variant
+	for _, one := range l.entries[print.Content] {
+		if one.Cleared {
+			s.endsWell = s.endsWell || one.Variant == print.Variant
+			continue
+		}
+		if one.Variant == print.Variant {
+			s.own++
+		}
+		if !slices.Contains(targets, one.Instance) {
+			targets = append(targets, one.Instance)
+		}
+		if !slices.Contains(variants, one.Variant) {
+			variants = append(variants, one.Variant)
+		}
+	}
+	s.ends, s.variants = len(targets), len(variants)
+	return s
+}
+
+// State tells what is thought of a request. Ends that it shares with other variants of its
+// content count where several were there, since then what they have in common may be the
+// cause, unless this one ended well: recently tells that it did so of late.
+func (l *Ledger) State(print Print, recently bool) State {
+	s := l.against(print)
+	good := recently || s.endsWell && s.own == 0
+	switch {
+	case s.own >= l.config.Ends, s.ends >= l.config.Ends && s.variants > 1 && !good:
+		return Held
+	case s.own > 0, s.ends > 0 && !good:
+		return Suspected
+	}
+	return Free
+}
+
+// Held gives the contents of which some variant is held back, with all evidence against them.
+func (l *Ledger) Held() map[Content][]Evidence {
+	held := map[Content][]Evidence{}
+	for content, entries := range l.entries {
+		for _, one := range entries {
+			if l.State(one.Print, false) == Held {
+				held[content] = slices.Clone(entries)
+				break
+			}
+		}
+	}
+	return held
+}
+
+// Suspects tells whether any request is suspected or held back.
+func (l *Ledger) Suspects() bool {
+	for _, entries := range l.entries {
+		if slices.ContainsFunc(entries, func(e Evidence) bool { return !e.Cleared }) {
+			return true
+		}
+	}
+	return false
+}
+
+// Digest sums up the evidence: it is the same where the evidence is.
+func (l *Ledger) Digest() uint64 { return l.digest }
+
+// Len gives the number of entries.
+func (l *Ledger) Len() int { return l.count }
+
+// All gives all evidence.
+func (l *Ledger) All() []Evidence {
+	all := make([]Evidence, 0, l.count)
+	for _, entries := range l.entries {
+		all = append(all, entries...)
+	}
+	return all
+}
+
+// Lasting gives the evidence that has to outlive all nodes: what was not cleared, and what was
+// cleared of contents that were held back, so that a lift lasts too.
+func (l *Ledger) Lasting() []Evidence {
+	lasting := make([]Evidence, 0, l.count)
+	for _, entries := range l.entries {
+		for _, one := range entries {
+			if !one.Cleared || len(entries) >= l.config.Ends {
+				lasting = append(lasting, one)
+			}
+		}
+	}
+	slices.SortFunc(lasting, compare)
+	return lasting
+}
+
+// DigestOf sums up some evidence as Digest does.
+func DigestOf(evidence []Evidence) (sum uint64) {
+	for index := range evidence {
+		sum ^= digestOf(&evidence[index])
+	}
+	return sum
+}
+
+// bound drops the evidence of least weight: cleared before what was not, then that of
+// contents with few entries, then the oldest. All nodes drop the same.
+func (l *Ledger) bound() {
+	if l.count <= l.config.Most {
+		return
+	}
+	all := l.All()
+	slices.SortFunc(all, func(a, b Evidence) int {
+		return cmp.Or(l.weight(b)-l.weight(a), cmp.Compare(b.At, a.At), compare(a, b))
+	})
+	for _, one := range all[l.config.Most:] {
+		l.drop(one)
+	}
+}
+
+func (l *Ledger) weight(e Evidence) int {
+	switch {
+	case e.Cleared:
+		return 0
+	case l.against(e.Print).ends < l.config.Ends:
+		return 1
+	}
+	return 2
+}
+
+func (l *Ledger) drop(one Evidence) {
+	l.entries[one.Content] = slices.DeleteFunc(l.entries[one.Content], func(e Evidence) bool {
+		return e.Variant == one.Variant && e.Instance == one.Instance
+	})
+	if len(l.entries[one.Content]) == 0 {
+		delete(l.entries, one.Content)
+	}
+	l.count--
+	l.digest ^= digestOf(&one)
+}
+
+// compare gives an order that all nodes share.
+func compare(a, b Evidence) int {
+	return cmp.Or(slices.Compare(a.Content[:], b.Content[:]), cmp.Compare(a.Variant, b.Variant), cmp.Compare(a.Instance, b.Instance))
+}
--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -58,7 +58,7 @@
 	switch {
 	case !x.mayRun:
 		x.node.quotas.giveBack(x.holder)
-		x.refuse(http.StatusServiceUnavailable, last.reason, jittered(overloadRetryAfter))
+		x.refuse(http.StatusServiceUnavailable, last.reason, comeBackAfter(last.reason))
 	case ctx.Err() != nil:
 		x.refuse(http.StatusGatewayTimeout, reasonTimeout, 0)
 	default:
@@ -66,6 +66,15 @@
 	}
 }
 
+// comeBackAfter is when the sender of a request that was not run may come back; 0: it is not
+// invited to.
+func comeBackAfter(reason Reason) time.Duration {
+	if reason == reasonEndsTargets {
+		return 0
+	}
+	return jittered(overloadRetryAfter)
+}
+
 func jittered(span time.Duration) time.Duration {
 	return span + time.Duration(rand.Int64N(int64(span)))
 }
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -161,6 +161,10 @@
 	if len(x.intent.Tenants) > 0 {
 		x.node.options.Headers.hideIdentity(x.header)
 	}
+	if x.isHeldBack() {
+		x.refuse(http.StatusServiceUnavailable, reasonEndsTargets, 0)
+		return
+	}
 	if !x.withinQuota(ctx) {
 		return
 	}
@@ -177,6 +181,13 @@
 	x.send(ctx)
 }
 
+// isHeldBack tells that targets have ended with the request: none is to get it. The answer
+// says that it has not run, and not when to come back.
+func (x *exchange) isHeldBack() bool {
+	call := &wire.SidecarCall{Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Caller: x.node.caller(), Tenant: x.tenant}
+	return x.node.heldBack.heldAtStart(call, x.body)
+}
+
 // grantedAbove is the part of the budgets for repeats that the nodes above leave to
 // this one.
 func (x *exchange) grantedAbove() float64 {
--- a/internal/sidecar/ended.go
+++ b/internal/sidecar/ended.go
@@ -31,6 +31,7 @@
 // unansweredRun is a run that has no answer.
 type unansweredRun struct {
 	print   crashes.Print
+	good    uint64 // key in recentlyGood
 	request string
 	route   string
 	till    time.Duration
@@ -43,8 +44,32 @@
 	runs   []unansweredRun
 	ended  bool
 	asking *endQuestion
+	single chan struct{} // holds one suspect; the others wait
 }
 
+// suspectMark is the value of the header of a suspected request.
+const suspectMark = "1"
+
+// aloneWait bounds the wait of a suspected request for the one before it; then another
+// target may take it. Half of the least objective of the users' routes that are repeated.
+const aloneWait = 500 * time.Millisecond
+
+// alone has one suspected request at the target at a time: when the target ends it is known
+// which one it was, and the others are not lost with it.
+func (e *endings) alone(ctx context.Context) bool {
+	timer := time.NewTimer(aloneWait)
+	defer timer.Stop()
+	select {
+	case e.single <- struct{}{}:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (e *endings) notAlone() { <-e.single }
+
 // endQuestion is one question whether the target listens, which all runs that break off at
 // the same moment share.
 type endQuestion struct {
@@ -149,7 +174,7 @@
 }
 
 func (i *ingress) unanswered(call *wire.SidecarCall, body *payload, till time.Duration) unansweredRun {
-	return unansweredRun{print: printOf(call, body), request: call.RequestID, route: call.Route, till: till}
+	return unansweredRun{print: printOf(call, body), good: i.node.heldBack.good.key(call, body), request: call.RequestID, route: call.Route, till: till}
 }
 
 // printOf gives what the request is known by when it comes again.
@@ -175,6 +200,7 @@
 		i.node.metrics.Crashes.Inc()
 	}
 	i.node.events.Add(event, eventlog.State)
+	i.node.heldBack.endedAt(gate, runs)
 }
 
 // loggedRuns bounds the requests that one line names.
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -79,6 +79,16 @@
 	Digest  string `json:"digest" doc:"of method, host, path and body; the same when it comes again"`
 }
 
+// HeldBack is a change of which requests are held back since targets ended with them.
+type HeldBack struct {
+	Change  string `json:"change" doc:"held back, let go (it has ended well, or an operator lifted it) or not read (what the store has)"`
+	Digest  string `json:"digest,omitempty" doc:"of method, host, path and body"`
+	Service string `json:"service,omitempty" doc:"whose targets ended"`
+	Route   string `json:"route,omitempty" doc:"route of the request"`
+	Ends    int    `json:"ends,omitempty" doc:"ends of targets that it was at"`
+	Error   string `json:"error,omitempty" doc:"why it was not read"`
+}
+
 // Settle is the question what became of a request that may run at most once.
 type Settle struct {
 	Request string `json:"request" doc:"id of the request"`
@@ -166,6 +176,9 @@
 // Kind implements Event.
 func (Crash) Kind() string { return "crash" }
 
+// Kind implements Event.
+func (HeldBack) Kind() string { return "held_back" }
+
 // Kind implements Event.
 func (Settle) Kind() string { return "settle" }
 
@@ -195,5 +208,5 @@
 
 // All gives one event of each kind, for the reference page.
 func All() []Event {
-	return []Event{Request{}, Run{}, Crash{}, Settle{}, Configuration{}, Target{}, Member{}, Store{}, Freshness{}, Keeper{}, Node{}, Omitted{}}
+	return []Event{Request{}, Run{}, Crash{}, HeldBack{}, Settle{}, Configuration{}, Target{}, Member{}, Store{}, Freshness{}, Keeper{}, Node{}, Omitted{}}
 }
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -32,6 +32,9 @@
 		}
 		seen := map[string]bool{}
 		for _, item := range items {
+			if item.Key == f.node.options.CrashKey {
+				f.node.heldBack.takeStored(&item)
+			}
 			name, is := strings.CutPrefix(item.Key, prefix)
 			if !is {
 				continue
--- a/internal/sidecar/follower.go
+++ b/internal/sidecar/follower.go
@@ -135,6 +135,9 @@
 			beaten = now
 			f.decide(ctx)
 			f.node.quotaServer.fill(ctx)
+			if f.reaches() {
+				f.node.heldBack.keep(ctx)
+			}
 			f.beat(ctx)
 		}
 	}
--- /dev/null
+++ b/internal/sidecar/heldbacktell.go
@@ -0,0 +1,260 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/core/crashes"
+	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+	"github.com/landingmast/landingmast/internal/store"
+	"github.com/landingmast/landingmast/internal/wire"
+)
+
+// crashPath takes what another node knows of requests that targets ended with.
+const crashPath = "/crashes"
+
+// Times of what nodes tell each other.
+const (
+	// crashGather joins the runs that break off as a target ends; the next one may end
+	// some tens of ms later.
+	crashGather = 5 * time.Millisecond
+	// clearGather joins requests that end well after one end: dozens within half a second.
+	clearGather = 200 * time.Millisecond
+	// compareEvery is the pause between two comparisons with another node, and compareFirst
+	// how long after its start a node makes them that knows of nothing.
+	compareEvery = time.Second
+	compareFirst = 10 * time.Second
+)
+
+// tell tells all other nodes what is news.
+func (h *heldBack) tell() {
+	h.mutex.Lock()
+	message := &wire.Crashes{Digest: int64(h.ledger.Digest()), Evidence: crashForms(h.pending)}
+	h.pending, h.telling = nil, false
+	h.mutex.Unlock()
+	for zone, addresses := range h.node.membership.addresses() {
+		if zone == h.node.settings().Zone {
+			h.spread(message, addresses)
+			continue
+		}
+		go h.send(message, addresses)
+	}
+}
+
+// spread sends a message along a tree of nodes.
+func (h *heldBack) spread(message *wire.Crashes, addresses []string) {
+	for _, branch := range branches(addresses) {
+		go h.send(message, branch)
+	}
+}
+
+func (h *heldBack) send(message *wire.Crashes, branch []string) {
+	toFirst(branch, func(address string, others []string) error {
+		sent := *message
+		sent.Forward = others
+		ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
+		defer cancel()
+		_, err := h.post(ctx, address, &sent)
+		return err
+	})
+}
+
+func (h *heldBack) post(ctx context.Context, address string, message *wire.Crashes) (*wire.Crashes, error) {
+	data, err := wire.CrashesCodec.Encode(message)
+	if err != nil {
+		return nil, err
+	}
+	read, err := h.node.peers.post(ctx, address, crashPath, data)
+	if err != nil || len(read) == 0 {
+		return nil, err
+	}
+	return wire.CrashesCodec.Decode(read)
+}
+
+// ServeHTTP takes the message of another node.
+func (h *heldBack) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxExchange))
+	if err != nil {
+		return
+	}
+	message, err := wire.CrashesCodec.Decode(data)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.hear(evidenceOf(message.Evidence))
+	bare(w)
+	if !message.Asks {
+		w.Header().Set("Content-Length", "0")
+		go h.spread(message, message.Forward)
+		return
+	}
+	answer, err := wire.CrashesCodec.Encode(h.all(message.Digest))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	_, _ = w.Write(answer)
+}
+
+// all gives all evidence for a node that has other evidence, none for one that has the same.
+func (h *heldBack) all(digest int64) *wire.Crashes {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	message := &wire.Crashes{Digest: int64(h.ledger.Digest()), Evidence: []wire.CrashEvidence{}, Forward: []string{}}
+	if message.Digest != digest {
+		message.Evidence = crashForms(h.ledger.All())
+	}
+	return message
+}
+
+// run compares with other nodes until ctx ends, so that one that missed a message, or came
+// back with nothing, knows the rest.
+func (h *heldBack) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, compareEvery/2+time.Duration(rand.Int64N(int64(compareEvery))))
+		if h.empty() && h.node.now() > compareFirst {
+			continue
+		}
+		if address := h.node.membership.anyAddress(); address != "" {
+			h.compare(ctx, address)
+		}
+	}
+}
+
+func (h *heldBack) empty() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.ledger.Len() == 0
+}
+
+// compare has this node and another one know what either does.
+func (h *heldBack) compare(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	h.mutex.Lock()
+	own := int64(h.ledger.Digest())
+	h.mutex.Unlock()
+	answer, err := h.post(ctx, address, &wire.Crashes{Digest: own, Evidence: []wire.CrashEvidence{}, Forward: []string{}, Asks: true})
+	if err != nil || answer == nil || answer.Digest == own {
+		return // another node is asked a second later
+	}
+	h.hear(evidenceOf(answer.Evidence))
+	if told := h.all(answer.Digest); len(told.Evidence) > 0 {
+		_, _ = h.post(ctx, address, told) // the same
+	}
+}
+
+func crashForms(evidence []crashes.Evidence) []wire.CrashEvidence {
+	forms := make([]wire.CrashEvidence, 0, len(evidence))
+	for _, one := range evidence {
+		forms = append(forms, wire.CrashEvidence{
+			Content: one.Content[:], Variant: int64(one.Variant), Instance: one.Instance, Service: one.Service, Route: one.Route, At: one.At, Cleared: one.Cleared,
+		})
+	}
+	return forms
+}
+
+func evidenceOf(forms []wire.CrashEvidence) []crashes.Evidence {
+	evidence := make([]crashes.Evidence, 0, len(forms))
+	for _, form := range forms {
+		one := crashes.Evidence{Instance: form.Instance, Service: form.Service, Route: form.Route, At: form.At, Cleared: form.Cleared}
+		copy(one.Content[:], form.Content)
+		one.Variant = crashes.Variant(form.Variant)
+		evidence = append(evidence, one)
+	}
+	return evidence
+}
+
+// storedEvidence is what the store has of the evidence, as the node knows it. It belongs to
+// the mutex of heldBack.
+type storedEvidence struct {
+	revision int64 // 0: no such key
+	digest   uint64
+	differs  time.Duration // since when it is not what should last; 0: it is
+	writing  bool
+}
+
+// Times of the writes to the store, by the follower of each zone.
+const (
+	// keepAfter is how long evidence waits to be written together; what all nodes lose
+	// power with in this time is lost, one end at the most as a request goes on its way.
+	keepAfter = 200 * time.Millisecond
+	// keepSpread lets one follower write before the others, which then find it done.
+	keepSpread = 300 * time.Millisecond
+	keepCall   = 400 * time.Millisecond
+)
+
+// takeStored takes in what the store has.
+func (h *heldBack) takeStored(item *store.Item) {
+	if item.Gone {
+		h.mutex.Lock()
+		h.stored.revision, h.stored.digest = 0, 0
+		h.mutex.Unlock()
+		return
+	}
+	message, err := wire.CrashesCodec.Decode(item.Value)
+	if err != nil {
+		h.node.events.Add(eventlog.HeldBack{Change: "not read", Error: err.Error()}, eventlog.State)
+		return
+	}
+	evidence := evidenceOf(message.Evidence)
+	h.setStored(storedEvidence{revision: item.Revision, digest: crashes.DigestOf(evidence)})
+	h.learn(evidence, crashGather)
+}
+
+func (h *heldBack) setStored(stored storedEvidence) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if stored.revision >= h.stored.revision {
+		stored.writing = h.stored.writing
+		h.stored = stored
+	}
+}
+
+// keep writes the evidence that has to last to the store where it has other evidence. The
+// followers call it again and again.
+func (h *heldBack) keep(ctx context.Context) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now, s := h.node.now(), &h.stored
+	lasting := h.ledger.Lasting()
+	switch {
+	case crashes.DigestOf(lasting) == s.digest:
+		s.differs = 0
+	case s.differs == 0:
+		s.differs = now + time.Duration(rand.Int64N(int64(keepSpread)))
+	case now-s.differs >= keepAfter && !s.writing:
+		s.writing = true
+		go h.write(ctx, lasting, s.revision)
+	}
+}
+
+func (h *heldBack) write(ctx context.Context, lasting []crashes.Evidence, revision int64) {
+	ctx, cancel := context.WithTimeout(ctx, keepCall)
+	defer cancel()
+	written, err := h.put(ctx, lasting, revision)
+	if !errors.Is(err, store.ErrConflict) {
+		h.node.storeResult("crashes", err) // logged there
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.stored.writing = false
+	if err == nil && written > h.stored.revision {
+		h.stored = storedEvidence{revision: written, digest: crashes.DigestOf(lasting)}
+	}
+}
+
+func (h *heldBack) put(ctx context.Context, lasting []crashes.Evidence, revision int64) (int64, error) {
+	value, err := wire.CrashesCodec.Encode(&wire.Crashes{Evidence: crashForms(lasting), Forward: []string{}})
+	if err != nil {
+		return 0, err
+	}
+	return h.node.store.Put(ctx, store.Write{Key: h.node.options.CrashKey, Value: value, IfRevision: &revision})
+}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/core/crashes"
 	"github.com/landingmast/landingmast/internal/core/slots"
 	"github.com/landingmast/landingmast/internal/wire"
 )
@@ -115,6 +116,7 @@
 	}
 	call.Granted = grantedBy(r.Header)
 	call.Tenant = r.Header.Get(wire.HeaderSidecarTenant)
+	call.Suspect = r.Header.Get(wire.HeaderSidecarSuspect) == suspectMark
 	remaining := time.Duration(call.Remaining) * time.Microsecond
 	ctx, cancel := context.WithTimeout(r.Context(), remaining)
 	defer cancel()
@@ -225,6 +227,20 @@
 		return notRun(reasonWrongService)
 	}
 	one.instance = gate.instance
+	alone := func() bool { return i.node.heldBack.suspected(call, body) }
+	switch {
+	case i.node.heldBack.state(call, body) == crashes.Held:
+		return notRun(reasonEndsTargets)
+	case alone():
+		if !gate.endings.alone(ctx) {
+			return notRun(reasonSuspectWaits)
+		}
+		if alone() {
+			defer gate.endings.notAlone()
+		} else {
+			gate.endings.notAlone() // it was cleared while it waited
+		}
+	}
 	deadline, _ := ctx.Deadline()
 	id, decision := gate.enter(ctx, slots.Request{
 		Importance: call.Importance, Deadline: i.node.now() + time.Until(deadline), Class: call.Route,
@@ -239,6 +255,9 @@
 	case maySend != nil && !maySend():
 		gate.leave(id, false)
 		answer = notRun(reasonFenced)
+	case i.node.heldBack.state(call, body) == crashes.Held: // what was heard while it waited
+		gate.leave(id, false)
+		answer = notRun(reasonEndsTargets)
 	default:
 		answer = i.run(ctx, gate, id, call, header, body)
 	}
@@ -256,8 +275,14 @@
 	learn := answer.outcome == Answered
 	if answer.stream == nil {
 		gate.leave(id, learn)
+		if answer.outcome == Answered {
+			i.node.heldBack.endedWell(call, body)
+		}
 	} else {
-		answer.stream = &leaving{ReadCloser: answer.stream, leave: func() { gate.leave(id, learn) }}
+		answer.stream = &leaving{ReadCloser: answer.stream, leave: func(err error) {
+			gate.leave(id, learn)
+			i.streamed(ctx, gate, call, body, err)
+		}}
 	}
 	answer.needs = request.below()
 	return answer
@@ -266,11 +291,34 @@
 // leaving gives the slot back when a long answer was read.
 type leaving struct {
 	io.ReadCloser
+	err   error // with which the reading ended; io.EOF: the answer is whole
 	once  sync.Once
-	leave func()
+	leave func(err error)
 }
 
+// Read implements io.Reader.
+func (l *leaving) Read(piece []byte) (int, error) {
+	count, err := l.ReadCloser.Read(piece)
+	if err != nil {
+		l.err = err
+	}
+	return count, err
+}
+
+// Close implements io.Closer.
 func (l *leaving) Close() error {
-	defer l.once.Do(l.leave)
+	defer l.once.Do(func() { l.leave(l.err) })
 	return l.ReadCloser.Close()
 }
+
+// streamed takes in how the reading of a long answer ended; nil: its reader went away.
+func (i *ingress) streamed(ctx context.Context, gate *gate, call *wire.SidecarCall, body *payload, err error) {
+	switch {
+	case err == io.EOF:
+		i.node.heldBack.endedWell(call, body)
+	case err == nil || ctx.Err() != nil:
+		i.left(gate, call, body)
+	default:
+		i.lost(gate, call, body)
+	}
+}
--- a/internal/sidecar/news.go
+++ b/internal/sidecar/news.go
@@ -61,28 +61,39 @@
 
 // spread sends a message to some nodes, which pass it on to the others.
 func (s *spreader) spread(message *wire.News, addresses []string) {
+	for _, branch := range branches(addresses) {
+		go s.send(message, branch)
+	}
+}
+
+// branches divides nodes among the branches of a tree.
+func branches(addresses []string) [][]string {
 	if len(addresses) == 0 {
-		return
+		return nil
 	}
 	size := (len(addresses) + newsFanOut - 1) / newsFanOut
-	for group := range slices.Chunk(addresses, size) {
-		go s.send(message, group)
+	return slices.Collect(slices.Chunk(addresses, size))
+}
+
+// toFirst sends to the first node of a branch that takes it, and leaves the others to it.
+func toFirst(branch []string, send func(address string, others []string) error) {
+	for tries := 0; tries < newsTries && len(branch) > 0; tries++ {
+		if send(branch[0], branch[1:]) == nil {
+			return
+		}
+		branch = branch[1:]
 	}
 }
 
-// send sends a message to the first node of a group that takes it, and leaves the
-// others to it.
-func (s *spreader) send(message *wire.News, group []string) {
+// send sends a message along a branch.
+func (s *spreader) send(message *wire.News, branch []string) {
 	sent := *message
 	sent.From = s.node.settings().Listen.Inbound
 	sent.Version = int64(s.node.version())
-	for tries := 0; tries < newsTries && len(group) > 0; tries++ {
-		sent.Forward = group[1:]
-		if s.post(group[0], &sent) == nil {
-			return
-		}
-		group = group[1:]
-	}
+	toFirst(branch, func(address string, others []string) error {
+		sent.Forward = others
+		return s.post(address, &sent)
+	})
 }
 
 func (s *spreader) post(address string, message *wire.News) error {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -34,6 +34,7 @@
 	RecordPrefix     string      // where all that the nodes keep lies
 	NodePrefix       string      // below it, where the nodes' records lie
 	QuotaPrefix      string      // below it, where the keepers of quotas are named
+	CrashKey         string      // below RecordPrefix, what must last of requests that end targets
 	ReadIntent       func(data []byte) (*intent.Intent, error)
 	Control          func(targets *Targets) http.Handler  // serves the targets' heartbeats
 	Ready            func(ready func() bool) http.Handler // serves the question whether the node takes work
@@ -71,6 +72,7 @@
 	keepers      directory
 	quotaServer  *quotaServer
 	quotas       *quotas
+	heldBack     *heldBack
 	liveness     *liveness
 	planned      plannedStop
 	inFlight     atomic.Int64 // requests of clients, of the target and of other nodes
@@ -110,6 +112,7 @@
 	n.freshness = &prover{node: n}
 	n.quotaServer = newQuotaServer(n)
 	n.quotas = newQuotas(n)
+	n.heldBack = newHeldBack(n)
 	n.liveness = newLiveness(n.now, n.peers.pingPeer, livenessEvents{lost: n.silent, still: n.services.suspect, back: n.heardAgain})
 	n.target = &localTarget{now: n.now, roster: roster.New(), changed: n.targetChanged, link: n.newLink, identify: n.identify, beginAll: !n.policyOn(inTime)}
 	return n, n.listen()
@@ -228,6 +231,7 @@
 	mux.Handle("POST "+newsPath, n.news)
 	mux.Handle("POST "+freshnessPath, n.freshness)
 	mux.Handle("POST "+quotaPath, n.quotaServer)
+	mux.Handle("POST "+crashPath, n.heldBack)
 	mux.HandleFunc("GET "+pingPath, n.servePing)
 	return mux
 }
@@ -263,6 +267,7 @@
 		}
 	}
 	n.background.Go(func() { n.exchanger.run(background) })
+	n.background.Go(func() { n.heldBack.run(background) })
 	n.background.Go(func() { n.events.Run(background) })
 	if !n.settings().FirstStart {
 		n.background.Go(func() { n.findTarget(background) })
--- a/internal/sidecar/registration.go
+++ b/internal/sidecar/registration.go
@@ -81,7 +81,7 @@
 	m := r.node.membership
 	for ctx.Err() == nil && m.others() == 0 {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		items, _, err := r.node.store.List(call, r.node.options.NodePrefix)
+		items, _, err := r.node.store.List(call, r.node.options.RecordPrefix)
 		cancel()
 		r.node.storeResult("read", err)
 		if err != nil {
@@ -99,11 +99,18 @@
 func (r *registration) take(items []store.Item) {
 	m := r.node.membership
 	for _, item := range items {
+		if item.Key == r.node.options.CrashKey {
+			r.node.heldBack.takeStored(&item)
+		}
+		name, is := strings.CutPrefix(item.Key, r.node.options.NodePrefix)
+		if !is {
+			continue
+		}
 		record, err := wire.NodeRecordCodec.Decode(item.Value)
 		if err != nil {
 			continue
 		}
-		if name := strings.TrimPrefix(item.Key, r.node.options.NodePrefix); name == r.node.settings().Node {
+		if name == r.node.settings().Node {
 			m.outrank(record)
 			if record.Address == r.node.settings().Listen.Inbound && record.Zone == r.node.settings().Zone {
 				r.lease.Store(&store.Lease{ID: item.Lease, TTL: time.Duration(r.node.settings().Store.Lease)})
@@ -124,6 +131,7 @@
 	for range meetings {
 		if address := r.node.membership.anyAddress(); address != "" {
 			go r.node.exchanger.with(ctx, address)
+			go r.node.heldBack.compare(ctx, address)
 		}
 	}
 	r.node.news.tellOwn()
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -36,6 +36,8 @@
 	reasonUnreachable  Reason = "unreachable"    // no connection
 	reasonTargetShed   Reason = "target_shed"    // the target declined
 	reasonMisdirected  Reason = "misdirected"    // another target has the address
+	reasonEndsTargets  Reason = "ends_targets"   // held back: targets ended that ran it
+	reasonSuspectWaits Reason = "suspect_waits"  // no target would take it alone in time
 	reasonLost         Reason = "lost"           // connection broke, answer missing
 	reasonTargetEnded  Reason = "target_ended"   // the target ended while it ran the request
 	reasonSpoiled      Reason = "spoiled"        // bytes that are no answer
@@ -110,6 +112,9 @@
 
 // full tells that the gate had no room in time.
 func (r *reply) full() bool {
+	if r.reason == reasonSuspectWaits {
+		return true
+	}
 	switch slots.Reason(r.reason) {
 	case slots.ReasonTooLong, slots.ReasonFull, slots.ReasonExpired:
 		return true
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -28,7 +28,7 @@
 		}
 		last.close()
 		began := x.node.now()
-		last = x.attempt(ctx, choice, tried.bounces)
+		last = x.attempt(ctx, choice, tried.ended > 0)
 		x.noteSend(choice, last, x.node.now()-began)
 		choice.done(x.node.now(), last)
 		if last.reason == reasonUnreachable && last.incarnation == "" && choice.node != x.node.settings().Node {
@@ -63,6 +63,7 @@
 	bounces  int             // sendings that no target saw
 	fulls    int             // of them those for which there was no room in time
 	declines int             // sendings that a target declined
+	ended    int             // targets that ended while they ran it
 }
 
 // Bounds of the sendings of one request.
@@ -70,6 +71,9 @@
 	maxBounces  = 8 // sendings that no target saw
 	maxFulls    = 3 // of them those for which there was no room in time
 	maxDeclines = 12
+	// mostEnded is how many targets may end with one request until it is no longer repeated:
+	// most of those that were there at an end are harmless, and the first repeat serves them.
+	mostEnded = 2
 )
 
 func (t *triedTargets) mayGoOn() bool {
@@ -80,6 +84,9 @@
 	if answer.full() {
 		t.fulls++
 	}
+	if answer.reason == reasonTargetEnded {
+		t.ended++
+	}
 	if !answer.arrived {
 		t.bounces++
 		t.excluded[node] = true
@@ -111,7 +118,7 @@
 
 // again tells whether another sending may be tried after one that brought no answer.
 func (x *exchange) again(last *reply, tried *triedTargets) bool {
-	if !x.body.replayable() {
+	if !x.body.replayable() || last.reason == reasonEndsTargets {
 		return false
 	}
 	if !last.arrived {
@@ -120,6 +127,9 @@
 	if last.outcome == Unknown && !x.route.Kind.Repeatable() {
 		return false
 	}
+	if last.reason == reasonTargetEnded && tried.ended >= mostEnded && x.node.policyOn(settings.HoldBack) {
+		return false
+	}
 	if x.repeat || !x.node.policyOn(settings.Repeats) || tried.arrived >= x.mostTargets() && len(tried.declined) == 0 {
 		return false
 	}
@@ -152,14 +162,14 @@
 }
 
 // attempt sends the request to one target.
-func (x *exchange) attempt(ctx context.Context, choice *choice, bounces int) *reply {
+func (x *exchange) attempt(ctx context.Context, choice *choice, suspect bool) *reply {
 	deadline, _ := ctx.Deadline()
 	repeatable := x.route.Kind.Repeatable()
 	call := &wire.SidecarCall{
 		RequestID: x.id, Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Service: x.service, Route: x.route.Name,
 		Caller: x.node.caller(), From: x.node.settings().Node, Importance: x.importance, Repeatable: repeatable,
 		Repeat: x.repeat || x.arrivals > 0, Attempt: x.arrivals, Remaining: time.Until(deadline).Microseconds(),
-		Version: int64(x.intent.Version), Granted: x.granted, Tenant: x.tenant,
+		Version: int64(x.intent.Version), Granted: x.granted, Tenant: x.tenant, Suspect: suspect,
 	}
 	if choice.node == x.node.settings().Node {
 		return x.node.ingress.serve(ctx, call, x.header.Clone(), x.body)
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -34,9 +34,11 @@
 	InTime Mechanism = "in_time"
 	// TenantOrder lets requests of tenants of a higher priority go first in a priority.
 	TenantOrder Mechanism = "tenant_order"
+	// HoldBack keeps requests from targets that have ended several of them.
+	HoldBack Mechanism = "hold_back"
 )
 
-var mechanisms = []Mechanism{Window, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder}
+var mechanisms = []Mechanism{Window, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack}
 
 // On tells whether a mechanism is in use.
 func (p Policy) On(m Mechanism) bool { return !slices.Contains(p.Off, m) }
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -120,7 +120,7 @@
 // Policy says how the node decides.
 type Policy struct {
 	// Off names mechanisms that are switched off, to measure what each is worth; none by
-	// default: window, urgency, grants, ration, declined, repeats, samples, zones, losses, suspicion, in_time, tenant_order.
+	// default: window, urgency, grants, ration, declined, repeats, samples, zones, losses, suspicion, in_time, tenant_order, hold_back.
 	Off []Mechanism `yaml:"off"`
 }
 
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -53,7 +53,7 @@
 func newGate(now func() time.Duration, report roster.Report, link *targetlink.Link) *gate {
 	return &gate{
 		now: now, instance: report.Instance, service: report.Service, links: link,
-		core: slots.New(report.Slots), waiting: map[uint64]chan slots.Decision{},
+		core: slots.New(report.Slots), waiting: map[uint64]chan slots.Decision{}, endings: endings{single: make(chan struct{}, 1)},
 	}
 }
 
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -12,6 +12,8 @@
 	HeaderSidecarGrant = "Landingmast-Grant"
 	// HeaderSidecarTenant goes with a SidecarCall: its Tenant.
 	HeaderSidecarTenant = "Landingmast-Tenant"
+	// HeaderSidecarSuspect goes with a SidecarCall: its Suspect, as "1".
+	HeaderSidecarSuspect = "Landingmast-Suspect"
 )
 
 // SidecarCall is the head of a request from the node where it began to the node
@@ -41,6 +43,9 @@
 	// Tenant is the name of the tenant that the request belongs to, empty: none. It travels
 	// in a header of its own.
 	Tenant string `avro:"-"`
+	// Suspect tells that a target has ended while it ran the request. It travels in a header
+	// of its own.
+	Suspect bool `avro:"-"`
 }
 
 // SidecarResult is the head of the answer.
