Harmless requests that were at several ends are not held back

Three targets ended at one moment with the popular request in flight at each: held back, and so never able to end well again. Ruled out: a longer memory of good ends at the gate alone (it is empty after a restart, and was used up by the first end). Change: what ended well within contact is not suspected, and any node that knows of such an end clears the suspicion for all. Evidence says whether the request was alone among suspects at its target; three ends with none alone are doubtful: one node, the same for all, sends such requests one at a time, all others refuse them.

--- a/internal/core/crashes/ledger.go
+++ b/internal/core/crashes/ledger.go
@@ -15,6 +15,8 @@
 	Service  string
 	Route    string
 	At       int64 // ms since 1970, by the clock of the node beside the target
+	// Alone tells that no other suspected request was at the target.
+	Alone bool
 	// Cleared tells that the request has ended well since, or that an operator lifted it. It
 	// is never taken back, so that nodes may hear of it in any order.
 	Cleared bool
@@ -40,8 +42,12 @@
 const (
 	// Free requests are sent as ever.
 	Free State = iota
-	// Suspected requests were at a target when it ended.
+	// Suspected requests were at a target when it ended: they are at a target alone among
+	// suspected ones, so that the next end tells which it was.
 	Suspected
+	// Doubtful requests were at as many ends as held ones, but alone at none: something else
+	// may have ended the targets at one moment. One node sends them, one at a time.
+	Doubtful
 	// Held requests are not sent.
 	Held
 )
@@ -75,10 +81,12 @@
 		if known.Variant != one.Variant || known.Instance != one.Instance {
 			continue
 		}
-		if known.Cleared || !one.Cleared {
+		if (known.Cleared || !one.Cleared) && (known.Alone || !one.Alone) {
 			return false
 		}
-		l.clear(known)
+		l.digest ^= digestOf(known)
+		known.Cleared, known.Alone = known.Cleared || one.Cleared, known.Alone || one.Alone
+		l.digest ^= digestOf(known)
 		return true
 	}
 	l.entries[one.Content] = append(entries, one)
@@ -96,8 +104,11 @@
 func digestOf(e *Evidence) uint64 {
 	text := binary.BigEndian.AppendUint64(e.Content[:], uint64(e.Variant))
 	text = append(text, e.Instance...)
-	if e.Cleared {
-		text = append(text, 1)
+	for _, flag := range []bool{e.Cleared, e.Alone} {
+		if flag {
+			text = append(text, 1)
+		}
+		text = append(text, 0)
 	}
 	return xxhash.Sum64(text)
 }
@@ -129,6 +140,7 @@
 	ends     int // targets that ended with any variant
 	variants int
 	endsWell bool // the variant was cleared
+	alone    bool // some variant was alone at an end
 }
 
 func (l *Ledger) against(print Print) (s suspicion) {
@@ -142,6 +154,7 @@
 		if one.Variant == print.Variant {
 			s.own++
 		}
+		s.alone = s.alone || one.Alone
 		if !slices.Contains(targets, one.Instance) {
 			targets = append(targets, one.Instance)
 		}
@@ -161,6 +174,9 @@
 	good := recently || s.endsWell && s.own == 0
 	switch {
 	case s.own >= l.config.Ends, s.ends >= l.config.Ends && s.variants > 1 && !good:
+		if !s.alone {
+			return Doubtful
+		}
 		return Held
 	case s.own > 0, s.ends > 0 && !good:
 		return Suspected
@@ -168,12 +184,13 @@
 	return Free
 }
 
-// Held gives the contents of which some variant is held back, with all evidence against them.
+// Held gives the contents of which some variant is held back, or doubtful, with all evidence
+// against them.
 func (l *Ledger) Held() map[Content][]Evidence {
 	held := map[Content][]Evidence{}
 	for content, entries := range l.entries {
 		for _, one := range entries {
-			if l.State(one.Print, false) == Held {
+			if l.State(one.Print, false) >= Doubtful {
 				held[content] = slices.Clone(entries)
 				break
 			}
--- a/internal/core/crashes/ledger_test.go
+++ b/internal/core/crashes/ledger_test.go
@@ -12,6 +12,13 @@
 	return Evidence{Print: PrintOf(Request{Path: path, Query: query}), Instance: instance, Service: "s", Route: "r"}
 }
 
+// alone is evidence of an end at which no other suspect was.
+func alone(path, query, instance string) Evidence {
+	one := at(path, query, instance)
+	one.Alone = true
+	return one
+}
+
 func TestStateOfARequest(t *testing.T) {
 	asked := PrintOf(Request{Path: "/a", Query: "q"})
 	for _, tc := range []struct {
@@ -23,13 +30,15 @@
 	}{
 		{"nothing was seen", nil, nil, false, Free},
 		{"one end", []Evidence{at("/a", "q", "i-1")}, nil, false, Suspected},
-		{"three ends", []Evidence{at("/a", "q", "i-1"), at("/a", "q", "i-2"), at("/a", "q", "i-3")}, nil, false, Held},
+		{"three ends, alone at one", []Evidence{at("/a", "q", "i-1"), alone("/a", "q", "i-2"), at("/a", "q", "i-3")}, nil, false, Held},
+		{"three ends, alone at none", []Evidence{at("/a", "q", "i-1"), at("/a", "q", "i-2"), at("/a", "q", "i-3")}, nil, false, Doubtful},
+		{"alone at one end, as is told later", []Evidence{at("/a", "q", "i-1"), at("/a", "q", "i-2"), at("/a", "q", "i-3"), alone("/a", "q", "i-3")}, nil, false, Held},
 		{"one end, told three times", []Evidence{at("/a", "q", "i-1"), at("/a", "q", "i-1"), at("/a", "q", "i-1")}, nil, false, Suspected},
 		{"three ends, and it ended well after them", []Evidence{at("/a", "q", "i-1"), at("/a", "q", "i-2"), at("/a", "q", "i-3")}, []Print{asked}, false, Free},
-		{"three ends, though it ended well of late", []Evidence{at("/a", "q", "i-1"), at("/a", "q", "i-2"), at("/a", "q", "i-3")}, nil, true, Held},
+		{"three ends, though it ended well of late", []Evidence{at("/a", "q", "i-1"), alone("/a", "q", "i-2"), at("/a", "q", "i-3")}, nil, true, Held},
 		{"three ends of another path", []Evidence{at("/b", "q", "i-1"), at("/b", "q", "i-2"), at("/b", "q", "i-3")}, nil, false, Free},
 		{"three ends of one other query", []Evidence{at("/a", "x", "i-1"), at("/a", "x", "i-2"), at("/a", "x", "i-3")}, nil, false, Suspected},
-		{"three ends, each with another query", []Evidence{at("/a", "x", "i-1"), at("/a", "y", "i-2"), at("/a", "z", "i-3")}, nil, false, Held},
+		{"three ends, each with another query", []Evidence{at("/a", "x", "i-1"), at("/a", "y", "i-2"), alone("/a", "z", "i-3")}, nil, false, Held},
 		{"the same, and it ended well of late", []Evidence{at("/a", "x", "i-1"), at("/a", "y", "i-2"), at("/a", "z", "i-3")}, nil, true, Free},
 		{"one end with several queries in flight", []Evidence{at("/a", "x", "i-1"), at("/a", "y", "i-1"), at("/a", "z", "i-1")}, nil, false, Suspected},
 	} {
@@ -42,7 +51,7 @@
 			}
 			g.Expect(ledger.State(asked, tc.recently)).To(Equal(tc.want))
 			_, held := ledger.Held()[asked.Content]
-			if tc.want == Held {
+			if tc.want >= Doubtful {
 				g.Expect(held).To(BeTrue())
 			}
 		})
@@ -75,6 +84,7 @@
 			case 2, 3:
 				node.Add(nodes[random.IntN(len(nodes))].All()...)
 			default:
+				one.Alone = random.IntN(3) == 0
 				node.Add(one)
 			}
 		}
@@ -101,7 +111,7 @@
 	g := NewWithT(t)
 	ledger := New(DefaultConfig())
 	for target := range 3 {
-		ledger.Add(at("/held", "", fmt.Sprint(target)), at("/lifted", "", fmt.Sprint(target)), at("/well", "", "i"))
+		ledger.Add(alone("/held", "", fmt.Sprint(target)), at("/lifted", "", fmt.Sprint(target)), at("/well", "", "i"))
 	}
 	ledger.Lift(at("/lifted", "", "").Content)
 	ledger.EndedWell(at("/well", "", "").Print)
@@ -118,7 +128,7 @@
 	config := DefaultConfig()
 	ledger := New(config)
 	for target := range 3 {
-		ledger.Add(at("/held", "", fmt.Sprint(target)))
+		ledger.Add(alone("/held", "", fmt.Sprint(target)))
 	}
 	flood := make([]Evidence, 0, 1000)
 	for path := range 100_000 {
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -43,6 +43,7 @@
 	status     int         // that the sender got; 0: none
 	arrivals   int         // sendings that reached a target
 	mayRun     bool        // one of them may have run
+	trial      bool        // targets ended with its content; only this one is sent now
 
 	// What the log tells of the request.
 	hold  time.Duration
@@ -161,10 +162,14 @@
 	if len(x.intent.Tenants) > 0 {
 		x.node.options.Headers.hideIdentity(x.header)
 	}
-	if x.isHeldBack() {
+	verdict := x.heldBack()
+	if verdict.refused {
 		x.refuse(http.StatusServiceUnavailable, reasonEndsTargets, 0)
 		return
 	}
+	if x.trial = verdict.trial != nil; x.trial {
+		defer verdict.trial()
+	}
 	if !x.withinQuota(ctx) {
 		return
 	}
@@ -181,11 +186,11 @@
 	x.send(ctx)
 }
 
-// isHeldBack tells that targets have ended with the request: none is to get it. The answer
-// says that it has not run, and not when to come back.
-func (x *exchange) isHeldBack() bool {
+// heldBack decides on a request that targets ended with. The answer to one that none is to
+// get says that it has not run, and not when to come back.
+func (x *exchange) heldBack() verdict {
 	call := &wire.SidecarCall{Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Caller: x.node.caller(), Tenant: x.tenant}
-	return x.node.heldBack.heldAtStart(call, x.body)
+	return x.node.heldBack.atStart(call, x.body)
 }
 
 // grantedAbove is the part of the budgets for repeats that the nodes above leave to
--- a/internal/sidecar/ended.go
+++ b/internal/sidecar/ended.go
@@ -31,7 +31,7 @@
 // unansweredRun is a run that has no answer.
 type unansweredRun struct {
 	print   crashes.Print
-	good    uint64 // key in recentlyGood
+	alone   bool // no other suspected request was at the target
 	request string
 	route   string
 	till    time.Duration
@@ -47,8 +47,25 @@
 	single chan struct{} // holds one suspect; the others wait
 }
 
-// suspectMark is the value of the header of a suspected request.
-const suspectMark = "1"
+// Values of the header of a request that targets ended with.
+const (
+	suspectMark = "1"
+	trialMark   = "2"
+)
+
+func markOf(call *wire.SidecarCall) string {
+	switch {
+	case call.Trial:
+		return trialMark
+	case call.Suspect:
+		return suspectMark
+	}
+	return ""
+}
+
+func takeMark(call *wire.SidecarCall, mark string) {
+	call.Suspect, call.Trial = mark == suspectMark, mark == trialMark
+}
 
 // aloneWait bounds the wait of a suspected request for the one before it; then another
 // target may take it. Half of the least objective of the users' routes that are repeated.
@@ -174,7 +191,7 @@
 }
 
 func (i *ingress) unanswered(call *wire.SidecarCall, body *payload, till time.Duration) unansweredRun {
-	return unansweredRun{print: printOf(call, body), good: i.node.heldBack.good.key(call, body), request: call.RequestID, route: call.Route, till: till}
+	return unansweredRun{print: printOf(call, body), alone: call.Alone, request: call.RequestID, route: call.Route, till: till}
 }
 
 // printOf gives what the request is known by when it comes again.
--- a/internal/sidecar/heldback.go
+++ b/internal/sidecar/heldback.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"hash/maphash"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,11 +27,12 @@
 	pending []crashes.Evidence // to be told to the other nodes
 	telling bool               // they are about to be told
 	held    map[crashes.Content]bool
+	trials  map[crashes.Content]bool // doubtful ones that this node has sent
 	stored  storedEvidence
 }
 
 func newHeldBack(node *Node) *heldBack {
-	return &heldBack{node: node, ledger: crashes.New(crashes.DefaultConfig()), held: map[crashes.Content]bool{}, good: recentlyGood{seed: maphash.MakeSeed()}}
+	return &heldBack{node: node, ledger: crashes.New(crashes.DefaultConfig()), held: map[crashes.Content]bool{}, trials: map[crashes.Content]bool{}}
 }
 
 // state tells what is thought of a request.
@@ -40,40 +40,74 @@
 	if !h.suspects.Load() || !h.node.policyOn(settings.HoldBack) {
 		return crashes.Free
 	}
-	print, recently := printOf(call, body), h.good.holds(call, body)
+	print := printOf(call, body)
+	recently := h.good.holds(h.node.now(), print.Variant)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	return h.ledger.State(print, recently)
 }
 
+// maySend tells whether the gate lets a request through.
+func (h *heldBack) maySend(call *wire.SidecarCall, body *payload) bool {
+	switch h.state(call, body) {
+	case crashes.Held:
+		return false
+	case crashes.Doubtful:
+		return call.Trial
+	}
+	return true
+}
+
 // suspected tells that a request is to be at a target alone: a target has ended with it.
 func (h *heldBack) suspected(call *wire.SidecarCall, body *payload) bool {
-	if call.Suspect && h.node.policyOn(settings.HoldBack) && !h.good.holds(call, body) {
+	if call.Suspect && h.node.policyOn(settings.HoldBack) && !h.good.holds(h.node.now(), printOf(call, body).Variant) {
 		return true
 	}
-	return h.state(call, body) == crashes.Suspected
+	return h.state(call, body) != crashes.Free
+}
+
+// verdict is what becomes of a request where it begins.
+type verdict struct {
+	refused bool
+	trial   func() // not nil: it is sent as the only one of its content; called at its end
 }
 
-// heldAtStart tells whether a request is held back where it begins: only for what it was at
-// itself. Which of its variants end well of late is known where the targets are.
-func (h *heldBack) heldAtStart(call *wire.SidecarCall, body *payload) bool {
+// atStart decides on a request where it begins, by what targets ended with itself. Which of
+// its variants end well of late is known where the targets are.
+func (h *heldBack) atStart(call *wire.SidecarCall, body *payload) verdict {
 	if !h.suspects.Load() || !h.node.policyOn(settings.HoldBack) {
-		return false
+		return verdict{}
 	}
 	print := printOf(call, body)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.ledger.State(print, true) == crashes.Held
+	switch h.ledger.State(print, true) {
+	case crashes.Held:
+		return verdict{refused: true}
+	case crashes.Doubtful:
+		if h.trials[print.Content] || !h.node.membership.isFirstFor(print.Content[:]) {
+			return verdict{refused: true}
+		}
+		h.trials[print.Content] = true
+		return verdict{trial: func() { h.endTrial(print.Content) }}
+	}
+	return verdict{}
+}
+
+func (h *heldBack) endTrial(content crashes.Content) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	delete(h.trials, content)
 }
 
 // endedAt takes in the runs that the target beside the node ended with. One that has ended
 // well here of late is left out: it is not what ended the target.
 func (h *heldBack) endedAt(gate *gate, runs []unansweredRun) {
-	now := time.Now().UnixMilli()
+	at := time.Now().UnixMilli()
 	evidence := make([]crashes.Evidence, 0, len(runs))
 	for _, run := range runs {
-		if !h.good.take(run.good) {
-			evidence = append(evidence, crashes.Evidence{Print: run.print, Instance: gate.instance, Service: gate.service, Route: run.route, At: now})
+		if !h.good.holds(h.node.now(), run.print.Variant) {
+			evidence = append(evidence, crashes.Evidence{Print: run.print, Instance: gate.instance, Service: gate.service, Route: run.route, At: at, Alone: run.alone})
 		}
 	}
 	h.learn(evidence, crashGather)
@@ -81,11 +115,17 @@
 
 // endedWell takes in that the target beside the node answered a request.
 func (h *heldBack) endedWell(call *wire.SidecarCall, body *payload) {
-	h.good.add(call, body)
-	if !h.suspects.Load() {
+	if !h.node.policyOn(settings.HoldBack) {
 		return
 	}
 	print := printOf(call, body)
+	h.good.add(h.node.now(), print.Variant)
+	if h.suspects.Load() {
+		h.clear(print)
+	}
+}
+
+func (h *heldBack) clear(print crashes.Print) {
 	h.mutex.Lock()
 	cleared := h.ledger.EndedWell(print)
 	h.mutex.Unlock()
@@ -100,13 +140,18 @@
 	h.changed(news, gather)
 }
 
-// hear takes in evidence that another node has told to all.
-func (h *heldBack) hear(evidence []crashes.Evidence) (news int) {
+// hear takes in evidence that another node has told to all. What has ended well here of late
+// is cleared for all.
+func (h *heldBack) hear(evidence []crashes.Evidence) {
 	h.mutex.Lock()
 	heard := h.ledger.Add(evidence...)
 	h.mutex.Unlock()
 	h.note(heard)
-	return len(heard)
+	for _, one := range heard {
+		if !one.Cleared && h.good.holds(h.node.now(), one.Variant) {
+			h.clear(one.Print)
+		}
+	}
 }
 
 // changed has the other nodes told of evidence that is news.
@@ -155,65 +200,51 @@
 	return len(h.held)
 }
 
-// goodKept is how many answered requests a node remembers: those of some seconds at the
-// rates of one target, about 100 KB.
-const goodKept = 4096
+// Bounds of what a node remembers of requests that ended well.
+const (
+	// goodKept is more than the answers of one target within goodFor; about 150 KB.
+	goodKept = 4096
+	// goodFor is the time after which the users count a node as knowing what happened: a
+	// request that turns harmful is not vouched for longer.
+	goodFor = 3 * time.Second
+)
 
 // recentlyGood remembers requests that the target beside the node answered. Targets that end
-// by themselves have popular requests in flight; those are not suspected.
+// by themselves, or with another request, have popular ones in flight; those are not
+// suspected.
 type recentlyGood struct {
-	seed  maphash.Seed
 	mutex sync.Mutex
-	known map[uint64]bool
-	ring  []uint64
+	at    map[crashes.Variant]time.Duration // when it ended well last
+	ring  []crashes.Variant                 // in the order in which they came
 	next  int
 }
 
-func (r *recentlyGood) key(call *wire.SidecarCall, body *payload) uint64 {
-	var sum maphash.Hash
-	sum.SetSeed(r.seed)
-	for _, part := range []string{call.Method, call.Host, call.URI, call.Caller, call.Tenant} {
-		_, _ = sum.WriteString(part) // a hash takes all that is written
-		_ = sum.WriteByte(0)
-	}
-	begin, _ := body.begin()
-	_, _ = sum.Write(begin)
-	return sum.Sum64()
-}
-
-func (r *recentlyGood) add(call *wire.SidecarCall, body *payload) {
-	key := r.key(call, body)
+func (r *recentlyGood) add(now time.Duration, variant crashes.Variant) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.known == nil {
-		r.known = make(map[uint64]bool, goodKept)
+	if r.at == nil {
+		r.at = make(map[crashes.Variant]time.Duration, goodKept)
 	}
-	if r.known[key] {
-		return
+	if _, known := r.at[variant]; !known {
+		r.place(variant)
 	}
-	if len(r.ring) < goodKept {
-		r.ring = append(r.ring, key)
-	} else {
-		delete(r.known, r.ring[r.next])
-		r.ring[r.next] = key
-		r.next = (r.next + 1) % goodKept
-	}
-	r.known[key] = true
+	r.at[variant] = now
 }
 
-func (r *recentlyGood) holds(call *wire.SidecarCall, body *payload) bool {
-	key := r.key(call, body)
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.known[key]
+// place puts a variant into the ring, in the place of the one that came first.
+func (r *recentlyGood) place(variant crashes.Variant) {
+	if len(r.ring) < goodKept {
+		r.ring = append(r.ring, variant)
+		return
+	}
+	delete(r.at, r.ring[r.next])
+	r.ring[r.next] = variant
+	r.next = (r.next + 1) % goodKept
 }
 
-// take tells whether a request is remembered, and forgets it: when it ends the next target
-// too it is suspected.
-func (r *recentlyGood) take(key uint64) bool {
+func (r *recentlyGood) holds(now time.Duration, variant crashes.Variant) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	known := r.known[key]
-	delete(r.known, key)
-	return known
+	at, known := r.at[variant]
+	return known && now-at < goodFor
 }
--- a/internal/sidecar/heldbacktell.go
+++ b/internal/sidecar/heldbacktell.go
@@ -155,7 +155,7 @@
 	forms := make([]wire.CrashEvidence, 0, len(evidence))
 	for _, one := range evidence {
 		forms = append(forms, wire.CrashEvidence{
-			Content: one.Content[:], Variant: int64(one.Variant), Instance: one.Instance, Service: one.Service, Route: one.Route, At: one.At, Cleared: one.Cleared,
+			Content: one.Content[:], Variant: int64(one.Variant), Instance: one.Instance, Service: one.Service, Route: one.Route, At: one.At, Cleared: one.Cleared, Alone: one.Alone,
 		})
 	}
 	return forms
@@ -164,7 +164,7 @@
 func evidenceOf(forms []wire.CrashEvidence) []crashes.Evidence {
 	evidence := make([]crashes.Evidence, 0, len(forms))
 	for _, form := range forms {
-		one := crashes.Evidence{Instance: form.Instance, Service: form.Service, Route: form.Route, At: form.At, Cleared: form.Cleared}
+		one := crashes.Evidence{Instance: form.Instance, Service: form.Service, Route: form.Route, At: form.At, Cleared: form.Cleared, Alone: form.Alone}
 		copy(one.Content[:], form.Content)
 		one.Variant = crashes.Variant(form.Variant)
 		evidence = append(evidence, one)
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/landingmast/landingmast/internal/core/crashes"
 	"github.com/landingmast/landingmast/internal/core/slots"
 	"github.com/landingmast/landingmast/internal/wire"
 )
@@ -116,7 +115,7 @@
 	}
 	call.Granted = grantedBy(r.Header)
 	call.Tenant = r.Header.Get(wire.HeaderSidecarTenant)
-	call.Suspect = r.Header.Get(wire.HeaderSidecarSuspect) == suspectMark
+	takeMark(call, r.Header.Get(wire.HeaderSidecarSuspect))
 	remaining := time.Duration(call.Remaining) * time.Microsecond
 	ctx, cancel := context.WithTimeout(r.Context(), remaining)
 	defer cancel()
@@ -227,15 +226,16 @@
 		return notRun(reasonWrongService)
 	}
 	one.instance = gate.instance
-	alone := func() bool { return i.node.heldBack.suspected(call, body) }
+	held := i.node.heldBack
+	alone := false
 	switch {
-	case i.node.heldBack.state(call, body) == crashes.Held:
+	case !held.maySend(call, body):
 		return notRun(reasonEndsTargets)
-	case alone():
+	case held.suspected(call, body):
 		if !gate.endings.alone(ctx) {
 			return notRun(reasonSuspectWaits)
 		}
-		if alone() {
+		if alone = held.suspected(call, body); alone {
 			defer gate.endings.notAlone()
 		} else {
 			gate.endings.notAlone() // it was cleared while it waited
@@ -255,10 +255,11 @@
 	case maySend != nil && !maySend():
 		gate.leave(id, false)
 		answer = notRun(reasonFenced)
-	case i.node.heldBack.state(call, body) == crashes.Held: // what was heard while it waited
+	case !held.maySend(call, body): // by what was heard while it waited
 		gate.leave(id, false)
 		answer = notRun(reasonEndsTargets)
 	default:
+		call.Alone = alone
 		answer = i.run(ctx, gate, id, call, header, body)
 	}
 	answer.load, _ = gate.load()
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/landingmast/landingmast/internal/core/balancer"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/wire"
@@ -218,6 +219,26 @@
 	return ""
 }
 
+// isFirstFor tells whether the node is the one of all that are known that comes first for a
+// key. All nodes that know the same others agree.
+func (m *membership) isFirstFor(key []byte) bool {
+	own := m.node.settings().Node
+	mine := weightFor(own, key)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for name := range m.records {
+		if name != own && weightFor(name, key) > mine {
+			return false
+		}
+	}
+	return true
+}
+
+// weightFor is the weight of a node in the rendezvous for a key.
+func weightFor(name string, key []byte) uint64 {
+	return xxhash.Sum64(append(append([]byte(nil), key...), name...))
+}
+
 // others gives the number of other nodes that are known.
 func (m *membership) others() int {
 	m.mutex.Lock()
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -83,8 +83,8 @@
 	if call.Tenant != "" {
 		request.Header.Set(wire.HeaderSidecarTenant, call.Tenant)
 	}
-	if call.Suspect {
-		request.Header.Set(wire.HeaderSidecarSuspect, suspectMark)
+	if mark := markOf(call); mark != "" {
+		request.Header.Set(wire.HeaderSidecarSuspect, mark)
 	}
 	if _, present := request.Header["User-Agent"]; !present {
 		request.Header["User-Agent"] = []string{""}
--- a/internal/sidecar/send.go
+++ b/internal/sidecar/send.go
@@ -127,7 +127,7 @@
 	if last.outcome == Unknown && !x.route.Kind.Repeatable() {
 		return false
 	}
-	if last.reason == reasonTargetEnded && tried.ended >= mostEnded && x.node.policyOn(settings.HoldBack) {
+	if last.reason == reasonTargetEnded && (x.trial || tried.ended >= mostEnded) && x.node.policyOn(settings.HoldBack) {
 		return false
 	}
 	if x.repeat || !x.node.policyOn(settings.Repeats) || tried.arrived >= x.mostTargets() && len(tried.declined) == 0 {
@@ -169,7 +169,7 @@
 		RequestID: x.id, Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Service: x.service, Route: x.route.Name,
 		Caller: x.node.caller(), From: x.node.settings().Node, Importance: x.importance, Repeatable: repeatable,
 		Repeat: x.repeat || x.arrivals > 0, Attempt: x.arrivals, Remaining: time.Until(deadline).Microseconds(),
-		Version: int64(x.intent.Version), Granted: x.granted, Tenant: x.tenant, Suspect: suspect,
+		Version: int64(x.intent.Version), Granted: x.granted, Tenant: x.tenant, Suspect: suspect, Trial: x.trial,
 	}
 	if choice.node == x.node.settings().Node {
 		return x.node.ingress.serve(ctx, call, x.header.Clone(), x.body)
--- a/internal/wire/crashes.go
+++ b/internal/wire/crashes.go
@@ -9,6 +9,7 @@
 	Route    string `avro:"route"`
 	At       int64  `avro:"at_ms"`   // since 1970, by the clock of the node beside the target
 	Cleared  bool   `avro:"cleared"` // it has ended well since, or was lifted
+	Alone    bool   `avro:"alone"`   // no other suspected request was at the target
 }
 
 // Crashes is what nodes tell each other of requests that targets ended with, and what they
@@ -27,7 +28,7 @@
 {"name":"evidence","type":{"type":"array","items":{"type":"record","name":"CrashEvidence","fields":[
 {"name":"content","type":"bytes"},{"name":"variant","type":"long"},{"name":"instance","type":"string"},
 {"name":"service","type":"string"},{"name":"route","type":"string"},{"name":"at_ms","type":"long"},
-{"name":"cleared","type":"boolean"}]}},"default":[]},{"name":"asks","type":"boolean","default":false}]}`
+{"name":"cleared","type":"boolean"},{"name":"alone","type":"boolean","default":false}]}},"default":[]},{"name":"asks","type":"boolean","default":false}]}`
 
 // CrashesCodec writes and reads Crashes.
 var CrashesCodec = NewCodec[Crashes](maxExchange, crashesSchema)
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -12,7 +12,7 @@
 	HeaderSidecarGrant = "Landingmast-Grant"
 	// HeaderSidecarTenant goes with a SidecarCall: its Tenant.
 	HeaderSidecarTenant = "Landingmast-Tenant"
-	// HeaderSidecarSuspect goes with a SidecarCall: its Suspect, as "1".
+	// HeaderSidecarSuspect goes with a SidecarCall: "1" for Suspect, "2" for Trial.
 	HeaderSidecarSuspect = "Landingmast-Suspect"
 )
 
@@ -43,9 +43,12 @@
 	// Tenant is the name of the tenant that the request belongs to, empty: none. It travels
 	// in a header of its own.
 	Tenant string `avro:"-"`
-	// Suspect tells that a target has ended while it ran the request. It travels in a header
-	// of its own.
-	Suspect bool `avro:"-"`
+	// Suspect tells that a target has ended while it ran the request, and Trial that the
+	// sender alone may send it, though targets ended with it. They travel in a header of their
+	// own.
+	Suspect, Trial bool `avro:"-"`
+	// Alone tells, at the gate, that no other suspected request is at the target.
+	Alone bool `avro:"-"`
 }
 
 // SidecarResult is the head of the answer.
