--- a/cmd/landingmast/main.go
+++ b/cmd/landingmast/main.go
@@ -13,6 +13,8 @@
 	"github.com/landingmast/landingmast/internal/failure"
 	"github.com/landingmast/landingmast/internal/node"
 	"github.com/landingmast/landingmast/internal/operator"
+	"github.com/landingmast/landingmast/internal/store"
+	"github.com/landingmast/landingmast/platform"
 )
 
 // exitCodes by kind of error; docs/OPERATIONS.md lists them.
@@ -35,7 +37,9 @@
 	application := kingpin.New("landingmast", "Operators' command line of landingmast.")
 	application.Version(node.Version)
 	application.HelpFlag.Short('h')
-	commands := operator.Register(application, output)
+	commands := operator.Register(application, output, operator.Stores{
+		Open: func(address string) store.Store { return platform.NewStore(address, nil) }, CrashKey: platform.CrashKey, Input: os.Stdin,
+	})
 	chosen, err := application.Parse(arguments)
 	if err != nil {
 		fmt.Fprintf(complaints, "landingmast: %s (remedy: see landingmast --help)\n", err)
--- a/internal/core/crashes/ledger.go
+++ b/internal/core/crashes/ledger.go
@@ -102,7 +102,8 @@
 }
 
 func digestOf(e *Evidence) uint64 {
-	text := binary.BigEndian.AppendUint64(e.Content[:], uint64(e.Variant))
+	var room [128]byte
+	text := binary.BigEndian.AppendUint64(append(room[:0], e.Content[:]...), uint64(e.Variant))
 	text = append(text, e.Instance...)
 	for _, flag := range []bool{e.Cleared, e.Alone} {
 		if flag {
@@ -134,19 +135,36 @@
 	return changed
 }
 
-// suspicion sums up the evidence against a content that was not cleared.
+// suspicion sums up the evidence against a request that was not cleared.
 type suspicion struct {
-	own      int // targets that ended with the variant
-	ends     int // targets that ended with any variant
-	variants int
+	own      int  // targets that ended with the variant
+	alone    bool // at one of the ends no other suspect was there
+	asked    ends // with the same query, from any caller
+	all      ends // with any query
+	queries  int
 	endsWell bool // the variant was cleared
-	alone    bool // some variant was alone at an end
+}
+
+// ends are the targets that ended with some requests, and how many variants these are.
+type ends struct {
+	targets  []string
+	variants []Variant
+}
+
+func (e *ends) add(one *Evidence) {
+	if !slices.Contains(e.targets, one.Instance) {
+		e.targets = append(e.targets, one.Instance)
+	}
+	if !slices.Contains(e.variants, one.Variant) {
+		e.variants = append(e.variants, one.Variant)
+	}
 }
 
 func (l *Ledger) against(print Print) (s suspicion) {
-	var targets []string
-	var variants []Variant
-	for _, one := range l.entries[print.Content] {
+	var queries []Query
+	entries := l.entries[print.Content]
+	for index := range entries {
+		one := &entries[index]
 		if one.Cleared {
 			s.endsWell = s.endsWell || one.Variant == print.Variant
 			continue
@@ -154,34 +172,43 @@
 		if one.Variant == print.Variant {
 			s.own++
 		}
-		s.alone = s.alone || one.Alone
-		if !slices.Contains(targets, one.Instance) {
-			targets = append(targets, one.Instance)
+		if one.Query == print.Query {
+			s.asked.add(one)
 		}
-		if !slices.Contains(variants, one.Variant) {
-			variants = append(variants, one.Variant)
+		if !slices.Contains(queries, one.Query) {
+			queries = append(queries, one.Query)
 		}
+		s.all.add(one)
+		s.alone = s.alone || one.Alone
 	}
-	s.ends, s.variants = len(targets), len(variants)
+	s.queries = len(queries)
 	return s
 }
 
-// State tells what is thought of a request. Ends that it shares with other variants of its
-// content count where several were there, since then what they have in common may be the
-// cause, unless this one ended well: recently tells that it did so of late.
+// State tells what is thought of a request. Ends that it shares with others of its content
+// count too, unless it ended well itself: recently tells that it did so of late. Where the
+// same was asked by one other caller only it is doubtful; where several callers asked it, or
+// there were several queries, what they have in common is taken for the cause.
 func (l *Ledger) State(print Print, recently bool) State {
 	s := l.against(print)
 	good := recently || s.endsWell && s.own == 0
+	many := func(e ends) bool { return len(e.targets) >= l.config.Ends }
 	switch {
-	case s.own >= l.config.Ends, s.ends >= l.config.Ends && s.variants > 1 && !good:
-		if !s.alone {
-			return Doubtful
-		}
-		return Held
-	case s.own > 0, s.ends > 0 && !good:
+	case s.own >= l.config.Ends:
+	case good && s.own > 0:
 		return Suspected
+	case good || len(s.all.targets) == 0:
+		return Free
+	case many(s.asked) && len(s.asked.variants) == 1:
+		return Doubtful
+	case many(s.asked), many(s.all) && s.queries > 1:
+	default:
+		return Suspected
+	}
+	if s.alone {
+		return Held
 	}
-	return Free
+	return Doubtful
 }
 
 // Held gives the contents of which some variant is held back, or doubtful, with all evidence
@@ -266,7 +293,7 @@
 	switch {
 	case e.Cleared:
 		return 0
-	case l.against(e.Print).ends < l.config.Ends:
+	case len(l.against(e.Print).all.targets) < l.config.Ends:
 		return 1
 	}
 	return 2
--- a/internal/core/crashes/ledger_test.go
+++ b/internal/core/crashes/ledger_test.go
@@ -19,6 +19,13 @@
 	return one
 }
 
+// of is evidence against a request of a caller.
+func of(path, query, caller, instance string) Evidence {
+	one := alone(path, query, instance)
+	one.Print = PrintOf(Request{Path: path, Query: query, Caller: caller})
+	return one
+}
+
 func TestStateOfARequest(t *testing.T) {
 	asked := PrintOf(Request{Path: "/a", Query: "q"})
 	for _, tc := range []struct {
@@ -39,6 +46,10 @@
 		{"three ends of another path", []Evidence{at("/b", "q", "i-1"), at("/b", "q", "i-2"), at("/b", "q", "i-3")}, nil, false, Free},
 		{"three ends of one other query", []Evidence{at("/a", "x", "i-1"), at("/a", "x", "i-2"), at("/a", "x", "i-3")}, nil, false, Suspected},
 		{"three ends, each with another query", []Evidence{at("/a", "x", "i-1"), at("/a", "y", "i-2"), alone("/a", "z", "i-3")}, nil, false, Held},
+		{"three ends by one other caller", []Evidence{of("/a", "q", "c", "i-1"), of("/a", "q", "c", "i-2"), of("/a", "q", "c", "i-3")}, nil, false, Doubtful},
+		{"the same, and it ended well of late itself", []Evidence{of("/a", "q", "c", "i-1"), of("/a", "q", "c", "i-2"), of("/a", "q", "c", "i-3")}, nil, true, Free},
+		{"three ends by two other callers", []Evidence{of("/a", "q", "c", "i-1"), of("/a", "q", "d", "i-2"), of("/a", "q", "c", "i-3")}, nil, false, Held},
+		{"three ends by one other caller and one of its own", []Evidence{of("/a", "q", "c", "i-1"), of("/a", "q", "c", "i-2"), of("/a", "q", "c", "i-3"), at("/a", "q", "i-4")}, nil, false, Held},
 		{"the same, and it ended well of late", []Evidence{at("/a", "x", "i-1"), at("/a", "y", "i-2"), at("/a", "z", "i-3")}, nil, true, Free},
 		{"one end with several queries in flight", []Evidence{at("/a", "x", "i-1"), at("/a", "y", "i-1"), at("/a", "z", "i-1")}, nil, false, Suspected},
 	} {
--- a/internal/core/crashes/print.go
+++ b/internal/core/crashes/print.go
@@ -8,6 +8,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+
+	"github.com/juju/errors"
 )
 
 // Content is the digest of what a target reads of a request: method, host, path and body.
@@ -16,13 +18,28 @@
 // String gives the digest as operators see it.
 func (c Content) String() string { return hex.EncodeToString(c[:]) }
 
-// Variant tells requests of one content apart that differ in their query, in the service of
-// the machine where they began or in their tenant.
+// ParseContent reads a digest as String gives it.
+func ParseContent(text string) (Content, error) {
+	var content Content
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != len(content) {
+		return content, errors.Errorf("%q is no digest of %d hexadecimal digits", text, 2*len(content))
+	}
+	copy(content[:], data)
+	return content, nil
+}
+
+// Query is the digest of a content with a query.
+type Query uint64
+
+// Variant is the digest of a content with a query, the service of the machine where the
+// request began and its tenant.
 type Variant uint64
 
 // Print is what a request is known by when it comes again: its id differs each time.
 type Print struct {
 	Content Content
+	Query   Query
 	Variant Variant
 }
 
@@ -54,12 +71,13 @@
 	}
 	text = append(text, body...)
 	content := sha256.Sum256(text)
-	text = append(text[:0], content[:]...)
-	for _, part := range []string{r.Query, r.Caller, r.Tenant} {
-		text = add(text, part)
-	}
+	text = add(append(text[:0], content[:]...), r.Query)
+	query := sha256.Sum256(text)
+	text = add(add(text, r.Caller), r.Tenant)
 	variant := sha256.Sum256(text)
-	return Print{Content: Content(content[:len(Content{})]), Variant: Variant(binary.BigEndian.Uint64(variant[:]))}
+	return Print{
+		Content: Content(content[:len(Content{})]), Query: Query(binary.BigEndian.Uint64(query[:])), Variant: Variant(binary.BigEndian.Uint64(variant[:])),
+	}
 }
 
 // add appends a text so that no two lists of texts give the same bytes.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -28,13 +28,14 @@
 	output      io.Writer
 	format      *string
 	admin       *string
+	stores      Stores
 	commands    map[string]Command
 }
 
 // Register adds the commands to the application; the result maps their full
 // names to what runs them.
-func Register(application *kingpin.Application, output io.Writer) map[string]Command {
-	s := &shell{application: application, output: output, commands: map[string]Command{}}
+func Register(application *kingpin.Application, output io.Writer, stores Stores) map[string]Command {
+	s := &shell{application: application, output: output, stores: stores, commands: map[string]Command{}}
 	s.format = application.Flag("output", "table for people, json for programs.").Short('o').Default(formatTable).Enum(formatTable, formatJSON)
 	s.admin = application.Flag("admin", "Admin address of any node, IP:port.").Envar("LANDINGMAST_ADMIN").Default("127.0.0.1:8300").String()
 	s.registerNodes()
@@ -42,6 +43,7 @@
 	s.registerKeys()
 	s.registerStory()
 	s.registerLogs()
+	s.registerHeld()
 	return s.commands
 }
 
--- a/internal/sidecar/heldback.go
+++ b/internal/sidecar/heldback.go
@@ -81,17 +81,17 @@
 	print := printOf(call, body)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	switch h.ledger.State(print, true) {
-	case crashes.Held:
+	own := h.ledger.State(print, true)
+	switch {
+	case own == crashes.Held:
 		return verdict{refused: true}
-	case crashes.Doubtful:
-		if h.trials[print.Content] || !h.node.membership.isFirstFor(print.Content[:]) {
-			return verdict{refused: true}
-		}
-		h.trials[print.Content] = true
-		return verdict{trial: func() { h.endTrial(print.Content) }}
+	case h.ledger.State(print, false) != crashes.Doubtful:
+		return verdict{}
+	case h.trials[print.Content] || !h.node.membership.isFirstFor(print.Content[:]):
+		return verdict{refused: own == crashes.Doubtful}
 	}
-	return verdict{}
+	h.trials[print.Content] = true
+	return verdict{trial: func() { h.endTrial(print.Content) }}
 }
 
 func (h *heldBack) endTrial(content crashes.Content) {
--- a/internal/sidecar/heldbacktell.go
+++ b/internal/sidecar/heldbacktell.go
@@ -34,7 +34,7 @@
 // tell tells all other nodes what is news.
 func (h *heldBack) tell() {
 	h.mutex.Lock()
-	message := &wire.Crashes{Digest: int64(h.ledger.Digest()), Evidence: crashForms(h.pending)}
+	message := &wire.Crashes{Digest: int64(h.ledger.Digest()), Evidence: wire.CrashForms(h.pending)}
 	h.pending, h.telling = nil, false
 	h.mutex.Unlock()
 	for zone, addresses := range h.node.membership.addresses() {
@@ -87,7 +87,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	h.hear(evidenceOf(message.Evidence))
+	h.hear(message.Known())
 	bare(w)
 	if !message.Asks {
 		w.Header().Set("Content-Length", "0")
@@ -109,7 +109,7 @@
 	defer h.mutex.Unlock()
 	message := &wire.Crashes{Digest: int64(h.ledger.Digest()), Evidence: []wire.CrashEvidence{}, Forward: []string{}}
 	if message.Digest != digest {
-		message.Evidence = crashForms(h.ledger.All())
+		message.Evidence = wire.CrashForms(h.ledger.All())
 	}
 	return message
 }
@@ -145,33 +145,12 @@
 	if err != nil || answer == nil || answer.Digest == own {
 		return // another node is asked a second later
 	}
-	h.hear(evidenceOf(answer.Evidence))
+	h.hear(answer.Known())
 	if told := h.all(answer.Digest); len(told.Evidence) > 0 {
 		_, _ = h.post(ctx, address, told) // the same
 	}
 }
 
-func crashForms(evidence []crashes.Evidence) []wire.CrashEvidence {
-	forms := make([]wire.CrashEvidence, 0, len(evidence))
-	for _, one := range evidence {
-		forms = append(forms, wire.CrashEvidence{
-			Content: one.Content[:], Variant: int64(one.Variant), Instance: one.Instance, Service: one.Service, Route: one.Route, At: one.At, Cleared: one.Cleared, Alone: one.Alone,
-		})
-	}
-	return forms
-}
-
-func evidenceOf(forms []wire.CrashEvidence) []crashes.Evidence {
-	evidence := make([]crashes.Evidence, 0, len(forms))
-	for _, form := range forms {
-		one := crashes.Evidence{Instance: form.Instance, Service: form.Service, Route: form.Route, At: form.At, Cleared: form.Cleared, Alone: form.Alone}
-		copy(one.Content[:], form.Content)
-		one.Variant = crashes.Variant(form.Variant)
-		evidence = append(evidence, one)
-	}
-	return evidence
-}
-
 // storedEvidence is what the store has of the evidence, as the node knows it. It belongs to
 // the mutex of heldBack.
 type storedEvidence struct {
@@ -204,7 +183,7 @@
 		h.node.events.Add(eventlog.HeldBack{Change: "not read", Error: err.Error()}, eventlog.State)
 		return
 	}
-	evidence := evidenceOf(message.Evidence)
+	evidence := message.Known()
 	h.setStored(storedEvidence{revision: item.Revision, digest: crashes.DigestOf(evidence)})
 	h.learn(evidence, crashGather)
 }
@@ -252,7 +231,7 @@
 }
 
 func (h *heldBack) put(ctx context.Context, lasting []crashes.Evidence, revision int64) (int64, error) {
-	value, err := wire.CrashesCodec.Encode(&wire.Crashes{Evidence: crashForms(lasting), Forward: []string{}})
+	value, err := wire.CrashesCodec.Encode(&wire.Crashes{Evidence: wire.CrashForms(lasting), Forward: []string{}})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -37,7 +37,7 @@
 
 // Gauges are read when the metrics are.
 type Gauges struct {
-	Version, Peers, Slots, Running, Waiting, InFlight func() float64
+	Version, Peers, Slots, Running, Waiting, InFlight, HeldBack func() float64
 	// StoreAge is the time since the store last answered, s.
 	StoreAge func() float64
 }
@@ -80,6 +80,7 @@
 		read       func() float64
 	}{
 		{"configuration_version", "Configuration in force; 0: none.", gauges.Version},
+		{"held_back", "Requests that are not sent since targets ended with them.", gauges.HeldBack},
 		{"peers", "Other nodes that are known.", gauges.Peers},
 		{"slots", "Usable slots of the target; 0: no target.", gauges.Slots},
 		{"running", "Requests at the target.", gauges.Running},
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -23,6 +23,7 @@
 		Slots:    func() float64 { return float64(n.gateLoad().Slots) },
 		Running:  func() float64 { return float64(n.gateLoad().Running) },
 		Waiting:  func() float64 { return float64(n.gateLoad().Waiting) },
+		HeldBack: func() float64 { return float64(n.heldBack.count()) },
 		InFlight: func() float64 { return float64(n.inFlight.Load()) },
 		StoreAge: func() float64 { return n.storeHealth.age().Seconds() },
 	}
