--- a/cmd/landingmastd/sidecar.go
+++ b/cmd/landingmastd/sidecar.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/clock"
 	"github.com/landingmast/landingmast/internal/sidecar"
 	"github.com/landingmast/landingmast/internal/sidecar/settings"
 	"github.com/landingmast/landingmast/platform"
@@ -67,7 +68,7 @@
 		ConfigurationKey: platform.ConfigurationKey, RecordPrefix: platform.RecordPrefix, NodePrefix: platform.NodePrefix,
 		QuotaPrefix: platform.QuotaPrefix, CrashKey: platform.CrashKey, ReadIntent: platform.ReadIntent,
 		Control: func(targets *sidecar.Targets) http.Handler { return platform.Heartbeats(targets) },
-		Ready:   platform.Readiness, Output: os.Stdout,
+		Ready:   platform.Readiness, Output: os.Stdout, Clock: clock.NewSystem(),
 	})
 	if err != nil {
 		return err
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/clock"
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/core/repeats"
 	"github.com/landingmast/landingmast/internal/core/roster"
@@ -41,6 +42,7 @@
 	Output           io.Writer                            // of the log
 	Listen           func(address string) (net.Listener, error)
 	Dial             Dialer
+	Clock            clock.Source
 }
 
 // Targets takes what the target beside the node says of itself.
@@ -51,7 +53,7 @@
 	options      Options
 	checked      atomic.Pointer[settings.Settings]
 	incarnation  string
-	started      time.Time
+	clock        clock.Source
 	events       *eventlog.Log
 	metrics      *metrics.Metrics
 	store        store.Store
@@ -92,7 +94,7 @@
 		options.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
 	n := &Node{
-		options: options, incarnation: strconv.FormatUint(rand.Uint64(), 36), started: time.Now(),
+		options: options, incarnation: strconv.FormatUint(rand.Uint64(), 36), clock: options.Clock,
 		store: options.Store, splitter: &splitter{credit: map[string][]float64{}},
 	}
 	n.checked.Store(settings)
@@ -163,7 +165,7 @@
 }
 
 // now is the monotonic time since the start; the clock of the core.
-func (n *Node) now() time.Duration { return time.Since(n.started) }
+func (n *Node) now() time.Duration { return n.clock.Steady() }
 
 // Version gives the version of the configuration in force; 0: none is known.
 func (n *Node) Version() uint64 { return n.version() }
