Harmless requests that meet the cause of several ends are told from it

News of an end waited up to 0.2 s behind those of what was cleared, and an end was missed where the target was back before the question whether it listens. Change: three ends hold a request back where it was alone at one at which nothing else was that has been at a second end; five ends do so anyhow. Ends are told after 5 ms whatever else waits. Another instance at the target's address tells of the end of the one before. The print of a request is made once an arrival.

--- a/internal/core/crashes/ledger.go
+++ b/internal/core/crashes/ledger.go
@@ -26,14 +26,16 @@
 type Config struct {
 	// Ends is the number of targets that ended with a request, after which it is held back.
 	Ends int
+	// Sure is that number where something else that was at several ends may be the cause.
+	Sure int
 	// Most bounds the evidence that is kept, in entries.
 	Most int
 }
 
-// DefaultConfig holds back what three targets ended with: the users' rule lets it reach three
-// more, which stay for what is on its way. 4,096 entries are 42 ends of targets of 96 slots
+// DefaultConfig holds back what three targets ended with, in doubt five: the users' rule lets
+// it reach three more, and the last one stays for what is on its way. 4,096 entries are 42 ends of targets of 96 slots
 // each with nothing ended well; about 0.6 MB.
-func DefaultConfig() Config { return Config{Ends: 3, Most: 4096} }
+func DefaultConfig() Config { return Config{Ends: 3, Sure: 5, Most: 4096} }
 
 // State is what is thought of a request.
 type State int
@@ -56,12 +58,15 @@
 type Ledger struct {
 	config  Config
 	entries map[Content][]Evidence
+	there   map[string][]Content // by target, what it was running at its end
 	count   int
 	digest  uint64
 }
 
 // New makes an empty ledger.
-func New(config Config) *Ledger { return &Ledger{config: config, entries: map[Content][]Evidence{}} }
+func New(config Config) *Ledger {
+	return &Ledger{config: config, entries: map[Content][]Evidence{}, there: map[string][]Content{}}
+}
 
 // Add takes in evidence and gives what of it was news.
 func (l *Ledger) Add(evidence ...Evidence) (news []Evidence) {
@@ -90,6 +95,9 @@
 		return true
 	}
 	l.entries[one.Content] = append(entries, one)
+	if !slices.Contains(l.there[one.Instance], one.Content) {
+		l.there[one.Instance] = append(l.there[one.Instance], one.Content)
+	}
 	l.count++
 	l.digest ^= digestOf(&one)
 	return true
@@ -205,12 +213,38 @@
 	default:
 		return Suspected
 	}
-	if s.alone {
+	switch {
+	case l.isCause(print.Content), len(s.all.targets) >= l.config.Sure:
 		return Held
+	case s.alone:
+		return Suspected
 	}
 	return Doubtful
 }
 
+// isCause tells that a content was at an end alone among suspects, and that nothing else that
+// was there has been at a second end. What is sent again after an end may meet the cause of
+// it once more; the others there end well soon, or do not come again.
+func (l *Ledger) isCause(content Content) bool {
+	return slices.ContainsFunc(l.entries[content], func(one Evidence) bool {
+		return one.Alone && !one.Cleared && !slices.ContainsFunc(l.there[one.Instance], func(other Content) bool {
+			return other != content && l.ends(other) > 1
+		})
+	})
+}
+
+// ends gives the number of ends that a content was at, without those that were cleared.
+func (l *Ledger) ends(content Content) int {
+	var all ends
+	entries := l.entries[content]
+	for index := range entries {
+		if one := &entries[index]; !one.Cleared {
+			all.add(one)
+		}
+	}
+	return len(all.targets)
+}
+
 // Held gives the contents of which some variant is held back, or doubtful, with all evidence
 // against them.
 func (l *Ledger) Held() map[Content][]Evidence {
@@ -306,6 +340,12 @@
 	if len(l.entries[one.Content]) == 0 {
 		delete(l.entries, one.Content)
 	}
+	if !slices.ContainsFunc(l.entries[one.Content], func(e Evidence) bool { return e.Instance == one.Instance }) {
+		l.there[one.Instance] = slices.DeleteFunc(l.there[one.Instance], func(c Content) bool { return c == one.Content })
+		if len(l.there[one.Instance]) == 0 {
+			delete(l.there, one.Instance)
+		}
+	}
 	l.count--
 	l.digest ^= digestOf(&one)
 }
--- a/internal/core/crashes/ledger_test.go
+++ b/internal/core/crashes/ledger_test.go
@@ -26,6 +26,14 @@
 	return one
 }
 
+// culprit is evidence of ends of a request that was alone at all of them.
+func culprit(path string, ends int) (seen []Evidence) {
+	for target := range ends {
+		seen = append(seen, alone(path, "q", fmt.Sprint("i-", target+1)))
+	}
+	return seen
+}
+
 func TestStateOfARequest(t *testing.T) {
 	asked := PrintOf(Request{Path: "/a", Query: "q"})
 	for _, tc := range []struct {
@@ -43,6 +51,10 @@
 		{"one end, told three times", []Evidence{at("/a", "q", "i-1"), at("/a", "q", "i-1"), at("/a", "q", "i-1")}, nil, false, Suspected},
 		{"three ends, and it ended well after them", []Evidence{at("/a", "q", "i-1"), at("/a", "q", "i-2"), at("/a", "q", "i-3")}, []Print{asked}, false, Free},
 		{"three ends, though it ended well of late", []Evidence{at("/a", "q", "i-1"), alone("/a", "q", "i-2"), at("/a", "q", "i-3")}, nil, true, Held},
+		{"three ends, with one that was at several", append(culprit("/b", 3), at("/a", "q", "i-1"), alone("/a", "q", "i-2"), at("/a", "q", "i-3")), nil, false, Suspected},
+		{"the same, and one more end of its own, alone", append(culprit("/b", 3), at("/a", "q", "i-1"), alone("/a", "q", "i-2"), at("/a", "q", "i-3"), alone("/a", "q", "i-9")), nil, false, Held},
+		{"five ends, with one that was at all of them", append(culprit("/b", 5), at("/a", "q", "i-1"), alone("/a", "q", "i-2"), at("/a", "q", "i-3"), alone("/a", "q", "i-4"), alone("/a", "q", "i-5")), nil, false, Held},
+		{"three ends, with others that were at one", []Evidence{at("/b", "q", "i-1"), at("/a", "q", "i-1"), at("/c", "q", "i-2"), alone("/a", "q", "i-2"), at("/a", "q", "i-3")}, nil, false, Held},
 		{"three ends of another path", []Evidence{at("/b", "q", "i-1"), at("/b", "q", "i-2"), at("/b", "q", "i-3")}, nil, false, Free},
 		{"three ends of one other query", []Evidence{at("/a", "x", "i-1"), at("/a", "x", "i-2"), at("/a", "x", "i-3")}, nil, false, Suspected},
 		{"three ends, each with another query", []Evidence{at("/a", "x", "i-1"), at("/a", "y", "i-2"), alone("/a", "z", "i-3")}, nil, false, Held},
@@ -164,7 +176,7 @@
 		one.At = int64(path % 40)
 		all = append(all, one)
 	}
-	a, b := New(Config{Ends: 3, Most: 100}), New(Config{Ends: 3, Most: 100})
+	a, b := New(Config{Ends: 3, Sure: 5, Most: 100}), New(Config{Ends: 3, Sure: 5, Most: 100})
 	a.Add(all...)
 	rand.New(rand.NewPCG(1, 1)).Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	b.Add(all...)
--- a/internal/sidecar/egress.go
+++ b/internal/sidecar/egress.go
@@ -190,7 +190,7 @@
 // get says that it has not run, and not when to come back.
 func (x *exchange) heldBack() verdict {
 	call := &wire.SidecarCall{Method: x.request.Method, URI: uriOf(x.request), Host: x.request.Host, Caller: x.node.caller(), Tenant: x.tenant}
-	return x.node.heldBack.atStart(call, x.body)
+	return x.node.heldBack.atStart(&printed{call: call, body: x.body})
 }
 
 // grantedAbove is the part of the budgets for repeats that the nodes above leave to
--- a/internal/sidecar/ended.go
+++ b/internal/sidecar/ended.go
@@ -167,9 +167,9 @@
 
 // lost sorts a run whose connection broke: the target may have ended, or have lost this one
 // answer.
-func (i *ingress) lost(gate *gate, one *arrival, body *payload) Reason {
+func (i *ingress) lost(gate *gate, one *arrival) Reason {
 	now := i.node.now()
-	gate.endings.add(now, i.unanswered(one, body, now+lostKeep))
+	gate.endings.add(now, one.unanswered(now+lostKeep))
 	if !gate.endings.ask(gate.links.Listens) {
 		return reasonLost
 	}
@@ -178,9 +178,9 @@
 }
 
 // senderLeft keeps a run whose sender no longer waits: the target may still be at it.
-func (i *ingress) senderLeft(gate *gate, one *arrival, body *payload) {
+func (i *ingress) senderLeft(gate *gate, one *arrival) {
 	now := i.node.now()
-	gate.endings.add(now, i.unanswered(one, body, now+leftKeep))
+	gate.endings.add(now, one.unanswered(now+leftKeep))
 }
 
 // unreachable looks at runs that were kept when nobody listens at the target's address.
@@ -190,17 +190,36 @@
 	}
 }
 
-func (i *ingress) unanswered(one *arrival, body *payload, till time.Duration) unansweredRun {
-	return unansweredRun{print: printOf(one.call, body), alone: one.alone, request: one.call.RequestID, route: one.call.Route, till: till}
+func (one *arrival) unanswered(till time.Duration) unansweredRun {
+	return unansweredRun{print: one.print(), alone: one.alone, request: one.call.RequestID, route: one.call.Route, till: till}
 }
 
-// printOf gives what the request is known by when it comes again.
-func printOf(call *wire.SidecarCall, body *payload) crashes.Print {
-	path, query, _ := strings.Cut(call.URI, "?")
-	begin, length := body.begin()
-	return crashes.PrintOf(crashes.Request{
-		Method: call.Method, Host: call.Host, Path: path, Query: query, Body: begin, Length: length, Caller: call.Caller, Tenant: call.Tenant,
-	})
+// printed is a request and, once it was asked for, its print.
+type printed struct {
+	call *wire.SidecarCall
+	body *payload
+	made *crashes.Print
+}
+
+// print gives what the request is known by when it comes again.
+func (p *printed) print() crashes.Print {
+	if p.made == nil {
+		path, query, _ := strings.Cut(p.call.URI, "?")
+		begin, length := p.body.begin()
+		print := crashes.PrintOf(crashes.Request{
+			Method: p.call.Method, Host: p.call.Host, Path: path, Query: query, Body: begin, Length: length, Caller: p.call.Caller, Tenant: p.call.Tenant,
+		})
+		p.made = &print
+	}
+	return *p.made
+}
+
+// instanceReplaced looks at runs that were kept when another instance stands at the target's
+// address, though the one before has not said that it leaves.
+func (i *ingress) instanceReplaced(gate *gate) {
+	if gate.endings.holdsAny(i.node.now()) {
+		i.targetEnded(gate)
+	}
 }
 
 // targetEnded notes which requests the target was running when it ended.
--- a/internal/sidecar/heldback.go
+++ b/internal/sidecar/heldback.go
@@ -8,7 +8,6 @@
 	"github.com/landingmast/landingmast/internal/core/crashes"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/sidecar/settings"
-	"github.com/landingmast/landingmast/internal/wire"
 )
 
 // heldBack holds what is known of requests that end the targets that run them: nodes tell
@@ -22,13 +21,13 @@
 	// not be made while none is.
 	suspects atomic.Bool
 
-	mutex   sync.Mutex
-	ledger  *crashes.Ledger
-	pending []crashes.Evidence // to be told to the other nodes
-	telling bool               // they are about to be told
-	held    map[crashes.Content]bool
-	trials  map[crashes.Content]bool // doubtful ones that this node has sent
-	stored  storedEvidence
+	mutex     sync.Mutex
+	ledger    *crashes.Ledger
+	pending   []crashes.Evidence // to be told to the other nodes
+	gathering bool               // it is about to be
+	held      map[crashes.Content]bool
+	trials    map[crashes.Content]bool // doubtful ones that this node has sent
+	stored    storedEvidence
 }
 
 func newHeldBack(node *Node) *heldBack {
@@ -36,11 +35,11 @@
 }
 
 // state tells what is thought of a request.
-func (h *heldBack) state(call *wire.SidecarCall, body *payload) crashes.State {
+func (h *heldBack) state(r *printed) crashes.State {
 	if !h.suspects.Load() || !h.node.policyOn(settings.HoldBack) {
 		return crashes.Free
 	}
-	print := printOf(call, body)
+	print := r.print()
 	recently := h.good.holds(h.node.now(), print.Variant)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -48,22 +47,22 @@
 }
 
 // maySend tells whether the gate lets a request through.
-func (h *heldBack) maySend(call *wire.SidecarCall, body *payload) bool {
-	switch h.state(call, body) {
+func (h *heldBack) maySend(r *printed) bool {
+	switch h.state(r) {
 	case crashes.Held:
 		return false
 	case crashes.Doubtful:
-		return call.Trial
+		return r.call.Trial
 	}
 	return true
 }
 
 // suspected tells that a request is to be at a target alone: a target has ended with it.
-func (h *heldBack) suspected(call *wire.SidecarCall, body *payload) bool {
-	if call.Suspect && h.node.policyOn(settings.HoldBack) && !h.good.holds(h.node.now(), printOf(call, body).Variant) {
+func (h *heldBack) suspected(r *printed) bool {
+	if r.call.Suspect && h.node.policyOn(settings.HoldBack) && !h.good.holds(h.node.now(), r.print().Variant) {
 		return true
 	}
-	return h.state(call, body) != crashes.Free
+	return h.state(r) != crashes.Free
 }
 
 // verdict is what becomes of a request where it begins.
@@ -74,11 +73,11 @@
 
 // atStart decides on a request where it begins, by what targets ended with itself. Which of
 // its variants end well of late is known where the targets are.
-func (h *heldBack) atStart(call *wire.SidecarCall, body *payload) verdict {
+func (h *heldBack) atStart(r *printed) verdict {
 	if !h.suspects.Load() || !h.node.policyOn(settings.HoldBack) {
 		return verdict{}
 	}
-	print := printOf(call, body)
+	print := r.print()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	own := h.ledger.State(print, true)
@@ -114,11 +113,11 @@
 }
 
 // endedWell takes in that the target beside the node answered a request.
-func (h *heldBack) endedWell(call *wire.SidecarCall, body *payload) {
+func (h *heldBack) endedWell(r *printed) {
 	if !h.node.policyOn(settings.HoldBack) {
 		return
 	}
-	print := printOf(call, body)
+	print := r.print()
 	h.good.add(h.node.now(), print.Variant)
 	if h.suspects.Load() {
 		h.clear(print)
@@ -162,10 +161,10 @@
 	h.note(news)
 	h.mutex.Lock()
 	h.pending = append(h.pending, news...)
-	soon := !h.telling
-	h.telling = true
+	begun := h.gathering && gather >= clearGather
+	h.gathering = true
 	h.mutex.Unlock()
-	if soon {
+	if !begun {
 		time.AfterFunc(gather, h.tell)
 	}
 }
--- a/internal/sidecar/heldbacktell.go
+++ b/internal/sidecar/heldbacktell.go
@@ -35,8 +35,11 @@
 func (h *heldBack) tell() {
 	h.mutex.Lock()
 	message := &wire.Crashes{Digest: int64(h.ledger.Digest()), Evidence: wire.CrashForms(h.pending)}
-	h.pending, h.telling = nil, false
+	h.pending, h.gathering = nil, false
 	h.mutex.Unlock()
+	if len(message.Evidence) == 0 {
+		return
+	}
 	for zone, addresses := range h.node.membership.addresses() {
 		if zone == h.node.settings().Zone {
 			h.spread(message, addresses)
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -203,15 +203,15 @@
 // admit waits for a slot and has the target run the request. maySend is asked
 // right before the request is sent; nil: it may.
 func (i *ingress) admit(ctx context.Context, call *wire.SidecarCall, header http.Header, body *payload, maySend func() bool) *reply {
-	one := &arrival{call: call, at: i.node.now()}
-	answer := i.gated(ctx, one, header, body, maySend)
+	one := &arrival{printed: printed{call: call, body: body}, at: i.node.now()}
+	answer := i.gated(ctx, one, header, maySend)
 	i.noteRun(one, answer)
 	return answer
 }
 
 // arrival is a request at the gate, with what the log tells of it.
 type arrival struct {
-	call     *wire.SidecarCall
+	printed
 	at       time.Duration
 	instance string
 	waited   time.Duration
@@ -228,7 +228,7 @@
 	return left
 }
 
-func (i *ingress) gated(ctx context.Context, one *arrival, header http.Header, body *payload, maySend func() bool) *reply {
+func (i *ingress) gated(ctx context.Context, one *arrival, header http.Header, maySend func() bool) *reply {
 	gate, call := i.node.target.current(), one.call
 	switch {
 	case gate == nil:
@@ -239,13 +239,13 @@
 	one.instance = gate.instance
 	held := i.node.heldBack
 	switch {
-	case !held.maySend(call, body):
+	case !held.maySend(&one.printed):
 		return notRun(reasonEndsTargets)
-	case held.suspected(call, body):
+	case held.suspected(&one.printed):
 		if !gate.endings.alone(ctx) {
 			return notRun(reasonSuspectWaits)
 		}
-		if one.alone = held.suspected(call, body); one.alone {
+		if one.alone = held.suspected(&one.printed); one.alone {
 			defer gate.endings.notAlone()
 		} else {
 			gate.endings.notAlone() // it was cleared while it waited
@@ -263,11 +263,11 @@
 	case maySend != nil && !maySend():
 		gate.leave(id, false)
 		answer = notRun(reasonFenced)
-	case !held.maySend(call, body): // by what was heard while it waited
+	case !held.maySend(&one.printed): // by what was heard while it waited
 		gate.leave(id, false)
 		answer = notRun(reasonEndsTargets)
 	default:
-		answer = i.run(ctx, gate, id, one, header, body)
+		answer = i.run(ctx, gate, id, one, header)
 	}
 	answer.load, _ = gate.load()
 	answer.waited = decision.Waited
@@ -275,22 +275,22 @@
 }
 
 // run sends the request to the target and reads its answer.
-func (i *ingress) run(ctx context.Context, gate *gate, id uint64, one *arrival, header http.Header, body *payload) *reply {
+func (i *ingress) run(ctx context.Context, gate *gate, id uint64, one *arrival, header http.Header) *reply {
 	call := one.call
 	request := &running{id: call.RequestID, ctx: ctx, importance: call.Importance, repeat: call.Repeat, tenant: call.Tenant, granted: call.Granted, needs: map[string]wire.Need{}}
 	i.running.add(call.RequestID, request)
-	answer := i.exchange(ctx, gate, one, header, body)
+	answer := i.exchange(ctx, gate, one, header)
 	i.running.remove(call.RequestID, request)
 	learn := answer.outcome == Answered
 	if answer.stream == nil {
 		gate.leave(id, learn)
 		if answer.outcome == Answered {
-			i.node.heldBack.endedWell(call, body)
+			i.node.heldBack.endedWell(&one.printed)
 		}
 	} else {
 		answer.stream = &leaving{ReadCloser: answer.stream, leave: func(err error) {
 			gate.leave(id, learn)
-			i.streamed(ctx, gate, one, body, err)
+			i.streamed(ctx, gate, one, err)
 		}}
 	}
 	answer.needs = request.below()
@@ -321,13 +321,13 @@
 }
 
 // streamed takes in how the reading of a long answer ended; nil: its reader went away.
-func (i *ingress) streamed(ctx context.Context, gate *gate, one *arrival, body *payload, err error) {
+func (i *ingress) streamed(ctx context.Context, gate *gate, one *arrival, err error) {
 	switch {
 	case err == io.EOF:
-		i.node.heldBack.endedWell(one.call, body)
+		i.node.heldBack.endedWell(&one.printed)
 	case err == nil || ctx.Err() != nil:
-		i.senderLeft(gate, one, body)
+		i.senderLeft(gate, one)
 	default:
-		i.lost(gate, one, body)
+		i.lost(gate, one)
 	}
 }
--- a/internal/sidecar/judge.go
+++ b/internal/sidecar/judge.go
@@ -12,8 +12,8 @@
 )
 
 // exchange sends a request to the target and says what its answer is worth.
-func (i *ingress) exchange(ctx context.Context, gate *gate, one *arrival, header http.Header, body *payload) *reply {
-	names, call := i.node.options.Headers, one.call
+func (i *ingress) exchange(ctx context.Context, gate *gate, one *arrival, header http.Header) *reply {
+	names, call, body := i.node.options.Headers, one.call, one.body
 	remaining := one.left(ctx, i.node.now()).Milliseconds()
 	if remaining < 1 {
 		return notRun(reasonTimeout)
@@ -30,23 +30,23 @@
 		Body: body.data, Stream: body.stream, Length: body.length,
 	})
 	if err != nil {
-		return i.failed(ctx, gate, one, body, err)
+		return i.failed(ctx, gate, one, err)
 	}
-	return i.judge(ctx, gate, one, body, answer)
+	return i.judge(ctx, gate, one, answer)
 }
 
-func (i *ingress) failed(ctx context.Context, gate *gate, one *arrival, body *payload, err error) *reply {
+func (i *ingress) failed(ctx context.Context, gate *gate, one *arrival, err error) *reply {
 	switch {
 	case errors.Is(err, targetlink.ErrNotSent):
 		i.unreachable(gate, err)
 		return notRun(reasonUnreachable)
 	case ctx.Err() != nil:
-		i.senderLeft(gate, one, body)
+		i.senderLeft(gate, one)
 		return unknown(endOf(ctx))
 	case errors.Is(err, targetlink.ErrSpoiled):
 		return unknown(reasonSpoiled)
 	default:
-		return unknown(i.lost(gate, one, body))
+		return unknown(i.lost(gate, one))
 	}
 }
 
@@ -66,7 +66,7 @@
 const closeMargin = 25 * time.Millisecond
 
 // judge tells what the target's answer is worth.
-func (i *ingress) judge(ctx context.Context, gate *gate, one *arrival, body *payload, answer *targetlink.Answer) *reply {
+func (i *ingress) judge(ctx context.Context, gate *gate, one *arrival, answer *targetlink.Answer) *reply {
 	names := i.node.options.Headers
 	if answer.Status == http.StatusMisdirectedRequest || answer.Header.Get(names.NotRun) != "" {
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, keepBytes))
@@ -91,7 +91,7 @@
 		if ctx.Err() != nil {
 			return unknown(endOf(ctx))
 		}
-		return unknown(i.lost(gate, one, body))
+		return unknown(i.lost(gate, one))
 	}
 	given := &reply{outcome: Answered, reason: reasonNone, arrived: true, status: answer.Status, header: endToEnd(answer.Header), body: data, length: answer.Length}
 	if rest == nil {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -116,7 +116,7 @@
 	n.quotas = newQuotas(n)
 	n.heldBack = newHeldBack(n)
 	n.liveness = newLiveness(n.now, n.peers.pingPeer, livenessEvents{lost: n.silent, still: n.services.suspect, back: n.heardAgain})
-	n.target = &localTarget{now: n.now, roster: roster.New(), changed: n.targetChanged, link: n.newLink, identify: n.identify, beginAll: !n.policyOn(inTime)}
+	n.target = &localTarget{now: n.now, roster: roster.New(), changed: n.targetChanged, link: n.newLink, identify: n.identify, followed: n.ingress.instanceReplaced, beginAll: !n.policyOn(inTime)}
 	return n, n.listen()
 }
 
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -23,6 +23,7 @@
 	changed  func()                                          // called without the mutex
 	beginAll bool                                            // gates begin also what cannot end in its time
 	identify func(ctx context.Context) (roster.Report, bool) // asks the target itself
+	followed func(before *gate)                              // another instance stands at its address; nil: nobody is told
 
 	mutex    sync.Mutex
 	roster   *roster.Roster
@@ -247,9 +248,21 @@
 
 // replaced notes that the target's address belongs to another instance.
 func (t *localTarget) replaced(instance string) {
+	t.mutex.Lock()
+	if t.gate != nil && t.gate.instance == instance {
+		t.tellFollowed()
+	}
+	t.mutex.Unlock()
 	_ = t.Leave(instance)
 }
 
+// tellFollowed tells of the gate whose target another instance follows. The mutex is held.
+func (t *localTarget) tellFollowed() {
+	if t.followed != nil {
+		go t.followed(t.gate)
+	}
+}
+
 // adopt brings the gate in line with the roster. The mutex is held.
 func (t *localTarget) adopt() {
 	report := t.roster.Current()
@@ -258,6 +271,7 @@
 		if t.gate != nil {
 			t.gate.drain()
 			t.gate.links.Close()
+			t.tellFollowed()
 		}
 		t.gate = newGate(t.now, report, t.link())
 		if t.beginAll {
--- a/internal/sidecar/wake_test.go
+++ b/internal/sidecar/wake_test.go
@@ -44,7 +44,7 @@
 			source := &jumpingClock{}
 			n := &Node{clock: source}
 			x := &exchange{node: n, hold: time.Second, started: n.now(), route: &intent.Route{}}
-			one := &arrival{call: &wire.SidecarCall{Remaining: time.Second.Microseconds()}, at: n.now()}
+			one := &arrival{printed: printed{call: &wire.SidecarCall{Remaining: time.Second.Microseconds()}}, at: n.now()}
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			source.slept = tc.slept
