--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build demo test days check format generate generated-up-to-date model faults experiments bench examples reference clean
+.PHONY: all build demo test days soak check format generate generated-up-to-date model faults experiments bench examples reference clean
 
 all: build
 
@@ -48,6 +48,14 @@
 days:
 	$(GO) test -count=1 -timeout 1200s -run TestRandomDays ./platform/standin -days 200 -v | grep -v '^=== '
 
+# Plays real processes under overlapping troubles: MINUTES of them, from seed SEED on, one
+# minute a seed. Logs of all processes are kept below FOLDER.
+MINUTES ?= 5
+SEED ?= 1
+FOLDER ?= $(or $(TMPDIR),/tmp)/landingmast-soak
+soak:
+	$(GO) test -count=1 -timeout 0 -run 'TestSoak$$' ./platform/standin -soak.seed $(SEED) -soak.runs $(MINUTES) -soak.folder $(FOLDER) -v | grep -v '^=== '
+
 # Model checks spec/claim.pml, spec/fence.pml and spec/revoke.pml; needs spin and gcc.
 model:
 	spec/run.sh
--- a/internal/core/crashes/ledger_test.go
+++ b/internal/core/crashes/ledger_test.go
@@ -153,7 +153,7 @@
 	for target := range 3 {
 		ledger.Add(alone("/held", "", fmt.Sprint(target)))
 	}
-	flood := make([]Evidence, 0, 1000)
+	flood := make([]Evidence, 0, 5000)
 	for path := range 100_000 {
 		one := at(fmt.Sprint("/", path), "", "i")
 		one.At = int64(path)
--- a/internal/core/crashes/print_test.go
+++ b/internal/core/crashes/print_test.go
@@ -44,3 +44,13 @@
 		PrintOf(r)
 	}
 }
+
+func TestContentIsReadAsItIsShown(t *testing.T) {
+	g := NewWithT(t)
+	content := PrintOf(Request{Path: "/a"}).Content
+	g.Expect(ParseContent(content.String())).To(Equal(content))
+	for _, text := range []string{"", "0a", content.String() + "00", "zz" + content.String()[2:]} {
+		_, err := ParseContent(text)
+		g.Expect(err).To(MatchError(ContainSubstring("no digest")), text)
+	}
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -58,5 +58,6 @@
 		_, _ = NewsCodec.Decode(data)
 		_, _ = WaitsCodec.Decode(data)
 		_, _ = PongCodec.Decode(data)
+		_, _ = CrashesCodec.Decode(data)
 	})
 }
