A popular request at all ends of a small service is doubtful, not held back

Ruled out: chance of single requests (all of one path). Change: where something else may be the cause a request is doubtful at four ends and held at six: one node goes on with it, alone at its target, and a good end clears it.

--- a/internal/core/crashes/ledger.go
+++ b/internal/core/crashes/ledger.go
@@ -26,16 +26,17 @@
 type Config struct {
 	// Ends is the number of targets that ended with a request, after which it is held back.
 	Ends int
-	// Sure is that number where something else that was at several ends may be the cause.
-	Sure int
+	// Doubt and Sure are the numbers from which it is doubtful and held back where something
+	// else that was at several ends may be the cause.
+	Doubt, Sure int
 	// Most bounds the evidence that is kept, in entries.
 	Most int
 }
 
-// DefaultConfig holds back what three targets ended with, in doubt five: the users' rule lets
-// it reach three more, and the last one stays for what is on its way. 4,096 entries are 42 ends of targets of 96 slots
+// DefaultConfig holds back what three targets ended with, in doubt six: the users' rule lets it
+// reach three more. 4,096 entries are 42 ends of targets of 96 slots
 // each with nothing ended well; about 0.6 MB.
-func DefaultConfig() Config { return Config{Ends: 3, Sure: 5, Most: 4096} }
+func DefaultConfig() Config { return Config{Ends: 3, Doubt: 4, Sure: 6, Most: 4096} }
 
 // State is what is thought of a request.
 type State int
@@ -47,8 +48,9 @@
 	// Suspected requests were at a target when it ended: they are at a target alone among
 	// suspected ones, so that the next end tells which it was.
 	Suspected
-	// Doubtful requests were at as many ends as held ones, but alone at none: something else
-	// may have ended the targets at one moment. One node sends them, one at a time.
+	// Doubtful requests were at as many ends as held ones, but something else may have ended
+	// the targets. One node sends them, one at a time: a popular harmless request that is at
+	// all ends of a small service would never end well again otherwise.
 	Doubtful
 	// Held requests are not sent.
 	Held
@@ -216,7 +218,7 @@
 	switch {
 	case l.isCause(print.Content), len(s.all.targets) >= l.config.Sure:
 		return Held
-	case s.alone:
+	case s.alone && len(s.all.targets) < l.config.Doubt:
 		return Suspected
 	}
 	return Doubtful
