A call that ends unknown says over which connection it was lost

The answer named neither the connection nor its age, the log had whole seconds, and what net/http says of panics went to the debug level, which no deployment writes. Ruled out: a log line for each lost call (lines are for changes of state; a node that ends loses many). Change: a counter lost_total by service, reason and connection (new_connection, rested_connection); a record `lose` in `explain` with the time rested, the local port and the time after sending; milliseconds in log lines; a line "closing connections" between "draining" and "stopped"; panics of the servers at the error level. TestAPlannedStopCutsNothing logs these for each answer that fails it; its check is as it was. Figures: no call's way changes; the record is made for lost calls only. Conclusion: enough to tell a closed resting connection from a node that ended.

--- a/design/admin.go
+++ b/design/admin.go
@@ -42,7 +42,7 @@
 	Attribute("node", String, "node that decided")
 	Attribute("depth", Int, "hops below the entry")
 	Attribute("at", String, "time of the decision, RFC 3339 with microseconds")
-	Attribute("action", String, "admit, refuse, route, retry, no_retry, claim or answer")
+	Attribute("action", String, "admit, refuse, route, retry, no_retry, lose, claim or answer")
 	Attribute("reason", String, "why, as a fixed word")
 	Attribute("service", String, "service that is called")
 	Attribute("class", String, "request class")
--- a/gen/admin/service.go
+++ b/gen/admin/service.go
@@ -66,7 +66,7 @@
 	Depth int
 	// time of the decision, RFC 3339 with microseconds
 	At string
-	// admit, refuse, route, retry, no_retry, claim or answer
+	// admit, refuse, route, retry, no_retry, lose, claim or answer
 	Action string
 	// why, as a fixed word
 	Reason string
--- a/gen/http/admin/client/types.go
+++ b/gen/http/admin/client/types.go
@@ -326,7 +326,7 @@
 	Depth *int `form:"depth,omitempty" json:"depth,omitempty" xml:"depth,omitempty"`
 	// time of the decision, RFC 3339 with microseconds
 	At *string `form:"at,omitempty" json:"at,omitempty" xml:"at,omitempty"`
-	// admit, refuse, route, retry, no_retry, claim or answer
+	// admit, refuse, route, retry, no_retry, lose, claim or answer
 	Action *string `form:"action,omitempty" json:"action,omitempty" xml:"action,omitempty"`
 	// why, as a fixed word
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
--- a/gen/http/admin/server/types.go
+++ b/gen/http/admin/server/types.go
@@ -337,7 +337,7 @@
 	Depth int `form:"depth" json:"depth" xml:"depth"`
 	// time of the decision, RFC 3339 with microseconds
 	At string `form:"at" json:"at" xml:"at"`
-	// admit, refuse, route, retry, no_retry, claim or answer
+	// admit, refuse, route, retry, no_retry, lose, claim or answer
 	Action string `form:"action" json:"action" xml:"action"`
 	// why, as a fixed word
 	Reason string `form:"reason" json:"reason" xml:"reason"`
--- a/internal/mesh/dataplane/attempt.go
+++ b/internal/mesh/dataplane/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -14,6 +15,7 @@
 	"github.com/landingmast/landingmast/internal/mesh/core/outcome"
 	"github.com/landingmast/landingmast/internal/mesh/core/retry"
 	"github.com/landingmast/landingmast/internal/mesh/core/routing"
+	"github.com/landingmast/landingmast/internal/mesh/explain"
 	"github.com/landingmast/landingmast/internal/mesh/wire"
 )
 
@@ -41,11 +43,11 @@
 		a.fail(outcome.NotRun, outcome.ReasonUnreachable)
 		return
 	}
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var taken atomic.Pointer[httptrace.GotConnInfo]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { taken.Store(&info) }}
 	response, err := a.plane.peersFor(a.outbound.key != "").RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		a.noAnswer(ctx, connected.Load())
+		a.noAnswer(ctx, taken.Load())
 		return
 	}
 	a.response = response
@@ -64,13 +66,44 @@
 	a.outcome, a.reason = how, reason
 }
 
-// noAnswer sorts a failed round trip: without a connection nothing was sent.
-func (a *attempt) noAnswer(ctx context.Context, connected bool) {
-	if !connected {
+// noAnswer sorts a failed round trip: without a connection nothing was sent. taken is the
+// connection that the call was written to, or nil.
+func (a *attempt) noAnswer(ctx context.Context, taken *httptrace.GotConnInfo) {
+	if taken == nil {
 		a.fail(outcome.NotRun, reasonOf(ctx, outcome.ReasonUnreachable))
 		return
 	}
 	a.fail(outcome.Unknown, reasonOf(ctx, outcome.ReasonReset))
+	a.recordLost(taken)
+}
+
+// recordLost notes over which connection a call was lost. One that has rested tells of a node
+// that closed it, a new one of a node that ended or of a network that broke.
+func (a *attempt) recordLost(taken *httptrace.GotConnInfo) {
+	kind := connectionNew
+	if taken.Reused {
+		kind = connectionRested
+	}
+	call := a.outbound
+	a.plane.metrics.Lost.WithLabelValues(call.service, string(a.reason), kind).Inc()
+	a.plane.record(call.context, explain.Lose, kind, call.service, a.choice.Target.Node,
+		number("rested_ms", milliseconds(taken.IdleTime)), number("local_port", float64(localPort(taken.Conn))),
+		number("after_ms", milliseconds(a.plane.now()-a.started)))
+}
+
+// Kinds of connections over which calls are lost; labels of a counter and reasons of records.
+const (
+	connectionNew    = "new_connection"
+	connectionRested = "rested_connection" // carried calls before
+)
+
+// localPort gives the port at this end of a connection, by which the other end's tools name
+// it; 0 when it has none.
+func localPort(conn net.Conn) int {
+	if address, ok := conn.LocalAddr().(*net.TCPAddr); ok {
+		return address.Port
+	}
+	return 0
 }
 
 func (a *attempt) request(ctx context.Context) (*http.Request, error) {
--- a/internal/mesh/explain/explain.go
+++ b/internal/mesh/explain/explain.go
@@ -18,6 +18,7 @@
 	Route   Action = "route"
 	Retry   Action = "retry"
 	NoRetry Action = "no_retry"
+	Lose    Action = "lose" // a call that was handed over got no answer
 	Claim   Action = "claim"
 	Answer  Action = "answer"
 )
--- a/internal/mesh/lab/faults/faults_test.go
+++ b/internal/mesh/lab/faults/faults_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -175,11 +176,34 @@
 	for _, answer := range answers {
 		if answer.Outcome == load.Broken || answer.Outcome == load.Unknown {
 			t.Errorf("%s: %s %s", answer.Class, answer.Outcome, answer.Reason)
+			tell(t, running, answer)
 		}
 	}
 	g.Expect(whole(answers)).To(BeNumerically(">", len(answers)*98/100))
 }
 
+// tell logs what the nodes recorded of an answer's request, and the lines of nodes that stopped.
+func tell(t *testing.T, running *cluster.Cluster, answer load.Answer) {
+	t.Helper()
+	t.Logf("request %s, sent %s, took %s", answer.RequestID, answer.Sent.Format(time.StampMilli), answer.Took)
+	decisions, err := adminapi.New(running.Nodes[0].Admin).Explain(context.Background(), answer.RequestID)
+	if err != nil {
+		t.Log(err)
+	}
+	for _, decision := range decisions {
+		t.Logf("%+v", *decision)
+	}
+	lines, err := os.ReadFile(filepath.Join(running.Directory, "processes.log"))
+	if err != nil {
+		t.Log(err)
+	}
+	for line := range strings.Lines(string(lines)) {
+		if strings.Contains(line, "draining") || strings.Contains(line, "closing connections") || strings.Contains(line, "stopped") {
+			t.Log(line)
+		}
+	}
+}
+
 func sent(key, token, outcome, run string, from, took int) load.Answer {
 	return load.Answer{Key: key, Token: token, Outcome: outcome, Run: run, Sent: time.Unix(int64(from), 0), Took: time.Duration(took) * time.Second}
 }
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -138,7 +139,7 @@
 		n.listeners = append(n.listeners, listener)
 		n.servers = append(n.servers, &http.Server{
 			Handler: one.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-			ErrorLog: quietLog(n.log),
+			ErrorLog: log.New(serverLog{n.log}, "", 0),
 		})
 	}
 	return nil
@@ -191,6 +192,7 @@
 	for wait.Err() == nil && (n.plane.InFlight() > 0 || time.Now().Before(grace)) {
 		time.Sleep(drainPoll)
 	}
+	n.log.WithField("in_flight", n.plane.InFlight()).Info("closing connections")
 	closing, cancelClosing := context.WithTimeout(wait, closeLimit)
 	defer cancelClosing()
 	for _, server := range n.servers {
--- a/internal/mesh/node/peer.go
+++ b/internal/mesh/node/peer.go
@@ -1,9 +1,9 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
-	stdlog "log"
 
 	"github.com/landingmast/landingmast/internal/failure"
 	"github.com/landingmast/landingmast/internal/mesh/core/bundle"
@@ -111,8 +111,16 @@
 	return h.node.claims.HandleNotice(notice)
 }
 
-// quietLog sends what net/http complains about (failed handshakes, callers that
-// hang up) to the debug level.
-func quietLog(log *logrus.Entry) *stdlog.Logger {
-	return stdlog.New(log.WriterLevel(logrus.DebugLevel), "", 0)
+// serverLog takes what net/http says: a panic is a fault of the program, the rest (failed
+// handshakes, callers that hang up) is about single connections.
+type serverLog struct{ log *logrus.Entry }
+
+// Write implements io.Writer.
+func (s serverLog) Write(line []byte) (int, error) {
+	level := logrus.DebugLevel
+	if bytes.HasPrefix(line, []byte("http: panic")) {
+		level = logrus.ErrorLevel
+	}
+	s.log.Log(level, string(line))
+	return len(line), nil
 }
--- a/internal/mesh/telemetry/telemetry.go
+++ b/internal/mesh/telemetry/telemetry.go
@@ -15,6 +15,7 @@
 	Registry         *prometheus.Registry
 	Calls            *prometheus.CounterVec   // side, service, class, outcome, reason
 	Retries          *prometheus.CounterVec   // service, class
+	Lost             *prometheus.CounterVec   // service, reason, connection
 	Shed             *prometheus.CounterVec   // level, reason
 	Added            *prometheus.HistogramVec // side: time spent in the node, s
 	QueueWait        prometheus.Histogram     // s
@@ -50,6 +51,7 @@
 		Registry: prometheus.NewRegistry(),
 		Calls:    counters("calls_total", "Calls by side (entry, egress, ingress) and how they ended.", "side", "service", "class", "outcome", "reason"),
 		Retries:  counters("retries_total", "Calls tried again by this hop.", "service", "class"),
+		Lost:     counters("lost_total", "Calls that were handed over and got no answer, by the connection that they went over (new_connection, rested_connection).", "service", "reason", "connection"),
 		Shed:     counters("shed_total", "Calls refused as not run, by importance level.", "level", "reason"),
 		Added: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "added_seconds", Help: "Time that the node itself added to a call.", Buckets: buckets,
@@ -68,17 +70,21 @@
 		ControlBytes:     counters("control_bytes_total", "Bytes of control messages, without headers.", "message", "direction"),
 		StrippedHeaders:  counter("stripped_headers_total", "Reserved headers that callers had set."),
 	}
-	m.Registry.MustRegister(m.Calls, m.Retries, m.Shed, m.Added, m.QueueWait, m.Limit, m.Active, m.Queued, m.Cursor, m.BundleVersion,
+	m.Registry.MustRegister(m.Calls, m.Retries, m.Lost, m.Shed, m.Added, m.QueueWait, m.Limit, m.Active, m.Queued, m.Cursor, m.BundleVersion,
 		m.BundlesRejected, m.Ejections, m.Claims, m.VoterEpoch, m.PlatformRequests, m.ControlBytes, m.StrippedHeaders)
 	return m
 }
 
+// timestampFormat has milliseconds: what a stop and a lost call did to each other is shorter
+// than a second.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLog makes the log of a node.
 func NewLog(settings config.Log, node string, output io.Writer) *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(output)
 	if settings.Format == "json" {
-		log.SetFormatter(&logrus.JSONFormatter{})
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestampFormat})
 	}
 	level, err := logrus.ParseLevel(settings.Level)
 	if err != nil {
