A refused request no longer closes its connection without a word

What callers saw: "approve: unknown reset", a call of which nobody can say whether it ran, though no node had read it. KNOWN-RED's TestAPlannedStopCutsNothing; made to come in each run by TestAPlannedStopAmidLongCallsCutsNothing (new), whose targets fill up and refuse. Cause: with full duplex net/http reads the rest of an unread body behind the answer, and panics when it then waits for the next request ("invalid concurrent Body.Read call"). The connection closes unannounced, and a call that its sender writes to it in that moment is lost. Ruled out: a resting connection closed by a stopping node (the first lost call came 4.8 s before the node at its other end began to stop); two runs on the same ports (one cluster ran). Change: package duplex, used wherever full duplex is enabled, in both modes. A refusal reads the rest of a body of up to 64 KB first, for 10 ms at most; a head that goes out before the body was read asks to close the connection. net/http's own request keeps its body, by which it chooses how to close. The same elsewhere: the sidecar's 401, 404, 400 and 503 that are given before the body is read.

--- a/internal/mesh/dataplane/ingress.go
+++ b/internal/mesh/dataplane/ingress.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/mesh/core/admission"
 	"github.com/landingmast/landingmast/internal/mesh/core/claim"
 	"github.com/landingmast/landingmast/internal/mesh/core/limiter"
@@ -22,7 +23,7 @@
 // ingressCall is a call from another node to the target beside this one.
 type ingressCall struct {
 	plane      *Plane
-	writer     http.ResponseWriter
+	writer     *duplex.Writer
 	request    *http.Request
 	wire       *wire.Call
 	context    *callContext
@@ -43,8 +44,9 @@
 	})
 }
 
-func (p *Plane) serveIngress(w http.ResponseWriter, r *http.Request) {
-	defer p.begin(w)()
+func (p *Plane) serveIngress(writer http.ResponseWriter, received *http.Request) {
+	w, r, end := p.begin(writer, received)
+	defer end()
 	call := &ingressCall{plane: p, writer: w, request: r, started: p.now(), cursor: -1}
 	header, err := wire.CallCodec.DecodeHeader(r.Header.Get(wire.HeaderCall))
 	if err != nil {
@@ -333,6 +335,7 @@
 	if final.reason == outcome.ReasonUnreachable || final.outcome == outcome.Unknown {
 		c.plane.record(c.context, explain.Refuse, string(final.reason), c.wire.Service, c.plane.node)
 	}
+	c.writer.ReadRest()
 	c.head(final.outcome, final.reason, 0, 0, final.retryAfter, executor)
 	c.end(body{}, false)
 }
--- a/internal/mesh/dataplane/outbound.go
+++ b/internal/mesh/dataplane/outbound.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/failure"
 	"github.com/landingmast/landingmast/internal/mesh/core/admission"
 	"github.com/landingmast/landingmast/internal/mesh/core/bundle"
@@ -23,7 +24,7 @@
 type outboundCall struct {
 	plane    *Plane
 	side     Side
-	writer   http.ResponseWriter
+	writer   *duplex.Writer
 	request  *http.Request
 	body     *replayBody
 	service  string
@@ -48,8 +49,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { p.serveOutbound(w, r, SideEgress) })
 }
 
-func (p *Plane) serveOutbound(w http.ResponseWriter, r *http.Request, side Side) {
-	defer p.begin(w)()
+func (p *Plane) serveOutbound(writer http.ResponseWriter, received *http.Request, side Side) {
+	w, r, end := p.begin(writer, received)
+	defer end()
 	call := &outboundCall{
 		plane: p, side: side, writer: w, request: r, body: &replayBody{source: r.Body}, started: p.now(),
 		context: &callContext{callID: newID(), pathCursor: -1},
@@ -253,6 +255,7 @@
 	if c.side == SideEntry {
 		c.writer.Header().Set(wire.HeaderRequestID, c.context.requestID)
 	}
+	c.writer.ReadRest()
 	final.write(c.writer, c.context.requestID)
 }
 
--- a/internal/mesh/dataplane/plane.go
+++ b/internal/mesh/dataplane/plane.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/mesh/core/bundle"
 	"github.com/landingmast/landingmast/internal/mesh/core/claim"
 	"github.com/landingmast/landingmast/internal/mesh/core/outcome"
@@ -187,17 +188,14 @@
 // CloseConnections has every answer from now on ask to close its connection.
 func (p *Plane) CloseConnections() { p.closing.Store(true) }
 
-// begin counts a call as in flight; the function that it gives ends that. It
-// makes the connection full duplex: without that net/http reads the rest of the
-// request before it sends the first byte of an answer, and a sender that waits
-// for that byte never ends.
-func (p *Plane) begin(w http.ResponseWriter) func() {
+// begin counts a call as in flight until end is called. Its answer may begin before all of the
+// request was read: a sender that waits for the first byte would otherwise never end. It gives
+// the writer of the answer and the request to use.
+func (p *Plane) begin(w http.ResponseWriter, r *http.Request) (answer *duplex.Writer, request *http.Request, end func()) {
 	p.calls.enter()
-	if p.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	_ = http.NewResponseController(w).EnableFullDuplex()
-	return p.calls.leave
+	closing := p.closing.Load()
+	answer, request = duplex.Begin(w, r, func() bool { return closing })
+	return answer, request, p.calls.leave
 }
 
 // bodyGrace is how long after its deadline a request body may still be read.
--- a/internal/mesh/lab/faults/faults_test.go
+++ b/internal/mesh/lab/faults/faults_test.go
@@ -160,6 +160,10 @@
 
 // TestAPlannedStopCutsNothing restarts three nodes beside targets by SIGTERM
 // under traffic; no caller may see a broken or an unknown answer.
+//
+// It failed at times beside load with "approve: unknown reset". Load makes targets refuse, and a
+// refused call with a body cost its connection: see TestAPlannedStopAmidLongCallsCutsNothing,
+// which makes it come in each run.
 func TestAPlannedStopCutsNothing(t *testing.T) {
 	g := NewWithT(t)
 	running, err := cluster.Start(context.Background(), options(t, deployment.ExpenseClaims()))
@@ -182,6 +186,47 @@
 	g.Expect(whole(answers)).To(BeNumerically(">", len(answers)*98/100))
 }
 
+// TestAPlannedStopAmidLongCallsCutsNothing restarts three nodes by SIGTERM while calls that may
+// run at most once are in flight, so long ones that targets fill up and refuse; no caller may see
+// a broken or an unknown answer.
+//
+// It failed in four runs of four with "approve: unknown reset", before any node had stopped. A
+// node that refused a call before it had read the body closed the connection behind its answer
+// without a word, and the next call on it was lost. Shown by the record `lose` of the lost call
+// (rested_connection, rested_ms 1.4) and the line of the node at the other end, "http: panic
+// serving: invalid concurrent Body.Read call". docs/incidents/refused-with-unread-body.md.
+func TestAPlannedStopAmidLongCallsCutsNothing(t *testing.T) {
+	g := NewWithT(t)
+	running, err := cluster.Start(context.Background(), options(t, deployment.ExpenseClaims()))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer running.Stop()
+	for _, process := range running.Nodes {
+		if process.Service == "claims-portal" {
+			g.Expect(running.SetBehaviour(process, standin.Behaviour{Slowdown: 60})).To(Succeed())
+		}
+	}
+	approvals := *running.Deployment
+	approvals.Mix = approvals.Mix[1:2]
+	g.Expect(approvals.Mix[0].Keyed).To(BeTrue())
+	answers := make(chan []load.Answer, 1)
+	go func() {
+		answers <- load.Run(context.Background(), load.Options{Deployment: &approvals, Entries: running.Entries(), Rate: 40, Duration: 12 * time.Second, Users: 50, Seed: 5})
+	}()
+	time.Sleep(2 * time.Second)
+	for _, name := range []string{"claims-portal-2", "claims-portal-4", "claims-portal-5"} {
+		process := running.Node(name)
+		g.Expect(running.Signal(process, syscall.SIGTERM)).To(Succeed())
+		g.Expect(running.Wait(process)).To(Succeed())
+		g.Expect(running.StartNode(process)).To(Succeed())
+	}
+	for _, answer := range <-answers {
+		if answer.Outcome == load.Broken || answer.Outcome == load.Unknown {
+			t.Errorf("%s: %s %s", answer.Class, answer.Outcome, answer.Reason)
+			tell(t, running, answer)
+		}
+	}
+}
+
 // tell logs what the nodes recorded of an answer's request, and the lines of nodes that stopped.
 func tell(t *testing.T, running *cluster.Cluster, answer load.Answer) {
 	t.Helper()
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -48,15 +48,17 @@
 }
 
 // ServeHTTP takes a request of another node.
-func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	end, refused := i.options.Begin(w)
+func (i *Ingress) ServeHTTP(writer http.ResponseWriter, received *http.Request) {
+	w, r, end, refused := i.options.Begin(writer, received)
 	defer end()
 	if refused {
+		w.ReadRest()
 		i.write(w, reply.NotRun(outcome.ReasonStopping))
 		return
 	}
 	call, err := wire.CallFrom(r.Header)
 	if err != nil {
+		w.ReadRest()
 		i.write(w, reply.NotRun(outcome.ReasonBadMessage))
 		return
 	}
--- a/internal/sidecar/arrival/options.go
+++ b/internal/sidecar/arrival/options.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
 	"github.com/landingmast/landingmast/internal/sidecar/heldback"
@@ -51,5 +52,5 @@
 	Events      *eventlog.Log
 	// Begin counts a request of another node as in flight until end is called; refused: the
 	// node takes no more.
-	Begin func(w http.ResponseWriter) (end func(), refused bool)
+	Begin func(w http.ResponseWriter, r *http.Request) (answer *duplex.Writer, request *http.Request, end func(), refused bool)
 }
--- a/internal/sidecar/entry/answer.go
+++ b/internal/sidecar/entry/answer.go
@@ -67,6 +67,7 @@
 
 // refuse writes an answer of the node's own. invited is when the sender may come back.
 func (x *request) refuse(status int, reason outcome.Reason, invited retryafter.Span) {
+	x.writer.ReadRest()
 	retryAfter := invited.At(rand.Float64())
 	header := x.writer.Header()
 	if x.id != "" {
--- a/internal/sidecar/entry/entry.go
+++ b/internal/sidecar/entry/entry.go
@@ -10,6 +10,7 @@
 	"github.com/landingmast/landingmast/internal/core/importance"
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/core/outcome"
+	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/sidecar/admission"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
@@ -34,7 +35,7 @@
 type request struct {
 	options    *Options
 	splitter   *splitter
-	writer     http.ResponseWriter
+	writer     *duplex.Writer
 	request    *http.Request
 	id         string
 	intent     *intent.Intent
@@ -76,8 +77,8 @@
 
 // ServeHTTP takes a request: it goes through the steps of the entry in their order, and is
 // sent unless one of them refuses it.
-func (e *Egress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	end, closing := e.options.Begin(w)
+func (e *Egress) ServeHTTP(writer http.ResponseWriter, received *http.Request) {
+	w, r, end, closing := e.options.Begin(writer, received)
 	defer end()
 	id := r.Header.Get(e.options.Headers.RequestID)
 	isCall := e.options.Arrivals.Runs(id)
--- a/internal/sidecar/entry/options.go
+++ b/internal/sidecar/entry/options.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/intent"
+	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/sidecar/admission"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
@@ -86,7 +87,7 @@
 	Events        *eventlog.Log
 	// Begin counts a request as in flight until end is called; closing: the node takes no new
 	// ones.
-	Begin func(w http.ResponseWriter) (end func(), closing bool)
+	Begin func(w http.ResponseWriter, r *http.Request) (answer *duplex.Writer, request *http.Request, end func(), closing bool)
 	// CountClient counts a client's request until the function that it returns is called.
 	CountClient func() (end func())
 }
--- a/internal/sidecar/parts.go
+++ b/internal/sidecar/parts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/roster"
+	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
 	"github.com/landingmast/landingmast/internal/sidecar/entry"
 	"github.com/landingmast/landingmast/internal/sidecar/follower"
@@ -147,8 +148,8 @@
 	return arrival.Options{
 		Incarnation: n.incarnation, Now: n.now, Headers: n.options.Headers, Version: n.configuration.Version,
 		Target: n.target, HeldBack: n.heldBack, Metrics: n.metrics, Events: n.events,
-		Begin: func(w http.ResponseWriter) (func(), bool) {
-			return n.begin(w, n.planned.leaving.Load(), &n.planned.closed)
+		Begin: func(w http.ResponseWriter, r *http.Request) (*duplex.Writer, *http.Request, func(), bool) {
+			return n.begin(w, r, n.planned.leaving.Load(), &n.planned.closed)
 		},
 	}
 }
@@ -158,8 +159,8 @@
 		Node: n.settings().Node, Now: n.now, Headers: n.options.Headers, Caller: n.caller, Configuration: n.configuration, Fresh: n.freshness.Fresh,
 		Arrivals: n.ingress, HeldBack: n.heldBack, Quotas: n.quotas, Services: n.services, Overload: n.overload, Liveness: n.liveness,
 		Peers: n.peers, Members: n.membership, Exchange: n.exchanger.StartWith, PolicyOn: n.policyOn, Metrics: n.metrics, Events: n.events,
-		Begin: func(w http.ResponseWriter) (func(), bool) {
-			return n.begin(w, n.planned.stopping.Load(), &n.planned.closing)
+		Begin: func(w http.ResponseWriter, r *http.Request) (*duplex.Writer, *http.Request, func(), bool) {
+			return n.begin(w, r, n.planned.stopping.Load(), &n.planned.closing)
 		},
 		CountClient: n.countClient,
 	}
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/sidecar/wait"
 )
@@ -29,16 +30,13 @@
 	stopPoll     = 10 * time.Millisecond
 )
 
-// begin counts a request as in flight until end is called. refused tells that no more are
-// taken: the request must not be passed on, unless it is a call of one that runs. last
-// has the connection end with the answer.
-func (n *Node) begin(w http.ResponseWriter, last bool, closed *atomic.Bool) (end func(), refused bool) {
+// begin counts a request as in flight until end is called, and gives the writer of its answer
+// and the request to use. refused tells that no more are taken: the request must not be passed
+// on, unless it is a call of one that runs. last has the connection end with the answer.
+func (n *Node) begin(w http.ResponseWriter, r *http.Request, last bool, closed *atomic.Bool) (answer *duplex.Writer, request *http.Request, end func(), refused bool) {
 	n.inFlight.Add(1)
-	if last {
-		w.Header().Set("Connection", "close")
-	}
-	_ = http.NewResponseController(w).EnableFullDuplex()
-	return func() { n.inFlight.Add(-1) }, closed.Load()
+	answer, request = duplex.Begin(w, r, func() bool { return last })
+	return answer, request, func() { n.inFlight.Add(-1) }, closed.Load()
 }
 
 // stop is the planned stop: not ready at once, requests are still served, and the process
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -29,15 +29,15 @@
 			n := memberNode("me", "i")
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			g.Expect(err).NotTo(HaveOccurred())
-			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				end, refused := n.begin(w, false, &n.planned.closed)
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				answer, _, end, refused := n.begin(w, r, false, &n.planned.closed)
 				defer end()
 				if refused {
-					w.WriteHeader(http.StatusServiceUnavailable)
+					answer.WriteHeader(http.StatusServiceUnavailable)
 					return
 				}
 				time.Sleep(tc.takes)
-				_, _ = io.WriteString(w, "whole")
+				_, _ = io.WriteString(answer, "whole")
 			})}
 			n.servers = []*http.Server{server}
 			go func() { _ = server.Serve(listener) }()
