Routing counts declined requests against their target, as it does lost answers

What callers saw: one of three targets declines a part of its requests, and 8 of 100 requests fail though the two others have room. Cause: a target that declines has free slots by it, and its gate tells so to all senders; the choice of a target did not count declines, so that it looked best all the time. The budget for repeats paid for few of them (206 of 209 failed calls in a play's log were sent once). Change: Balancer.Declined; a decline enters the moving share of what a target does not serve, which costs 0.3 of an answer and fades in three seconds. Where all targets decline alike the choice stays.

--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -39,7 +39,7 @@
 	// RefusedFor is how long a target is left alone that said it is leaving.
 	RefusedFor time.Duration
 	// NoSamples, NoZones and NoLosses leave a mechanism out: own samples of how long
-	// requests take, the cost of other zones, that of lost answers.
+	// requests take, the cost of other zones, that of lost answers and declined requests.
 	NoSamples, NoZones, NoLosses bool
 }
 
@@ -60,7 +60,7 @@
 	inFlight   int
 	avoidUntil time.Duration
 	suspected  bool
-	lossShare  float64 // moving share of the sendings that the target lost
+	lossShare  float64 // moving share of the sendings that the target lost or declined
 	lossAt     time.Duration
 	seen       map[string]*seen // by class
 }
--- a/internal/core/balancer/balancer_test.go
+++ b/internal/core/balancer/balancer_test.go
@@ -70,6 +70,37 @@
 	g.Expect(b.Pick(time.Minute, Requirement{}, nil, false).Node).To(Equal("near"), "losses are forgotten, so that it is tried again")
 }
 
+// A target that declines requests has free slots by that, its gate tells so, and all senders
+// would choose it. Found by TestEveryTroubleAlone/srv_grey_shed.
+func TestTargetThatDeclinesIsLeftForAnother(t *testing.T) {
+	g := NewWithT(t)
+	b := pair()
+	report(b, "near", 0, 0)
+	report(b, "far", 6, 0)
+	for index := range 20 {
+		if index%2 == 0 {
+			b.Declined(time.Second, b.Endpoint("near"))
+		} else {
+			b.Answered(time.Second, b.Endpoint("near"), "", -1, 20*time.Millisecond)
+		}
+	}
+	g.Expect(b.Pick(time.Second, Requirement{}, nil, false).Node).To(Equal("far"))
+	g.Expect(b.Pick(time.Minute, Requirement{}, nil, false).Node).To(Equal("near"), "declines are forgotten, so that it is tried again")
+}
+
+// Where all targets decline alike, the choice among them stays what it was.
+func TestDeclinesEverywhereChangeNothing(t *testing.T) {
+	g := NewWithT(t)
+	b := pair()
+	report(b, "near", 0, 0)
+	report(b, "far", 0, 0)
+	for range 20 {
+		b.Declined(time.Second, b.Endpoint("near"))
+		b.Declined(time.Second, b.Endpoint("far"))
+	}
+	g.Expect(b.Pick(time.Second, Requirement{}, nil, false).Node).To(Equal("near"))
+}
+
 func TestOneLossInAWhileChangesNothing(t *testing.T) {
 	g := NewWithT(t)
 	b := pair()
--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -42,7 +42,8 @@
 	coldFactor = 2.0
 	// busyFactor is that at a target whose slots are all in use, less the wait.
 	busyFactor = 1.3
-	// lossCost is the cost of an answer that is lost: most are asked for again.
+	// lossCost is the cost of an answer that is lost and of a request that is declined: most are
+	// sent again, out of budgets that are short.
 	lossCost = 0.3
 )
 
@@ -237,7 +238,7 @@
 	one.takes += classWeight * (float64(took) - one.takes)
 }
 
-// The share of a target's sendings that it loses fades without news, so that the
+// The share of a target's sendings that it loses or declines fades without news, so that the
 // target is tried again.
 const (
 	lossWeight = 0.1
@@ -251,6 +252,10 @@
 // Lost notes that the target took a request and broke off.
 func (b *Balancer) Lost(now time.Duration, e *Endpoint) { e.note(now, 1) }
 
+// Declined notes that the target did not run a request that its gate let through. Its gate has
+// free slots by that and tells so: without this all senders would choose it.
+func (b *Balancer) Declined(now time.Duration, e *Endpoint) { e.note(now, 1) }
+
 func (e *Endpoint) note(now time.Duration, loss float64) {
 	share := e.losses(now)
 	e.lossShare, e.lossAt = share+lossWeight*(loss-share), now
--- a/internal/core/outcome/outcome_test.go
+++ b/internal/core/outcome/outcome_test.go
@@ -59,9 +59,9 @@
 func TestWhatAnEndMeansForTheTarget(t *testing.T) {
 	draining := Reason(slots.ReasonDraining)
 	for _, tc := range []struct {
-		outcome                           Outcome
-		reason                            Reason
-		wasted, silent, takesNoWork, full bool
+		outcome                                     Outcome
+		reason                                      Reason
+		wasted, declined, silent, takesNoWork, full bool
 	}{
 		{outcome: Answered, reason: ReasonNone},
 		{outcome: Unknown, reason: ReasonLost, wasted: true},
@@ -78,7 +78,7 @@
 		{outcome: NotRun, reason: ReasonStopping, takesNoWork: true},
 		{outcome: NotRun, reason: ReasonIncarnation, takesNoWork: true},
 		{outcome: NotRun, reason: ReasonMisdirected, takesNoWork: true},
-		{outcome: NotRun, reason: ReasonTargetShed},
+		{outcome: NotRun, reason: ReasonTargetShed, declined: true},
 		{outcome: NotRun, reason: Reason(slots.ReasonFull), full: true},
 		{outcome: NotRun, reason: Reason(slots.ReasonTooLong), full: true},
 		{outcome: NotRun, reason: Reason(slots.ReasonExpired), full: true},
@@ -87,6 +87,7 @@
 		t.Run(string(tc.outcome)+" "+string(tc.reason), func(t *testing.T) {
 			g := NewWithT(t)
 			g.Expect(Wasted(tc.outcome, tc.reason)).To(Equal(tc.wasted))
+			g.Expect(tc.reason.Declined()).To(Equal(tc.declined))
 			g.Expect(tc.reason.Silent()).To(Equal(tc.silent))
 			g.Expect(tc.reason.TakesNoWork()).To(Equal(tc.takesNoWork))
 			g.Expect(tc.reason.Full()).To(Equal(tc.full))
--- a/internal/core/outcome/target.go
+++ b/internal/core/outcome/target.go
@@ -17,6 +17,10 @@
 	return false
 }
 
+// Declined reports that the target did not run the request though the gate beside it had a slot
+// for it: the gate takes it for free, and only those whose requests it declines know better.
+func (r Reason) Declined() bool { return r == ReasonTargetShed }
+
 // Silent reports that the node beside the target gives no sign of life: the target is left
 // alone until it does.
 func (r Reason) Silent() bool { return r == ReasonUnreachable || r == ReasonSilent }
--- a/internal/core/resend/resend.go
+++ b/internal/core/resend/resend.go
@@ -76,7 +76,7 @@
 	if !t.declined[node] {
 		t.arrived++
 	}
-	if t.once || end.Outcome != outcome.NotRun || end.Reason != outcome.ReasonTargetShed {
+	if t.once || end.Outcome != outcome.NotRun || !end.Reason.Declined() {
 		t.excluded[node] = true
 		delete(t.declined, node)
 		return
--- a/internal/sidecar/entry/send.go
+++ b/internal/sidecar/entry/send.go
@@ -67,7 +67,7 @@
 	case resend.Again:
 		return true
 	case resend.FromBudget:
-		return x.takeRepeat(last.Reason == outcome.ReasonTargetShed)
+		return x.takeRepeat(last.Reason.Declined())
 	}
 	return false
 }
--- a/internal/sidecar/services/services.go
+++ b/internal/sidecar/services/services.go
@@ -149,6 +149,8 @@
 	switch {
 	case outcome.Wasted(answer.Outcome, answer.Reason):
 		s.balancer.Lost(now, c.endpoint)
+	case answer.Reason.Declined():
+		s.balancer.Declined(now, c.endpoint)
 	case answer.Outcome == outcome.Answered:
 		s.balancer.Answered(now, c.endpoint, c.class, answer.Bytes(), answer.Unwaited(now-c.sent))
 	}
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -26,7 +26,7 @@
 	Samples Mechanism = "samples"
 	// Zones prefer targets of the node's own zone.
 	Zones Mechanism = "zones"
-	// Losses avoid targets that lose answers.
+	// Losses avoid targets that lose answers or decline requests.
 	Losses Mechanism = "losses"
 	// Suspicion leaves targets alone beside nodes that give no sign of life.
 	Suspicion Mechanism = "suspicion"
--- a/internal/testbed/fleet/alone_test.go
+++ b/internal/testbed/fleet/alone_test.go
@@ -52,6 +52,14 @@
 
 // Each kind of trouble comes alone, in the middle of a day: no rule is broken,
 // what can be served is served, and all of it afterwards.
+//
+// srv_grey_shed, one of three targets of the deepest service declining 0.45 of its requests, came
+// under its bound of 0.9 at times (0.8899 once in CI; 3 of 100 plays, mean 0.916). Routing did not
+// count declined requests: the target's gate had free slots by them, so that it was chosen for
+// most calls all the time, 85 of which it declined in each second, and the budget for repeats
+// paid for few of them (206 of 209 calls that failed in one play had been sent once). Load has
+// nothing to do with it: the order of goroutines differs from play to play.
+// docs/incidents/declining-target.md.
 func TestEveryTroubleAlone(t *testing.T) {
 	for _, kind := range trouble.All() {
 		t.Run(kind.Name, func(t *testing.T) {
