A planned stop closes no connection that its sender may still use

A call that may run once and takes such a connection has no known end. Cause: whether an answer asks to close its connection was decided when its request came, so that calls in flight at the stop did not ask; streams, whose heads were out, lost their connection 10 ms after their end; and the servers were shut down one after the other within one second, which a connection that was never used took whole (1.004 s in a log), cutting the rest. Ruled out: waiting for senders to close what they rest on (it needs to know which connections are used for calls that run once; the grace is twice as long as they rest). Change: asked when the head is written, in both modes; core/drain decides what a stopping node waits for, with the last answer that did not ask among its inputs; package servers closes all servers at the same time and cuts only when nothing has been in flight for 0.2 s. It was the sidecar's, and replaces the mesh's second. Figures: the spec of a call in flight at an entry's stop failed before and passes; the spec of a stream passed before too (the unused connection kept the server open). Race detector: internal/servers, duplex, core/drain, sidecar passed; mesh/node's specs on planned stops without it.

--- a/internal/duplex/duplex.go
+++ b/internal/duplex/duplex.go
@@ -26,6 +26,7 @@
 	body   *body
 	last   func() bool
 	headed bool
+	ends   bool // the head asked to close the connection
 }
 
 // Begin enables full duplex for a request. It gives the writer of its answer, and the request
@@ -52,7 +53,7 @@
 func (w *Writer) WriteHeader(status int) {
 	if status >= http.StatusOK && !w.headed {
 		w.headed = true
-		if w.closes() {
+		if w.ends = w.mustEnd(); w.ends {
 			w.Header().Set("Connection", "close")
 		}
 	}
@@ -75,7 +76,10 @@
 	return io.Copy(w.ResponseWriter, source)
 }
 
-func (w *Writer) closes() bool {
+// Closes tells whether the head of the answer asked to close the connection; false before it.
+func (w *Writer) Closes() bool { return w.ends }
+
+func (w *Writer) mustEnd() bool {
 	return w.body.unread() || w.isLast()
 }
 
--- a/internal/mesh/dataplane/plane.go
+++ b/internal/mesh/dataplane/plane.go
@@ -16,6 +16,7 @@
 	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/mesh/core/bundle"
 	"github.com/landingmast/landingmast/internal/mesh/core/claim"
+	"github.com/landingmast/landingmast/internal/mesh/core/drain"
 	"github.com/landingmast/landingmast/internal/mesh/core/outcome"
 	"github.com/landingmast/landingmast/internal/mesh/explain"
 	"github.com/landingmast/landingmast/internal/mesh/telemetry"
@@ -90,6 +91,7 @@
 	gate        atomic.Pointer[gate]
 	resends     *resendTable
 	closing     atomic.Bool
+	kept        atomic.Int64 // on the plane's clock, ns: end of the last answer whose connection stays
 }
 
 // New makes a plane; it serves once SetBundle was called.
@@ -128,7 +130,7 @@
 
 // DrainGrace is how long a stopping node goes on taking calls, to refuse them as not
 // run, before it closes its connections.
-const DrainGrace = time.Second
+const DrainGrace = drain.Grace
 
 // onceIdle is how long a connection may rest that is used for calls that may run at
 // most once. It is shorter than DrainGrace: a node that closes its connections at the
@@ -193,11 +195,18 @@
 // the writer of the answer and the request to use.
 func (p *Plane) begin(w http.ResponseWriter, r *http.Request) (answer *duplex.Writer, request *http.Request, end func()) {
 	p.calls.enter()
-	closing := p.closing.Load()
-	answer, request = duplex.Begin(w, r, func() bool { return closing })
-	return answer, request, p.calls.leave
+	answer, request = duplex.Begin(w, r, p.closing.Load)
+	return answer, request, func() {
+		if !answer.Closes() {
+			p.kept.Store(int64(p.now()))
+		}
+		p.calls.leave()
+	}
 }
 
+// SinceKept gives the time since the last answer ended whose connection its sender may use again.
+func (p *Plane) SinceKept() time.Duration { return p.now() - time.Duration(p.kept.Load()) }
+
 // bodyGrace is how long after its deadline a request body may still be read.
 const bodyGrace = 50 * time.Millisecond
 
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -20,11 +20,13 @@
 	"github.com/landingmast/landingmast/internal/mesh/control"
 	"github.com/landingmast/landingmast/internal/mesh/core/bundle"
 	"github.com/landingmast/landingmast/internal/mesh/core/claim"
+	"github.com/landingmast/landingmast/internal/mesh/core/drain"
 	"github.com/landingmast/landingmast/internal/mesh/dataplane"
 	"github.com/landingmast/landingmast/internal/mesh/explain"
 	"github.com/landingmast/landingmast/internal/mesh/platform"
 	"github.com/landingmast/landingmast/internal/mesh/security"
 	"github.com/landingmast/landingmast/internal/mesh/telemetry"
+	"github.com/landingmast/landingmast/internal/servers"
 	"github.com/sirupsen/logrus"
 )
 
@@ -104,7 +106,6 @@
 	maxHeader     = 64 << 10
 	drainLimit    = 10 * time.Minute // the longest deadline that a class may have
 	drainPoll     = 10 * time.Millisecond
-	closeLimit    = time.Second // for connections on which no call is in flight
 )
 
 // listen opens every listener before anything is served, so that an unusable
@@ -188,21 +189,20 @@
 	}
 	wait, cancel := context.WithTimeout(hurry, drainLimit)
 	defer cancel()
-	grace := time.Now().Add(dataplane.DrainGrace)
-	for wait.Err() == nil && (n.plane.InFlight() > 0 || time.Now().Before(grace)) {
+	for began := time.Now(); wait.Err() == nil && n.awaits(began) != drain.Nothing; {
 		time.Sleep(drainPoll)
 	}
 	n.log.WithField("in_flight", n.plane.InFlight()).Info("closing connections")
-	closing, cancelClosing := context.WithTimeout(wait, closeLimit)
-	defer cancelClosing()
-	for _, server := range n.servers {
-		_ = server.Shutdown(closing)
-		_ = server.Close()
-	}
+	servers.Close(wait, n.servers, func() int64 { return int64(n.plane.InFlight()) })
 	n.plane.Close()
 	n.log.WithField("in_flight", n.plane.InFlight()).Info("stopped")
 }
 
+// awaits is what a stop that began at a time waits for.
+func (n *Node) awaits(began time.Time) drain.Awaits {
+	return drain.For(drain.State{InFlight: n.plane.InFlight(), Began: time.Since(began), Kept: n.plane.SinceKept()})
+}
+
 // drain makes the node refuse new work; the first reason stays.
 func (n *Node) drain(reason string) {
 	n.mutex.Lock()
--- a/internal/mesh/node/node_test.go
+++ b/internal/mesh/node/node_test.go
@@ -16,6 +16,7 @@
 	"github.com/landingmast/landingmast/internal/failure"
 	"github.com/landingmast/landingmast/internal/mesh/control"
 	"github.com/landingmast/landingmast/internal/mesh/core/bundle"
+	"github.com/landingmast/landingmast/internal/mesh/dataplane"
 	"github.com/landingmast/landingmast/internal/mesh/lab/standin"
 	"github.com/landingmast/landingmast/internal/mesh/platform"
 	"github.com/landingmast/landingmast/internal/mesh/roll"
@@ -351,4 +352,65 @@
 		Expect(<-answers).To(Equal("whole"))
 		Eventually(m.stopped["front-1"], "5s").Should(Receive(BeNil()))
 	})
+
+	It("asks to close the connections of callers whose answers come during a planned stop", func() {
+		started := make(chan struct{}, 1)
+		m.front = func(w http.ResponseWriter, r *http.Request) {
+			started <- struct{}{}
+			time.Sleep(300 * time.Millisecond)
+			_, _ = fmt.Fprint(w, "whole")
+		}
+		closes := make(chan bool, 1)
+		go func() {
+			defer GinkgoRecover()
+			response, body, err := m.send("entry-1", "GET", "/slow", nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal("whole"))
+			closes <- response.Close
+		}()
+		<-started
+		m.running["entry-1"]()
+		Expect(<-closes).To(BeTrue())
+	})
+
+	// The head of a stream has gone out when the stop begins, so that its connection cannot be
+	// announced to close: it stays open until its caller has had time to use it and be told.
+	It("serves the next request behind a stream that outlasts a planned stop's grace", func() {
+		started, end := make(chan struct{}, 1), make(chan struct{})
+		m.front = func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/next" {
+				_, _ = fmt.Fprint(w, "next")
+				return
+			}
+			_, _ = fmt.Fprint(w, "begun")
+			_ = http.NewResponseController(w).Flush()
+			started <- struct{}{}
+			<-end
+		}
+		transport := &http.Transport{MaxConnsPerHost: 1}
+		defer transport.CloseIdleConnections()
+		ask := func(path string) (*http.Response, error) {
+			request, err := http.NewRequest(http.MethodPost, "http://"+m.settings["entry-1"].Listen.Callers+path, strings.NewReader("body"))
+			Expect(err).NotTo(HaveOccurred())
+			request.Host, request.GetBody = "front", nil
+			return transport.RoundTrip(request)
+		}
+		stream, err := ask("/stream")
+		Expect(err).NotTo(HaveOccurred())
+		<-started
+		m.running["entry-1"]()
+		time.Sleep(dataplane.DrainGrace + 200*time.Millisecond)
+		close(end)
+		body, err := io.ReadAll(stream.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("begun"))
+		time.Sleep(200 * time.Millisecond)
+		next, err := ask("/next")
+		Expect(err).NotTo(HaveOccurred())
+		defer next.Body.Close()
+		Expect(next.Close).To(BeTrue())
+		body, err = io.ReadAll(next.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("next"))
+	})
 })
--- a/internal/sidecar/parts.go
+++ b/internal/sidecar/parts.go
@@ -149,7 +149,7 @@
 		Incarnation: n.incarnation, Now: n.now, Headers: n.options.Headers, Version: n.configuration.Version,
 		Target: n.target, HeldBack: n.heldBack, Metrics: n.metrics, Events: n.events,
 		Begin: func(w http.ResponseWriter, r *http.Request) (*duplex.Writer, *http.Request, func(), bool) {
-			return n.begin(w, r, n.planned.leaving.Load(), &n.planned.closed)
+			return n.begin(w, r, n.planned.leaving.Load, &n.planned.closed)
 		},
 	}
 }
@@ -160,7 +160,7 @@
 		Arrivals: n.ingress, HeldBack: n.heldBack, Quotas: n.quotas, Services: n.services, Overload: n.overload, Liveness: n.liveness,
 		Peers: n.peers, Members: n.membership, Exchange: n.exchanger.StartWith, PolicyOn: n.policyOn, Metrics: n.metrics, Events: n.events,
 		Begin: func(w http.ResponseWriter, r *http.Request) (*duplex.Writer, *http.Request, func(), bool) {
-			return n.begin(w, r, n.planned.stopping.Load(), &n.planned.closing)
+			return n.begin(w, r, n.planned.stopping.Load, &n.planned.closing)
 		},
 		CountClient: n.countClient,
 	}
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/landingmast/landingmast/internal/duplex"
+	"github.com/landingmast/landingmast/internal/servers"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/sidecar/wait"
 )
@@ -32,10 +32,11 @@
 
 // begin counts a request as in flight until end is called, and gives the writer of its answer
 // and the request to use. refused tells that no more are taken: the request must not be passed
-// on, unless it is a call of one that runs. last has the connection end with the answer.
-func (n *Node) begin(w http.ResponseWriter, r *http.Request, last bool, closed *atomic.Bool) (answer *duplex.Writer, request *http.Request, end func(), refused bool) {
+// on, unless it is a call of one that runs. last is asked when the head of the answer is written,
+// and has the connection end with it.
+func (n *Node) begin(w http.ResponseWriter, r *http.Request, last func() bool, closed *atomic.Bool) (answer *duplex.Writer, request *http.Request, end func(), refused bool) {
 	n.inFlight.Add(1)
-	answer, request = duplex.Begin(w, r, func() bool { return last })
+	answer, request = duplex.Begin(w, r, last)
 	return answer, request, func() { n.inFlight.Add(-1) }, closed.Load()
 }
 
@@ -79,34 +80,9 @@
 	}
 }
 
-// flushTime is how long answers may take to be written out once nothing is in
-// flight: their handlers have returned, net/http has not.
-const flushTime = 200 * time.Millisecond
-
-// closeServers closes the servers without cutting a request: those in flight end,
-// those that still come on open connections are refused. It returns when all
-// connections are idle, or when nothing has been in flight for flushTime, or at the
-// time given.
+// closeServers closes the servers without cutting a request, at the time given at the latest.
 func (n *Node) closeServers(latest time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), latest)
 	defer cancel()
-	var servers sync.WaitGroup
-	for _, server := range n.servers {
-		servers.Go(func() { _ = server.Shutdown(ctx) })
-	}
-	idle := make(chan struct{})
-	go func() {
-		defer close(idle)
-		servers.Wait()
-	}()
-	for quiet := time.Now(); ctx.Err() == nil && time.Since(quiet) < flushTime; wait.For(ctx, stopPoll) {
-		select {
-		case <-idle:
-			return
-		default:
-		}
-		if n.inFlight.Load() > 0 {
-			quiet = time.Now()
-		}
-	}
+	servers.Close(ctx, n.servers, n.inFlight.Load)
 }
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -30,7 +30,7 @@
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			g.Expect(err).NotTo(HaveOccurred())
 			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				answer, _, end, refused := n.begin(w, r, false, &n.planned.closed)
+				answer, _, end, refused := n.begin(w, r, nil, &n.planned.closed)
 				defer end()
 				if refused {
 					answer.WriteHeader(http.StatusServiceUnavailable)
