Fault tests that run at the same time on one machine keep apart

Cause: the package counted its ports from 26000 on, so that two runs shared addresses, and the processes of one cluster reached the stand-ins of the other. Seen by others: three of four runs that began at the same moment failed in cluster.Start ("version 1 stands already"). Ruled out as the cause of "approve: unknown reset" (docs/incidents/refused-with-unread-body.md). Change: a test reserves a block of 150 ports for as long as it runs; a listener on the port before guards it, and all ports of the block are tried first. Checks are as they were.

--- a/internal/mesh/lab/faults/faults_test.go
+++ b/internal/mesh/lab/faults/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -40,13 +41,50 @@
 	os.Exit(code)
 }
 
-var nextPort = 26000
+// Blocks of ports for clusters, below the range from which the system takes the ports of outgoing
+// connections.
+const (
+	firstBlock = 26000
+	lastBlock  = 32000
+	blockPorts = 150
+)
+
+// reserve gives the first port of a block that is this test's until it ends. Its guard is the
+// port before. Blocks that were counted from a fixed port on were those of a second run on the
+// same machine too, and the processes of one cluster reached the other's: three of four runs that
+// began at the same moment failed with "version 1 stands already".
+func reserve(t *testing.T) int {
+	for guard := firstBlock; guard < lastBlock; guard += blockPorts {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", guard))
+		if err != nil {
+			continue
+		}
+		if free(guard+1, guard+blockPorts) {
+			t.Cleanup(func() { _ = listener.Close() })
+			return guard + 1
+		}
+		_ = listener.Close()
+	}
+	t.Fatal("no block of ports is free")
+	return 0
+}
+
+// free tells whether all ports from first to before end can be listened on.
+func free(first, end int) bool {
+	for port := first; port < end; port++ {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
 
 func options(t *testing.T, d *deployment.Deployment) cluster.Options {
-	nextPort += 150
 	return cluster.Options{
 		Deployment: d, Daemon: filepath.Join(programs, "landingmastd"), Lab: filepath.Join(programs, "landingmast-lab"),
-		Directory: t.TempDir(), FirstPort: nextPort,
+		Directory: t.TempDir(), FirstPort: reserve(t),
 	}
 }
 
