A stopping node waits for the first request of a connection that was just opened

Cause: a sender opened a connection at the end of the grace and wrote its call to it; the node counts a call from its handler on, saw none in flight, and cut what was open 0.2 s later. Shown by the record of the lost call: new_connection, lost 128.9 ms after it was written, 1.1 s after the node had begun to stop and 0.12 s before it had stopped. Ruled out: a refused request's connection (it was new); a resting one (the same). Change: package servers refuses new connections first, then awaits the first request of each that was opened within the last second, and only then calls Shutdown, after which net/http drops what it reads. Both modes; a sidecar's stop stays within its grace.

--- a/internal/mesh/lab/faults/faults_test.go
+++ b/internal/mesh/lab/faults/faults_test.go
@@ -233,6 +233,10 @@
 // without a word, and the next call on it was lost. Shown by the record `lose` of the lost call
 // (rested_connection, rested_ms 1.4) and the line of the node at the other end, "http: panic
 // serving: invalid concurrent Body.Read call". docs/incidents/refused-with-unread-body.md.
+//
+// Beside load it failed once more after that was mended: the lost call was the first on a new
+// connection (new_connection, lost 129 ms after it was written) to a node that was closing its
+// connections and did not wait for first requests. docs/incidents/first-request-at-the-end-of-a-stop.md.
 func TestAPlannedStopAmidLongCallsCutsNothing(t *testing.T) {
 	g := NewWithT(t)
 	running, err := cluster.Start(context.Background(), options(t, deployment.ExpenseClaims()))
--- a/internal/mesh/node/node.go
+++ b/internal/mesh/node/node.go
@@ -48,7 +48,7 @@
 	claims      *claims.Manager // nil for an entry
 	plane       *dataplane.Plane
 	spread      *spread
-	servers     []*http.Server
+	servers     []*servers.Server
 	listeners   []net.Listener
 	callers     net.Listener // of an entry; one of listeners
 	background  sync.WaitGroup
@@ -138,10 +138,10 @@
 			listener = tls.NewListener(listener, one.tls)
 		}
 		n.listeners = append(n.listeners, listener)
-		n.servers = append(n.servers, &http.Server{
+		n.servers = append(n.servers, servers.New(listener, &http.Server{
 			Handler: one.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 			ErrorLog: log.New(serverLog{n.log}, "", 0),
-		})
+		}))
 	}
 	return nil
 }
@@ -156,8 +156,8 @@
 // flight is finished, and only then does Run return. hurry ends the wait.
 func (n *Node) Run(ctx, hurry context.Context) error {
 	failed := make(chan error, len(n.servers))
-	for index, server := range n.servers {
-		go func() { failed <- server.Serve(n.listeners[index]) }()
+	for _, server := range n.servers {
+		go func() { failed <- server.Run() }()
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer n.background.Wait()
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -45,11 +45,30 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	started := time.Now()
-	Close(ctx, []*http.Server{silent, busy}, inFlight.Load)
+	Close(ctx, []*Server{silent, busy}, inFlight.Load)
 	g.Expect(<-answers).To(Equal("whole"))
 	g.Expect(time.Since(started)).To(BeNumerically("<", 5*time.Second), "it waits for calls, not for the silent connection")
 }
 
+// A sender has opened a connection and writes its first request as the server closes. Cut, it has
+// no known end: a call that may run once was lost so, 129 ms after its connection was opened, in
+// TestAPlannedStopAmidLongCallsCutsNothing beside load.
+func TestTheFirstRequestOfAConnectionIsAwaited(t *testing.T) {
+	g := NewWithT(t)
+	server, address := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	g.Eventually(func() bool { return server.expects(time.Now()) }, "5s", "1ms").Should(BeTrue())
+	time.AfterFunc(freshTime/2, func() { _, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n") })
+	started := time.Now()
+	Close(context.Background(), []*Server{server}, func() int64 { return 0 })
+	answer, err := io.ReadAll(conn)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(answer)).To(HaveSuffix("whole"))
+	g.Expect(time.Since(started)).To(BeNumerically("<", 5*time.Second))
+}
+
 // What does not end is cut when the time is over.
 func TestTheEndOfTheTimeCuts(t *testing.T) {
 	g := NewWithT(t)
@@ -66,17 +85,17 @@
 	<-begun
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	Close(ctx, []*http.Server{server}, func() int64 { return 1 })
+	Close(ctx, []*Server{server}, func() int64 { return 1 })
 	g.Expect(<-failed).To(HaveOccurred())
 }
 
-func serve(t *testing.T, handler http.HandlerFunc) (*http.Server, string) {
+func serve(t *testing.T, handler http.HandlerFunc) (*Server, string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Addr: listener.Addr().String(), Handler: handler}
-	go func() { _ = server.Serve(listener) }()
+	server := New(listener, &http.Server{Addr: listener.Addr().String(), Handler: handler})
+	go func() { _ = server.Run() }()
 	t.Cleanup(func() { _ = server.Close() })
 	return server, server.Addr
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -19,6 +19,7 @@
 	"github.com/landingmast/landingmast/internal/clock"
 	"github.com/landingmast/landingmast/internal/core/repeats"
 	"github.com/landingmast/landingmast/internal/failure"
+	"github.com/landingmast/landingmast/internal/servers"
 	"github.com/landingmast/landingmast/internal/sidecar/admission"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
 	"github.com/landingmast/landingmast/internal/sidecar/configuration"
@@ -94,7 +95,7 @@
 	inFlight      atomic.Int64 // requests of clients, of the target and of other nodes
 	clients       atomic.Int64 // of them those of clients
 	storeHealth   *storehealth.Health
-	servers       []*http.Server
+	servers       []*servers.Server
 	listeners     []net.Listener
 	background    sync.WaitGroup
 }
@@ -224,9 +225,9 @@
 			return failure.Wrap(err, failure.BadInput, "name an address of this machine that is free", "settings: %s: %s", one.key, one.address)
 		}
 		n.listeners = append(n.listeners, listener)
-		n.servers = append(n.servers, &http.Server{
+		n.servers = append(n.servers, servers.New(listener, &http.Server{
 			Handler: one.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: n.serverLog(),
-		})
+		}))
 	}
 	return nil
 }
@@ -260,8 +261,8 @@
 // wait for requests in flight.
 func (n *Node) Run(ctx, hurry context.Context) error {
 	failed := make(chan error, len(n.servers))
-	for index, server := range n.servers {
-		go func() { failed <- server.Serve(n.listeners[index]) }()
+	for _, server := range n.servers {
+		go func() { failed <- server.Run() }()
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer n.background.Wait()
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/servers"
 	. "github.com/onsi/gomega"
 )
 
@@ -29,7 +30,7 @@
 			n := memberNode("me", "i")
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			g.Expect(err).NotTo(HaveOccurred())
-			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			server := servers.New(listener, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				answer, _, end, refused := n.begin(w, r, nil, &n.planned.closed)
 				defer end()
 				if refused {
@@ -38,9 +39,9 @@
 				}
 				time.Sleep(tc.takes)
 				_, _ = io.WriteString(answer, "whole")
-			})}
-			n.servers = []*http.Server{server}
-			go func() { _ = server.Serve(listener) }()
+			})})
+			n.servers = []*servers.Server{server}
+			go func() { _ = server.Run() }()
 
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			g.Expect(err).NotTo(HaveOccurred())
