--- a/internal/mesh/lab/faults/faults_test.go
+++ b/internal/mesh/lab/faults/faults_test.go
@@ -201,7 +201,9 @@
 //
 // It failed at times beside load with "approve: unknown reset". Load makes targets refuse, and a
 // refused call with a body cost its connection: see TestAPlannedStopAmidLongCallsCutsNothing,
-// which makes it come in each run.
+// which makes it come in each run. Where the machine has no processor left at all (four clusters
+// at once) claim lists are cancelled for more important calls or run out of time at nodes that do
+// not stop, and it fails by that: docs/FINDINGS.md.
 func TestAPlannedStopCutsNothing(t *testing.T) {
 	g := NewWithT(t)
 	running, err := cluster.Start(context.Background(), options(t, deployment.ExpenseClaims()))
