Log and count what a target states in its responses

What callers saw: nothing. A target asked for fewer requests in its answers and got as many as before; no log line or metric could tell whether the node next to it knew.

Change: the rate limit and the leaving state are read from each response (names in platform, values in package headers, which of several responses counts in core/ratelimit). Changes are logged as target events, the rate is a gauge, requests to the target are counted by where they began. Nothing acts on it yet: requests are sent as before.

Ruled out: reading the rate at the senders only; the node next to the target sees every response, and it alone sees them in the order of the target.

--- a/internal/sidecar/arrival/options.go
+++ b/internal/sidecar/arrival/options.go
@@ -42,6 +42,7 @@
 
 // Options holds the dependencies of an Ingress.
 type Options struct {
+	Node        string               // name of this node
 	Incarnation string               // id of this process of the node
 	Now         func() time.Duration // monotonic clock that includes time spent suspended
 	Headers     headers.Names
--- a/internal/sidecar/arrival/send.go
+++ b/internal/sidecar/arrival/send.go
@@ -28,6 +28,8 @@
 	if call.Tenant != "" {
 		header.Set(names.Tenant, call.Tenant)
 	}
+	sentAt := i.options.Now()
+	i.options.Metrics.TargetRequests.WithLabelValues(i.senderLabel(call)).Inc()
 	answer, err := gate.Link.Do(ctx, &targetlink.Request{
 		ID: call.RequestID, Method: call.Method, URI: call.URI, Host: call.Host, Header: header,
 		Body: body.Data, Stream: body.Stream, Length: body.Length,
@@ -35,6 +37,9 @@
 	if err != nil {
 		return i.classifyError(ctx, gate, req, err)
 	}
+	if answer.Status != http.StatusMisdirectedRequest { // the response of another instance
+		i.observeState(gate, answer.Header, sentAt)
+	}
 	return i.readAnswer(ctx, gate, req, answer)
 }
 
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -109,11 +109,13 @@
 
 // Target reports a change of the local target.
 type Target struct {
-	Instance string `json:"instance" doc:"instance of the target"`
-	Service  string `json:"service" doc:"its service"`
-	Change   string `json:"change" doc:"ready, draining, left or replaced"`
-	Slots    int    `json:"slots" doc:"number of slots"`
-	Sequence int64  `json:"sequence" doc:"sequence number of the heartbeat that reported it"`
+	Instance  string  `json:"instance" doc:"instance of the target"`
+	Service   string  `json:"service" doc:"its service"`
+	Change    string  `json:"change" doc:"ready, draining, left, replaced, limited (its responses state a rate limit), limit lifted, leaving (its responses state that it leaves) or state invalid"`
+	Slots     int     `json:"slots" doc:"number of slots"`
+	Sequence  int64   `json:"sequence" doc:"sequence number of the heartbeat that reported it"`
+	RateLimit float64 `json:"rate_limit,omitempty" doc:"requests per second, if the change is limited"`
+	Error     string  `json:"error,omitempty" doc:"what is wrong with the state in its responses"`
 }
 
 // Member reports a change in the membership state of another node.
--- a/internal/sidecar/headers/headers.go
+++ b/internal/sidecar/headers/headers.go
@@ -20,6 +20,8 @@
 	ExpectInstance string // the only instance allowed to execute the request
 	Instance       string // the instance that responded
 	Load           string // running, waiting, slots
+	RateLimit      string // requests per second that the target takes from all senders
+	Leaving        string // "1" if the target accepts no new requests
 	NotRun         string // set if the target did not execute the request
 	Caller         string // service that sent the request
 	Tenant         string // tenant of the client's key; set only by nodes
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -22,6 +22,8 @@
 	Retries, RetriesDenied *prometheus.CounterVec
 	// SlotWait is the wait for a slot of the target, TargetDuration the time at the target, in seconds.
 	SlotWait, TargetDuration prometheus.Histogram
+	// TargetRequests counts requests sent to the target by sender, "local" or "remote".
+	TargetRequests *prometheus.CounterVec
 	// Connections counts new connections to the target.
 	Connections prometheus.Counter
 	// StoreCalls counts store calls by call and result.
@@ -39,6 +41,8 @@
 // Gauges holds callbacks that are evaluated on each scrape.
 type Gauges struct {
 	Version, Peers, Slots, Running, Waiting, InFlight, HeldBack func() float64
+	// RateLimit is the rate that the target states, in requests per second; -1: none.
+	RateLimit func() float64
 	// StoreAge is the time since the last response of the store in seconds.
 	StoreAge func() float64
 }
@@ -69,6 +73,7 @@
 		RetriesDenied:  counters("repeats_denied_total", "Repeats that the budget did not allow.", "service"),
 		SlotWait:       histogram("slot_wait_seconds", "Wait for a slot of the target."),
 		TargetDuration: histogram("target_seconds", "Time of a request at the target."),
+		TargetRequests: counters("target_requests_total", "Requests sent to the target, by where they began.", "sender"),
 		Connections:    counter("target_connections_total", "New connections to the target."),
 		StoreCalls:     counters("store_calls_total", "Calls of the store.", "call", "result"),
 		Crashes:        counter("target_crashes_total", "Ends of the target while it ran requests."),
@@ -76,7 +81,7 @@
 		SilentNodes:    counter("silent_nodes_total", "Times that another node was taken for dead."),
 		Omitted:        counters("log_lines_omitted_total", "Log lines that were left out.", "kind"),
 	}
-	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
+	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
 	for _, gauge := range []struct {
 		name, help string
 		read       func() float64
@@ -85,6 +90,7 @@
 		{"held_back", "Requests that are not sent since targets ended with them.", gauges.HeldBack},
 		{"peers", "Other nodes that are known.", gauges.Peers},
 		{"slots", "Usable slots of the target; 0: no target.", gauges.Slots},
+		{"target_rate_limit", "Requests a second that the target states as its limit; -1: none.", gauges.RateLimit},
 		{"running", "Requests at the target.", gauges.Running},
 		{"waiting", "Requests that wait for a slot.", gauges.Waiting},
 		{"in_flight", "Requests that the node is serving.", gauges.InFlight},
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -5,6 +5,7 @@
 	"log"
 	"net/http"
 
+	"github.com/landingmast/landingmast/internal/core/ratelimit"
 	"github.com/landingmast/landingmast/internal/core/slots"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/sidecar/metrics"
@@ -13,14 +14,15 @@
 // gauges returns the gauge callbacks of the metrics.
 func (n *Node) gauges() metrics.Gauges {
 	return metrics.Gauges{
-		Version:  func() float64 { return float64(n.configuration.Version()) },
-		Peers:    func() float64 { return float64(n.membership.PeerCount()) },
-		Slots:    func() float64 { return float64(n.gateLoad().Slots) },
-		Running:  func() float64 { return float64(n.gateLoad().Running) },
-		Waiting:  func() float64 { return float64(n.gateLoad().Waiting) },
-		HeldBack: func() float64 { return float64(n.heldBack.Count()) },
-		InFlight: func() float64 { return float64(n.inFlight.Load()) },
-		StoreAge: func() float64 { return n.storeHealth.Age().Seconds() },
+		Version:   func() float64 { return float64(n.configuration.Version()) },
+		Peers:     func() float64 { return float64(n.membership.PeerCount()) },
+		Slots:     func() float64 { return float64(n.gateLoad().Slots) },
+		Running:   func() float64 { return float64(n.gateLoad().Running) },
+		Waiting:   func() float64 { return float64(n.gateLoad().Waiting) },
+		RateLimit: n.targetRateLimit,
+		HeldBack:  func() float64 { return float64(n.heldBack.Count()) },
+		InFlight:  func() float64 { return float64(n.inFlight.Load()) },
+		StoreAge:  func() float64 { return n.storeHealth.Age().Seconds() },
 	}
 }
 
@@ -71,6 +73,18 @@
 	n.events.Add(eventlog.Member{Member: node, Change: "heard again"}, eventlog.State)
 }
 
+// noRateLimit is the value of the metric of the rate limit if the target states none.
+const noRateLimit = -1
+
+// targetRateLimit returns the rate that the target states, in requests per second.
+func (n *Node) targetRateLimit() float64 {
+	gate := n.target.Current()
+	if gate == nil || gate.RateLimit() == ratelimit.Unlimited {
+		return noRateLimit
+	}
+	return gate.RateLimit()
+}
+
 // gateLoad returns the load of the local target.
 func (n *Node) gateLoad() slots.Load {
 	if gate := n.target.Current(); gate != nil {
--- a/internal/sidecar/options.go
+++ b/internal/sidecar/options.go
@@ -147,7 +147,7 @@
 
 func (n *Node) arrivalOptions() arrival.Options {
 	return arrival.Options{
-		Incarnation: n.incarnation, Now: n.now, Headers: n.options.Headers, Version: n.configuration.Version,
+		Node: n.settings().Node, Incarnation: n.incarnation, Now: n.now, Headers: n.options.Headers, Version: n.configuration.Version,
 		Target: n.target, Quarantine: n.heldBack, Metrics: n.metrics, Events: n.events,
 		Begin: func(w http.ResponseWriter, r *http.Request) (*duplex.Writer, *http.Request, func(), bool) {
 			return n.beginRequest(w, r, n.shutdown.leaving.Load, &n.shutdown.rejectAll)
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/core/ratelimit"
 	"github.com/landingmast/landingmast/internal/core/roster"
 	"github.com/landingmast/landingmast/internal/core/slots"
 	"github.com/landingmast/landingmast/internal/failure"
@@ -58,6 +59,8 @@
 
 	mu          sync.Mutex
 	core        *slots.Gate
+	stated      ratelimit.Stated
+	leaving     bool // a response stated that the target leaves
 	nextID      uint64
 	waiting     map[uint64]chan slots.Decision
 	timerActive bool
@@ -71,7 +74,7 @@
 func newGate(now func() time.Duration, report roster.Report, link *targetlink.Link) *Gate {
 	return &Gate{
 		now: now, Instance: report.Instance, Service: report.Service, Link: link,
-		core: slots.New(report.Slots), waiting: map[uint64]chan slots.Decision{}, Unanswered: Unanswered{suspectSlot: make(chan struct{}, 1)},
+		core: slots.New(report.Slots), stated: ratelimit.NewStated(), waiting: map[uint64]chan slots.Decision{}, Unanswered: Unanswered{suspectSlot: make(chan struct{}, 1)},
 	}
 }
 
