--- a/internal/testbed/clock.go
+++ b/internal/testbed/clock.go
@@ -59,11 +59,13 @@
 		machine.outOfRotation.Store(true)
 		machine.clock.suspend()
 		m.Network.SetIsolated(machine.IP, true)
+		m.Judge.Frozen(machine.IP)
 	}
 	m.ReportDisturbance(machines, span)
 	for _, machine := range machines {
 		m.Network.SetIsolated(machine.IP, false)
 		machine.clock.resume()
+		m.Judge.Frozen(machine.IP)
 		machine.outOfRotation.Store(false)
 	}
 }
--- a/internal/testbed/fleet/judges_test.go
+++ b/internal/testbed/fleet/judges_test.go
@@ -40,6 +40,29 @@
 			mesh.Judge.MarkDisturbed("10.1.0.1")
 			cutDuringStop(mesh.Judge, 4)
 		}},
+		{"as many requests as a stated rate allows", "", func(mesh *testbed.Mesh) {
+			sendToStating(mesh.Judge, judge.Statement{RateLimit: 2}, judge.FaultRecovery, 17)
+		}},
+		{"more requests than a stated rate allows", "LIMIT", func(mesh *testbed.Mesh) {
+			sendToStating(mesh.Judge, judge.Statement{RateLimit: 2}, judge.FaultRecovery, 18)
+		}},
+		{"more requests than a stated rate allows, at once", "", func(mesh *testbed.Mesh) { sendToStating(mesh.Judge, judge.Statement{RateLimit: 2}, time.Second, 18) }},
+		{"more requests than a rate allowed that was lifted", "", func(mesh *testbed.Mesh) {
+			sendToStating(mesh.Judge, judge.Statement{RateLimit: 2}, judge.FaultRecovery, 0)
+			mesh.Judge.StatesRate(stating, 0)
+			sendToStating(mesh.Judge, judge.Statement{}, 0, 30)
+		}},
+		{"a request soon after its target stated that it leaves", "", func(mesh *testbed.Mesh) {
+			sendToStating(mesh.Judge, judge.Statement{Leaving: true}, time.Second, 1)
+		}},
+		{"a request after its target stated that it leaves", "DRAIN", func(mesh *testbed.Mesh) {
+			sendToStating(mesh.Judge, judge.Statement{Leaving: true}, testbed.DrainGracePeriod+time.Millisecond, 1)
+		}},
+		{"a request after its target stated that it leaves, from a node that was restarted", "", func(mesh *testbed.Mesh) {
+			sendToStating(mesh.Judge, judge.Statement{Leaving: true}, testbed.DrainGracePeriod+time.Millisecond, 0)
+			mesh.Judge.Restarted("10.1.0.1")
+			sendToStating(mesh.Judge, judge.Statement{}, 0, 1)
+		}},
 		{"a configuration that no watch delivers", "CONFIG", func(mesh *testbed.Mesh) {
 			mesh.Store.HideEvents()
 			mesh.Configure(nil)
@@ -82,6 +105,31 @@
 	}
 }
 
+// stating is the instance of the target of sendToStating.
+const stating = "i-stating"
+
+// sendToStating reports a request that a target answers with a statement and, after a while, more
+// requests from the same machine.
+func sendToStating(j *judge.Judge, statement judge.Statement, wait time.Duration, more int) {
+	if statement.RateLimit > 0 {
+		j.StatesRate(stating, statement.RateLimit)
+	}
+	send := func(id string, statement judge.Statement) {
+		j.Expect(id, "10.1.0.1", "/deep/x", "deep", "front", false, 1)
+		run := j.RunStarted(judge.Endpoint{Service: "deep", IP: "10.1.0.2", Instance: stating}, newRequest("/deep/x", id), nil)
+		signature := judge.Signature(id, http.StatusOK, nil)
+		j.Answered(run, http.StatusOK, signature, statement)
+		j.Received(id, http.StatusOK, signature, nil)
+	}
+	if statement != (judge.Statement{}) {
+		send("first", statement)
+	}
+	time.Sleep(wait)
+	for number := range more {
+		send("later-"+strconv.Itoa(number), statement)
+	}
+}
+
 // newRequest returns a request as a target receives it.
 func newRequest(path, id string) *http.Request {
 	request, _ := http.ReadRequest(bufio.NewReader(strings.NewReader("GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nX-Caller-Service: front\r\n\r\n")))
--- a/internal/testbed/judge/judge.go
+++ b/internal/testbed/judge/judge.go
@@ -34,6 +34,7 @@
 	tenancy      tenancy
 	harm         harmfulState
 	stops        plannedStops
+	statements   statements
 }
 
 // request holds the observations for one request id.
@@ -56,6 +57,8 @@
 // Run is one execution of a request by a target.
 type Run struct {
 	request   *request
+	instance  string // of the target
+	statement Statement
 	status    int
 	signature string
 	harm      string // key of the harmful request, empty if harmless
@@ -65,7 +68,7 @@
 func New(drain time.Duration) *Judge {
 	return &Judge{Drain: drain, requests: map[string]*request{}, drained: map[string]time.Time{}, disturbed: map[string]time.Time{}, requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}, tenancy: tenancy{
 		revoked: map[string]time.Time{}, limits: map[string]quotaLimit{}, runs: map[string][]quotaRun{},
-	}, stops: plannedStops{planned: map[string]time.Time{}}, harm: harmfulState{requests: map[string]*harmfulRequest{}, restarted: map[string]time.Time{}}}
+	}, stops: plannedStops{planned: map[string]time.Time{}}, statements: statements{targets: map[string]*statingTarget{}, frozen: map[string]time.Time{}}, harm: harmfulState{requests: map[string]*harmfulRequest{}, restarted: map[string]time.Time{}}}
 }
 
 // violate records a violation of a rule. Callers hold mu.
@@ -86,7 +89,7 @@
 func (j *Judge) Expect(id, origin, uri, service, caller string, unsafe bool, tries int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.requests[id] = &request{id: id, origin: origin, uri: uri, service: service, caller: caller, unsafe: unsafe, maxAttempts: tries}
+	j.requests[id] = &request{id: id, origin: origin, uri: uri, service: service, caller: caller, unsafe: unsafe, maxAttempts: tries, sent: time.Now()}
 	j.requestTimes[service] = append(j.requestTimes[service], time.Now())
 }
 
@@ -103,7 +106,7 @@
 func (j *Judge) ExpectCall(id, origin, caller string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.requests[id] = &request{id: id, origin: origin, caller: caller}
+	j.requests[id] = &request{id: id, origin: origin, caller: caller, sent: time.Now()}
 }
 
 // Draining records that the node of a target acknowledged the drain.
@@ -124,11 +127,13 @@
 }
 
 // Declined records a request that a target rejected without running it.
-func (j *Judge) Declined(service string, r *http.Request) {
+func (j *Judge) Declined(at Endpoint, r *http.Request) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if req := j.requests[r.Header.Get("X-Request-Id")]; req != nil {
-		j.countArrival(req, service, time.Now())
+		now := time.Now()
+		j.countArrival(req, at.Service, now)
+		j.checkStatements(req, at.Instance, now)
 	}
 }
 
@@ -145,7 +150,8 @@
 		j.requests[id] = req
 	}
 	j.countArrival(req, at.Service, now)
-	began := &Run{request: req}
+	j.checkStatements(req, at.Instance, now)
+	began := &Run{request: req, instance: at.Instance}
 	req.runs = append(req.runs, began)
 	j.checkTenant(req, r, now)
 	j.recordHarmfulRun(began, r, body, now)
@@ -201,10 +207,10 @@
 }
 
 // Answered records the response that a target sends. It may be lost on the way.
-func (j *Judge) Answered(run *Run, status int, signature string) {
+func (j *Judge) Answered(run *Run, status int, signature string, statement Statement) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	run.status, run.signature = status, signature
+	run.status, run.signature, run.statement = status, signature, statement
 }
 
 // Received records a response that a client received completely, and checks it.
@@ -218,9 +224,12 @@
 	switch {
 	case status >= 200 && status < 300 && signature != Signature(id, status, content):
 		j.violate("MIXED", "request %s got a success response that no target sent", id)
-	case signature != "" && !req.answeredWith(status, signature):
+	case signature != "" && req.answeredWith(status, signature) == nil:
 		j.violate("MIXED", "request %s got status %d, which no target sent with this signature", id, status)
 	}
+	if run := req.answeredWith(status, signature); run != nil {
+		j.passedOn(run, time.Now())
+	}
 	if status >= 400 && status < 500 && signature == "" && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout && j.tenancy.revoked[req.key].IsZero() {
 		j.denied++
 	}
@@ -234,14 +243,14 @@
 	}
 }
 
-// answeredWith reports whether a target sent this response.
-func (r *request) answeredWith(status int, signature string) bool {
+// answeredWith returns the run to which a target sent this response, or nil.
+func (r *request) answeredWith(status int, signature string) *Run {
 	for _, run := range r.runs {
 		if run.status == status && run.signature == signature {
-			return true
+			return run
 		}
 	}
-	return false
+	return nil
 }
 
 // Signature returns a hash that identifies a target's response to a request.
--- a/internal/testbed/target/serve.go
+++ b/internal/testbed/target/serve.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -57,7 +58,7 @@
 	t.mu.Lock()
 	instance, faults, running, draining := t.instance, t.faults, t.running, t.draining
 	t.mu.Unlock()
-	load := fmt.Sprintf("X-Instance-Id: %s\r\nX-Server-Load: %d,0,%d\r\n", instance, running, t.Slots)
+	load := fmt.Sprintf("X-Instance-Id: %s\r\nX-Server-Load: %d,0,%d\r\n", instance, running, t.Slots) + stateHeader(t.statement())
 	switch {
 	case r.URL.Path == "/health":
 		status := http.StatusOK
@@ -70,9 +71,10 @@
 	case r.Header.Get("X-Expected-Instance") != "" && r.Header.Get("X-Expected-Instance") != instance:
 		return writeResponse(conn, http.StatusMisdirectedRequest, id, load, nil)
 	case running >= t.Slots || rand.Float64() < faults.RejectRequest:
-		t.Judge.Declined(t.Service, r)
-		return writeResponse(conn, http.StatusServiceUnavailable, id, "X-Not-Executed: 1\r\n", nil)
+		t.Judge.Declined(judge.Endpoint{Service: t.Service, IP: hostIP(t.Address), Instance: instance}, r)
+		return writeResponse(conn, http.StatusServiceUnavailable, id, "X-Not-Executed: 1\r\n"+stateHeader(t.statement()), nil)
 	}
+	load = fmt.Sprintf("X-Instance-Id: %s\r\nX-Server-Load: %d,0,%d\r\n", instance, running, t.Slots)
 	return t.run(conn, reader, r, body, faults, load)
 }
 
@@ -108,7 +110,9 @@
 		status, content = max(status, http.StatusInternalServerError), nil
 	}
 	signature := judge.Signature(id, status, content)
-	t.Judge.Answered(started, status, signature)
+	statement := t.statement()
+	t.Judge.Answered(started, status, signature, statement)
+	load += stateHeader(statement)
 	switch {
 	case rand.Float64() < faults.DropResponse:
 		return false
@@ -128,6 +132,24 @@
 	return open
 }
 
+// statement returns what the target states in a response now.
+func (t *Target) statement() judge.Statement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return judge.Statement{RateLimit: t.rateLimit, Leaving: t.draining || t.leaving}
+}
+
+func stateHeader(statement judge.Statement) string {
+	header := ""
+	if statement.RateLimit > 0 {
+		header += "Server-Limit: " + strconv.FormatFloat(statement.RateLimit, 'f', -1, 64) + "\r\n"
+	}
+	if statement.Leaving {
+		header += "Server-Leaving: 1\r\n"
+	}
+	return header
+}
+
 // watchClose calls cancel when the client closes the connection. The returned channel is
 // closed when it stops watching.
 func (t *Target) watchClose(conn net.Conn, reader *bufio.Reader, cancel func()) <-chan struct{} {
--- a/internal/testbed/target/target.go
+++ b/internal/testbed/target/target.go
@@ -66,8 +66,10 @@
 	mu         sync.Mutex
 	instance   string
 	faults     Faults
-	running    int // requests being executed
-	sequence   int // last heartbeat sequence number
+	running    int     // requests being executed
+	sequence   int     // last heartbeat sequence number
+	rateLimit  float64 // stated in responses, requests per second; 0: none
+	leaving    bool    // stated in responses although heartbeats report ready
 	draining   bool
 	stopped    bool // not listening
 	conns      map[net.Conn]bool
@@ -89,6 +91,7 @@
 	t.instance = "i-" + strconv.FormatUint(rand.Uint64(), 36)
 	t.listener, t.done, t.conns = listener, make(chan struct{}), map[net.Conn]bool{}
 	t.running, t.sequence, t.draining, t.stopped = 0, 0, false, false
+	t.rateLimit, t.leaving = 0, false
 	t.httpClient = &http.Client{Transport: &http.Transport{DialContext: t.Dial, MaxIdleConnsPerHost: 64}}
 	t.mu.Unlock()
 	t.reportListening(true)
@@ -117,6 +120,25 @@
 	t.faults = faults
 }
 
+// StateRate states a rate limit in all responses from now on, in requests per second; 0 lifts it.
+func (t *Target) StateRate(rate float64) {
+	t.Judge.StatesRate(t.Instance(), rate)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rateLimit = rate
+}
+
+// Leave states in all responses that the target leaves, while its heartbeats still report that it is
+// ready. After the given time it deregisters and stops.
+func (t *Target) Leave(serve time.Duration) {
+	t.mu.Lock()
+	t.leaving = true
+	t.mu.Unlock()
+	time.Sleep(serve)
+	t.callControl(http.MethodDelete, nil)
+	t.Stop()
+}
+
 // Stop stops the target immediately without deregistering it from the node.
 func (t *Target) Stop() {
 	t.mu.Lock()
