--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -41,6 +41,9 @@
 	// NoSamples, NoZones and NoLosses disable a mechanism: latency samples per class, the
 	// cross-zone cost, and the cost of lost responses and declined requests.
 	NoSamples, NoZones, NoLosses bool
+	// Rank returns the place of the node among all nodes that send to an instance, which each of
+	// them computes alike, and their number. nil: the node is the only one.
+	Rank func(instance string) (rank, senders int)
 }
 
 // DefaultConfig returns the default configuration.
@@ -74,11 +77,12 @@
 	endpoints map[string]*Endpoint // by node
 	order     []*Endpoint
 	classes   map[string]*classStats
+	states    map[string]*knownState // by instance
 }
 
 // New returns a Balancer without targets for the given sending node.
 func New(config Config, node, zone string, random Random) *Balancer {
-	return &Balancer{config: config, node: node, zone: zone, random: random, endpoints: map[string]*Endpoint{}, classes: map[string]*classStats{}}
+	return &Balancer{config: config, node: node, zone: zone, random: random, endpoints: map[string]*Endpoint{}, classes: map[string]*classStats{}, states: map[string]*knownState{}}
 }
 
 // Update replaces the list of targets. The load state of targets that remain is kept.
@@ -106,7 +110,7 @@
 	var cost float64
 	profile := b.profile(need)
 	for _, endpoint := range b.order {
-		if excluded[endpoint.Node] || now < endpoint.avoidUntil || need.Allowed != nil && !need.Allowed[endpoint.Node] {
+		if !b.usable(now, endpoint, excluded) || now < endpoint.avoidUntil || need.Allowed != nil && !need.Allowed[endpoint.Node] {
 			continue
 		}
 		if estimate := b.cost(now, endpoint, profile); best == nil || estimate < cost {
@@ -114,15 +118,20 @@
 		}
 	}
 	if best == nil && allowAvoided && need.Allowed == nil {
-		best = b.soonestAvailable(excluded)
+		best = b.soonestAvailable(now, excluded)
 	}
 	return best
 }
 
+// usable reports whether a target may be picked at all.
+func (b *Balancer) usable(now time.Duration, e *Endpoint, excluded map[string]bool) bool {
+	return !excluded[e.Node] && !b.overShare(now, e)
+}
+
 // soonestAvailable returns the target whose avoidance period ends first.
-func (b *Balancer) soonestAvailable(excluded map[string]bool) (best *Endpoint) {
+func (b *Balancer) soonestAvailable(now time.Duration, excluded map[string]bool) (best *Endpoint) {
 	for _, endpoint := range b.order {
-		if !excluded[endpoint.Node] && (best == nil || endpoint.avoidUntil < best.avoidUntil) {
+		if b.usable(now, endpoint, excluded) && (best == nil || endpoint.avoidUntil < best.avoidUntil) {
 			best = endpoint
 		}
 	}
@@ -130,7 +139,8 @@
 }
 
 // Sent records that a request is sent to the endpoint.
-func (b *Balancer) Sent(e *Endpoint) {
+func (b *Balancer) Sent(now time.Duration, e *Endpoint) {
+	b.takeShare(now, e)
 	e.inFlight++
 	e.sentSinceReport++
 }
@@ -149,9 +159,6 @@
 		load.ServiceTime = e.report.ServiceTime
 	}
 	e.report, e.reportedAt, e.sentSinceReport = load, now, 0
-	if load.Slots > 0 {
-		e.Slots = load.Slots
-	}
 	b.ClearSuspicion(e)
 }
 
--- a/internal/core/balancer/balancer_test.go
+++ b/internal/core/balancer/balancer_test.go
@@ -129,7 +129,7 @@
 	report(b, "near", 5, 0)
 	report(b, "far", 5, 0)
 	for range 8 {
-		b.Sent(b.Endpoint("near"))
+		b.Sent(0, b.Endpoint("near"))
 	}
 	best := b.Pick(time.Second, Requirement{}, nil, false)
 	g.Expect(best.Node).To(Equal("far"))
--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -124,11 +124,14 @@
 // utilization returns the target's running and queued requests per slot, including the
 // request to be sent.
 func (b *Balancer) utilization(now time.Duration, e *Endpoint) float64 {
-	count := max(e.inFlight, 0)
+	count, slots := max(e.inFlight, 0), e.Slots
 	if e.reportedAt > 0 && now-e.reportedAt < b.config.ReportTTL {
 		count = max(count, e.report.Running+e.report.Waiting+e.sentSinceReport)
+		if e.report.Slots > 0 {
+			slots = e.report.Slots
+		}
 	}
-	return float64(count+1) / float64(max(e.Slots, 1))
+	return float64(count+1) / float64(max(slots, 1))
 }
 
 // expectedLatency returns the expected latency in ns at the target: the recent latency of the
--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -5,6 +5,8 @@
 // on their budgets. The package keeps no state.
 package outcome
 
+import "github.com/landingmast/landingmast/internal/core/slots"
+
 // Outcome is the provable result of an attempt.
 type Outcome string
 
@@ -49,5 +51,6 @@
 	ReasonStaleConfiguration Reason = "stale_configuration" // configuration too old to validate an API key
 	ReasonParentGone         Reason = "parent_gone"         // call whose parent request is not running at the target
 	ReasonOverQuota          Reason = "over_quota"          // the tenant's quota over all nodes is exhausted
-	ReasonNoAllowance        Reason = "no_allowance"        // no keeper of the quota is reachable
+	ReasonRateLimited               = Reason(slots.ReasonRateLimited)
+	ReasonNoAllowance        Reason = "no_allowance" // no keeper of the quota is reachable
 )
--- a/internal/core/outcome/outcome_test.go
+++ b/internal/core/outcome/outcome_test.go
@@ -83,6 +83,7 @@
 		{outcome: NotRun, reason: Reason(slots.ReasonTooLong), full: true},
 		{outcome: NotRun, reason: Reason(slots.ReasonExpired), full: true},
 		{outcome: NotRun, reason: ReasonSuspectWaits, full: true},
+		{outcome: NotRun, reason: ReasonRateLimited, full: true},
 	} {
 		t.Run(string(tc.outcome)+" "+string(tc.reason), func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/core/outcome/target.go
+++ b/internal/core/outcome/target.go
@@ -34,8 +34,11 @@
 // NoCapacity reports whether the gate had no capacity in time.
 func (r Reason) NoCapacity() bool {
 	switch r {
-	case ReasonSuspectWaits, Reason(slots.ReasonTooLong), Reason(slots.ReasonFull), Reason(slots.ReasonExpired):
+	case ReasonSuspectWaits, Reason(slots.ReasonTooLong), Reason(slots.ReasonFull), Reason(slots.ReasonExpired), ReasonRateLimited:
 		return true
 	}
 	return false
 }
+
+// RateLimited reports whether the target takes no more requests at the rate that it states.
+func (r Reason) RateLimited() bool { return r == ReasonRateLimited }
--- a/internal/core/retryafter/retryafter.go
+++ b/internal/core/retryafter/retryafter.go
@@ -24,6 +24,7 @@
 const (
 	shedDivisor  = 3
 	quotaDivisor = 3
+	rateDivisor  = 3
 )
 
 // Range is a range of delays from Min to Min+Spread.
@@ -56,6 +57,14 @@
 	return jittered(noCapacityDelay)
 }
 
+// RateLimited returns the delay for a request whose targets take no more at the rates that they state.
+// nextToken is the time until one of them takes a further request, attemptTimeout how long the sender
+// waits for one attempt.
+func RateLimited(nextToken, attemptTimeout time.Duration) Range {
+	longest := attemptTimeout / (2 * rateDivisor)
+	return jittered(min(max(nextToken, noCapacityDelay), max(longest, noCapacityDelay)))
+}
+
 // QuotaUnavailable returns the delay for a request that is subject to a quota whose keeper is
 // unreachable.
 func QuotaUnavailable() Range { return jittered(quotaUnavailableDelay) }
--- a/internal/core/retryafter/retryafter_test.go
+++ b/internal/core/retryafter/retryafter_test.go
@@ -20,6 +20,10 @@
 		{"shed", Shed(attemptTimeout), attemptTimeout / 6, attemptTimeout / 3},
 		{"shed, no timeout", Shed(0), 0, 0},
 		{"no capacity", NotRun("too_long"), 400 * time.Millisecond, 800 * time.Millisecond},
+		{"rate limited, token soon", RateLimited(50*time.Millisecond, 6*time.Second), 400 * time.Millisecond, 800 * time.Millisecond},
+		{"rate limited, token later", RateLimited(700*time.Millisecond, 6*time.Second), 700 * time.Millisecond, 1400 * time.Millisecond},
+		{"rate limited, token late", RateLimited(4*time.Second, 6*time.Second), time.Second, 2 * time.Second},
+		{"rate limited, no timeout", RateLimited(4*time.Second, 0), 400 * time.Millisecond, 800 * time.Millisecond},
 		{"quarantined", NotRun(outcome.ReasonEndsTargets), 0, 0},
 		{"quota keeper unreachable", QuotaUnavailable(), 300 * time.Millisecond, 600 * time.Millisecond},
 	} {
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -1,13 +1,16 @@
 // Package slots implements the gate in front of a target: a concurrency limiter with a queue.
 // The gate admits no more requests than the target has slots and queues the rest by importance
-// and arrival. It refuses requests that cannot be answered by their deadline. A draining gate
-// refuses all requests that were not sent. The gate does no locking and uses no clock; all
+// and arrival. If the target states a rate, a request needs a token as well as a slot. The gate
+// refuses requests that cannot be answered by their deadline. A draining gate refuses all requests
+// that were not sent. The gate does no locking and uses no clock; all
 // times are on the caller's clock.
 package slots
 
 import (
 	"sort"
 	"time"
+
+	"github.com/landingmast/landingmast/internal/core/ratelimit"
 )
 
 // Reason is why a request was refused.
@@ -20,6 +23,8 @@
 	ReasonTooLong  Reason = "too_long"  // the request would still be queued at its deadline
 	ReasonFull     Reason = "full"      // the queue is full of requests of at least the same importance
 	ReasonNoTarget Reason = "no_target" // the node has no target
+	// ReasonRateLimited: the target takes no more requests for now than it was sent.
+	ReasonRateLimited Reason = "rate_limited"
 )
 
 // Request is a request for a slot.
@@ -88,6 +93,8 @@
 	queue             []queuedRequest
 	serviceTime       meanTime             // over all requests
 	classes           map[string]*meanTime // by class
+	rate              *ratelimit.Bucket    // nil: the target states no rate
+	probationEndsAt   time.Duration        // until then few requests are admitted at the same time
 	draining          bool
 	skipDeadlineCheck bool
 }
@@ -127,11 +134,14 @@
 }
 
 // Load returns the current load.
-func (g *Gate) Load() Load {
+func (g *Gate) Load(now time.Duration) Load {
 	load := Load{Slots: g.slots, Running: len(g.running), Waiting: len(g.queue)}
 	if g.serviceTime.reliable() {
 		load.ServiceTime = time.Duration(g.serviceTime.mean)
 	}
+	if g.rate != nil {
+		load.Slots, load.Running = g.rateLimitedLoad(now)
+	}
 	return load
 }
 
@@ -147,27 +157,38 @@
 	if now >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonExpired}}
 	}
-	if len(g.running) < g.slots && len(g.queue) == 0 {
+	if len(g.queue) == 0 && g.admits(now) {
 		g.running[request.ID] = activeRequest{class: request.Class, startedAt: now}
 		return []Decision{{ID: request.ID, Send: true}}
 	}
 	position := g.queuePosition(request)
-	wait := g.expectedWait(position)
+	wait := max(g.expectedWait(position), g.tokenWait(now, position+1))
 	if now+wait >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonTooLong}}
 	}
+	if g.tokenWait(now, position+1) > maxTokenWait {
+		return []Decision{{ID: request.ID, Reason: ReasonRateLimited}}
+	}
 	g.queue = append(g.queue, queuedRequest{})
 	copy(g.queue[position+1:], g.queue[position:])
 	g.queue[position] = queuedRequest{request: request, arrived: now}
 	decisions := g.dispatch(now, nil)
-	if len(g.queue) > queueFactor*g.slots {
-		last := g.queue[len(g.queue)-1]
-		g.queue = g.queue[:len(g.queue)-1]
-		decisions = append(decisions, Decision{ID: last.request.ID, Reason: ReasonFull, Waited: now - last.arrived})
+	switch {
+	case g.tokenWait(now, len(g.queue)) > maxTokenWait:
+		decisions = g.refuseLast(now, decisions, ReasonRateLimited)
+	case len(g.queue) > queueFactor*g.slots:
+		decisions = g.refuseLast(now, decisions, ReasonFull)
 	}
 	return decisions
 }
 
+// refuseLast refuses the last request of the queue.
+func (g *Gate) refuseLast(now time.Duration, decisions []Decision, reason Reason) []Decision {
+	last := g.queue[len(g.queue)-1]
+	g.queue = g.queue[:len(g.queue)-1]
+	return append(decisions, Decision{ID: last.request.ID, Reason: reason, Waited: now - last.arrived})
+}
+
 // queuePosition returns the insertion index: by importance, then in order of arrival.
 func (g *Gate) queuePosition(request Request) int {
 	return sort.Search(len(g.queue), func(i int) bool { return g.queue[i].request.Importance > request.Importance })
@@ -269,7 +290,7 @@
 		kept = append(kept, item)
 	}
 	g.queue = kept
-	for len(g.queue) > 0 && len(g.running) < g.slots {
+	for len(g.queue) > 0 && g.admits(now) {
 		next := g.queue[0]
 		g.queue = g.queue[1:]
 		g.running[next.request.ID] = activeRequest{class: next.request.Class, startedAt: now}
--- a/internal/core/slots/slots_test.go
+++ b/internal/core/slots/slots_test.go
@@ -24,7 +24,7 @@
 		}
 	}
 	g.Expect(sent).To(Equal(19))
-	g.Expect(gate.Load().Waiting).To(Equal(21))
+	g.Expect(gate.Load(0).Waiting).To(Equal(21))
 }
 
 func TestQueueIsOrderedByImportance(t *testing.T) {
@@ -96,14 +96,14 @@
 			for id := range uint64(200) {
 				run(id, normal, true)
 			}
-			before := gate.Load().ServiceTime
+			before := gate.Load(0).ServiceTime
 			for id := range uint64(20) {
 				run(1000+id, tc.lasted, tc.answered)
 			}
 			if tc.slower {
-				g.Expect(gate.Load().ServiceTime).To(BeNumerically(">", 5*before))
+				g.Expect(gate.Load(0).ServiceTime).To(BeNumerically(">", 5*before))
 			} else {
-				g.Expect(gate.Load().ServiceTime).To(Equal(before))
+				g.Expect(gate.Load(0).ServiceTime).To(Equal(before))
 			}
 		})
 	}
@@ -157,7 +157,7 @@
 				}
 				record(decisions)
 			}
-			if load := gate.Load(); load.Running > load.Slots || load.Running != len(atTarget) {
+			if load := gate.Load(0); load.Running > load.Slots || load.Running != len(atTarget) {
 				t.Fatalf("%d at the target, %d reported, %d slots", len(atTarget), load.Running, load.Slots)
 			}
 		}
@@ -174,10 +174,10 @@
 		gate.Submit(0, request(id, 0))
 		gate.Finish(lasts, id, true)
 	}
-	g.Expect(gate.Load().ServiceTime).To(BeZero())
+	g.Expect(gate.Load(0).ServiceTime).To(BeZero())
 	gate.Submit(0, request(minSamples, 0))
 	gate.Finish(lasts, minSamples, true)
-	g.Expect(gate.Load().ServiceTime).To(BeNumerically("~", lasts, time.Millisecond), "the initial service time does not affect the mean")
+	g.Expect(gate.Load(0).ServiceTime).To(BeNumerically("~", lasts, time.Millisecond), "the initial service time does not affect the mean")
 }
 
 // A request with too little time left would hold slots along its whole chain in vain. The check
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -107,6 +107,9 @@
 		header[name] = values
 	}
 	header.Set(wire.HeaderSidecarResult, head)
+	if err := wire.EncodeTargetState(header, response.TargetState); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	if waits := reply.EncodeWaits(response); waits != "" {
 		header.Set(wire.HeaderSidecarWaits, waits)
 	}
@@ -183,6 +186,7 @@
 		return reply.NotRun(outcome.ReasonWrongService)
 	}
 	req.instance = gate.Instance
+	i.adoptState(gate, call.TargetState)
 	heldBack := i.options.Quarantine
 	switch {
 	case !heldBack.MaySend(&req.Request):
@@ -217,6 +221,7 @@
 	}
 	response.Load, _ = gate.Load()
 	response.Waited = decision.Waited
+	i.attachState(gate, response)
 	return response
 }
 
--- a/internal/sidecar/arrival/options.go
+++ b/internal/sidecar/arrival/options.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
@@ -32,6 +33,13 @@
 	MarkReplaced(instance string)
 }
 
+// StateReader reads what targets state in their responses.
+type StateReader interface {
+	// Enabled reports whether the node follows what targets state.
+	Enabled() bool
+	Read(instance, service string, status int, header http.Header) (state outcome.TargetState, rateValid bool)
+}
+
 // Quarantine decides whether requests that may crash the target are sent, and collects the evidence.
 type Quarantine interface {
 	MaySend(r *quarantine.Request) bool
@@ -48,6 +56,7 @@
 	Headers     headers.Names
 	Version     func() uint64 // version of the configuration in force; 0 if none is known
 	Target      Target
+	States      StateReader
 	Quarantine  Quarantine
 	Metrics     *metrics.Metrics
 	Events      *eventlog.Log
--- a/internal/sidecar/arrival/send.go
+++ b/internal/sidecar/arrival/send.go
@@ -37,9 +37,7 @@
 	if err != nil {
 		return i.classifyError(ctx, gate, req, err)
 	}
-	if answer.Status != http.StatusMisdirectedRequest { // the response of another instance
-		i.observeState(gate, answer.Header, sentAt)
-	}
+	i.observeState(gate, answer, sentAt)
 	return i.readAnswer(ctx, gate, req, answer)
 }
 
--- a/internal/sidecar/arrival/state.go
+++ b/internal/sidecar/arrival/state.go
@@ -1,12 +1,14 @@
 package arrival
 
 import (
-	"net/http"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/core/ratelimit"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+	"github.com/landingmast/landingmast/internal/sidecar/reply"
 	"github.com/landingmast/landingmast/internal/sidecar/target"
+	"github.com/landingmast/landingmast/internal/sidecar/targetlink"
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
@@ -23,26 +25,46 @@
 	return senderRemote
 }
 
-// observeState applies what the target states in the header of a response to a request that was
-// sent to it at sentAt. An invalid rate leaves the one in force.
-func (i *Ingress) observeState(gate *target.Gate, header http.Header, sentAt time.Duration) {
-	state, err := i.options.Headers.TargetState(header)
-	if err != nil {
-		i.recordState(gate, eventlog.Target{Change: "state invalid", Error: err.Error()})
-	} else if gate.ObserveRate(sentAt, state.RateLimit) {
-		i.recordRateLimit(gate, state.RateLimit)
+// Sources of a target's state in log lines.
+const (
+	sourceResponse = "response" // the target's own
+	sourceSender   = "sender"   // another node that knows the target longer
+)
+
+// observeState applies what the target states in a response to a request that was sent at sentAt. It
+// runs before the response is passed on, so that the gate knows at least what any sender knows.
+func (i *Ingress) observeState(gate *target.Gate, answer *targetlink.Response, sentAt time.Duration) {
+	state, rateValid := i.options.States.Read(gate.Instance, gate.Service, answer.Status, answer.Header)
+	if rateValid && gate.ObserveRate(sentAt, state.RateLimit) {
+		i.recordRateLimit(gate, sourceResponse)
+	}
+}
+
+// adoptState applies what a sender knows of the target, which a node that was restarted does not.
+func (i *Ingress) adoptState(gate *target.Gate, known *outcome.TargetState) {
+	if known != nil && i.options.States.Enabled() && known.Instance == gate.Instance && gate.AdoptRate(known.RateLimit) {
+		i.recordRateLimit(gate, sourceSender)
+	}
+}
+
+// attachState adds to a response what its sender has to know of the target's state.
+func (i *Ingress) attachState(gate *target.Gate, response *reply.Reply) {
+	if !i.options.States.Enabled() {
+		return
 	}
-	if state.Leaving && gate.ObserveLeaving() {
-		i.recordState(gate, eventlog.Target{Change: "leaving"})
+	response.TargetState = gate.State()
+	if response.Reason.RateLimited() {
+		response.RetryAfter = gate.NextToken()
 	}
 }
 
-func (i *Ingress) recordRateLimit(gate *target.Gate, rate float64) {
+func (i *Ingress) recordRateLimit(gate *target.Gate, source string) {
+	rate, _ := gate.RateLimit()
 	if rate == ratelimit.Unlimited {
-		i.recordState(gate, eventlog.Target{Change: "limit lifted"})
+		i.recordState(gate, eventlog.Target{Change: "limit lifted", Source: source})
 		return
 	}
-	i.recordState(gate, eventlog.Target{Change: "limited", RateLimit: rate})
+	i.recordState(gate, eventlog.Target{Change: "limited", RateLimit: rate, Source: source})
 }
 
 func (i *Ingress) recordState(gate *target.Gate, event eventlog.Target) {
--- a/internal/sidecar/entry/options.go
+++ b/internal/sidecar/entry/options.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/intent"
+	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/sidecar/admission"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
@@ -52,6 +53,11 @@
 	ReturnToken(tenant *intent.Tenant)
 }
 
+// StateReader reads what targets state in their responses.
+type StateReader interface {
+	Read(instance, service string, status int, header http.Header) (state outcome.TargetState, rateValid bool)
+}
+
 // Members tracks the process incarnations of the other nodes.
 type Members interface {
 	Incarnation(node string) string
@@ -80,6 +86,7 @@
 	Liveness      *peer.Liveness
 	PeerClient    *peer.Client
 	Members       Members
+	States        StateReader
 	SyncWith      func(address string)            // synchronizes with a node that has no configuration
 	PolicyOn      func(m settings.Mechanism) bool // whether a mechanism is enabled
 	Metrics       *metrics.Metrics
--- a/internal/sidecar/entry/response.go
+++ b/internal/sidecar/entry/response.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/core/retryafter"
@@ -58,7 +59,15 @@
 		return
 	}
 	r.options.Quotas.ReturnToken(r.keyTenant)
-	r.reject(status, reason, retryafter.NotRun(reason))
+	r.reject(status, reason, r.retryDelay(reason, last.RetryAfter))
+}
+
+// retryDelay returns the Retry-After of a request that no target ran.
+func (r *request) retryDelay(reason outcome.Reason, nextToken time.Duration) retryafter.Range {
+	if reason.RateLimited() {
+		return retryafter.RateLimited(nextToken, r.clientTimeout())
+	}
+	return retryafter.NotRun(reason)
 }
 
 // noRetryAfter omits Retry-After from rejections where resending the same request would be
--- a/internal/sidecar/entry/send.go
+++ b/internal/sidecar/entry/send.go
@@ -30,6 +30,9 @@
 	for ctx.Err() == nil && r.remaining(ctx) > 0 && attempts.CanContinue() {
 		choice := service.Pick(r.options.Now(), r.requirement(ctx, attempts), attempts.Excluded())
 		if choice == nil {
+			if len(r.attempts) == 0 && service.OverShare(r.options.Now()) {
+				last = reply.NotRun(outcome.ReasonRateLimited)
+			}
 			break
 		}
 		last.Close()
@@ -37,6 +40,7 @@
 		last = r.attempt(ctx, choice, attempts.TargetCrashed())
 		r.recordAttempt(choice, last, r.options.Now()-started)
 		choice.Done(r.options.Now(), last)
+		r.observeState(choice, last)
 		if last.Reason == outcome.ReasonUnreachable && last.Incarnation == "" && choice.Node != r.options.Node {
 			r.options.Liveness.StartRecovery(choice.Node, choice.Address)
 		}
@@ -123,6 +127,7 @@
 		Caller: r.options.Caller(), From: r.options.Node, Importance: r.importance, Idempotent: repeatable,
 		IsRetry: r.parentIsRetry || r.delivered > 0, Attempt: r.delivered, Remaining: r.remaining(ctx).Microseconds(),
 		Version: int64(r.intent.Version), RetryGrant: r.retryGrant, Tenant: r.tenant, Suspect: suspect, Trial: r.trial,
+		TargetState: choice.State,
 	}
 	if choice.Node == r.options.Node {
 		return r.options.Ingress.Serve(ctx, call, r.header.Clone(), r.body)
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -115,6 +115,7 @@
 	Slots     int     `json:"slots" doc:"number of slots"`
 	Sequence  int64   `json:"sequence" doc:"sequence number of the heartbeat that reported it"`
 	RateLimit float64 `json:"rate_limit,omitempty" doc:"requests per second, if the change is limited"`
+	Source    string  `json:"source,omitempty" doc:"where the rate limit or the leaving was learned: response (the target's own) or sender (a node that knew it when this one was restarted)"`
 	Error     string  `json:"error,omitempty" doc:"what is wrong with the state in its responses"`
 }
 
--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -245,16 +245,28 @@
 // RanksFirst reports whether rendezvous hashing selects this node for a key. Nodes with the same
 // view of the membership agree on the selected node.
 func (m *Members) RanksFirst(key []byte) bool {
+	rank, _ := m.Rank(key)
+	return rank == 0
+}
+
+// Rank returns the place of this node among all nodes by rendezvous hashing of a key, 0 for the first,
+// and the number of nodes. Nodes with the same view of the membership agree on the order.
+func (m *Members) Rank(key []byte) (rank, nodes int) {
 	local := m.options.Settings().Node
 	localWeight := rendezvousWeight(local, key)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	nodes = 1
 	for name := range m.records {
-		if name != local && rendezvousWeight(name, key) > localWeight {
-			return false
+		if name == local {
+			continue
+		}
+		nodes++
+		if rendezvousWeight(name, key) > localWeight {
+			rank++
 		}
 	}
-	return true
+	return rank, nodes
 }
 
 // rendezvousWeight returns the rendezvous hashing weight of a node for a key.
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -24,6 +24,8 @@
 	SlotWait, TargetDuration prometheus.Histogram
 	// TargetRequests counts requests sent to the target by sender, "local" or "remote".
 	TargetRequests *prometheus.CounterVec
+	// InvalidStates counts responses of targets whose stated rate cannot be read.
+	InvalidStates prometheus.Counter
 	// Connections counts new connections to the target.
 	Connections prometheus.Counter
 	// StoreCalls counts store calls by call and result.
@@ -41,8 +43,9 @@
 // Gauges holds callbacks that are evaluated on each scrape.
 type Gauges struct {
 	Version, Peers, Slots, Running, Waiting, InFlight, HeldBack func() float64
-	// RateLimit is the rate that the target states, in requests per second; -1: none.
-	RateLimit func() float64
+	// RateLimit is the rate that the target states, in requests per second; -1: none. RateLimitAge is
+	// the time since its last response in seconds, while it states one; -1: it states none.
+	RateLimit, RateLimitAge func() float64
 	// StoreAge is the time since the last response of the store in seconds.
 	StoreAge func() float64
 }
@@ -74,6 +77,7 @@
 		SlotWait:       histogram("slot_wait_seconds", "Wait for a slot of the target."),
 		TargetDuration: histogram("target_seconds", "Time of a request at the target."),
 		TargetRequests: counters("target_requests_total", "Requests sent to the target, by where they began.", "sender"),
+		InvalidStates:  counter("target_state_invalid_total", "Answers of targets that name a rate limit which cannot be read."),
 		Connections:    counter("target_connections_total", "New connections to the target."),
 		StoreCalls:     counters("store_calls_total", "Calls of the store.", "call", "result"),
 		Crashes:        counter("target_crashes_total", "Ends of the target while it ran requests."),
@@ -81,7 +85,7 @@
 		SilentNodes:    counter("silent_nodes_total", "Times that another node was taken for dead."),
 		Omitted:        counters("log_lines_omitted_total", "Log lines that were left out.", "kind"),
 	}
-	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
+	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
 	for _, gauge := range []struct {
 		name, help string
 		read       func() float64
@@ -91,6 +95,7 @@
 		{"peers", "Other nodes that are known.", gauges.Peers},
 		{"slots", "Usable slots of the target; 0: no target.", gauges.Slots},
 		{"target_rate_limit", "Requests a second that the target states as its limit; -1: none.", gauges.RateLimit},
+		{"target_rate_limit_age_seconds", "Time since the target's last answer while it states a limit; -1: none.", gauges.RateLimitAge},
 		{"running", "Requests at the target.", gauges.Running},
 		{"waiting", "Requests that wait for a slot.", gauges.Waiting},
 		{"in_flight", "Requests that the node is serving.", gauges.InFlight},
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -37,6 +37,7 @@
 	"github.com/landingmast/landingmast/internal/sidecar/settings"
 	"github.com/landingmast/landingmast/internal/sidecar/storehealth"
 	"github.com/landingmast/landingmast/internal/sidecar/target"
+	"github.com/landingmast/landingmast/internal/sidecar/targetstate"
 	"github.com/landingmast/landingmast/internal/store"
 	"github.com/landingmast/landingmast/internal/wire"
 )
@@ -89,6 +90,7 @@
 	quotaServer     *quotas.Server
 	quotas          *quotas.Limiter
 	heldBack        *quarantine.Control
+	states          *targetstate.Reader
 	liveness        *peer.Liveness
 	shutdown        shutdownState
 	inFlight        atomic.Int64 // requests of clients, the target and other nodes
@@ -119,7 +121,9 @@
 	n.admission = admission.New(n.now, n.configuration, !n.policyOn(window))
 	n.services = services.New(services.Options{
 		Node: settings.Node, Zone: settings.Zone, Now: n.now, Budget: budget(settings), FirstStart: settings.FirstStart, Policy: settings.Policy,
+		Rank: func(instance string) (int, int) { return n.membership.Rank([]byte(instance)) },
 	})
+	n.states = targetstate.New(n.stateOptions())
 	n.peers = peer.NewClient(options.Dial, options.Headers)
 	n.membership, n.exchanger, n.broadcaster = membership.New(n.membershipOptions())
 	n.follower = follower.New(n.followerOptions())
@@ -132,6 +136,7 @@
 	n.liveness = peer.NewLiveness(n.now, n.peers.PingPeer, peer.Events{Unresponsive: n.peerSilent, PingFailed: n.services.Suspect, Recovered: n.peerRecovered})
 	n.target = target.New(target.Options{
 		Now: n.now, OnChange: n.targetChanged, NewLink: n.newLink, Identify: n.identify, SkipDeadlineCheck: !n.policyOn(inTime),
+		Restarted:  !settings.FirstStart && n.policyOn(targetState),
 		OnReplaced: func(gate *target.Gate) { n.ingress.InstanceReplaced(gate) },
 	})
 	n.ingress = arrival.New(n.arrivalOptions())
@@ -146,6 +151,8 @@
 const (
 	inTime = settings.InTime
 	window = settings.Window
+
+	targetState = settings.TargetState
 )
 
 // policyOn reports whether a mechanism is enabled.
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -14,15 +14,16 @@
 // gauges returns the gauge callbacks of the metrics.
 func (n *Node) gauges() metrics.Gauges {
 	return metrics.Gauges{
-		Version:   func() float64 { return float64(n.configuration.Version()) },
-		Peers:     func() float64 { return float64(n.membership.PeerCount()) },
-		Slots:     func() float64 { return float64(n.gateLoad().Slots) },
-		Running:   func() float64 { return float64(n.gateLoad().Running) },
-		Waiting:   func() float64 { return float64(n.gateLoad().Waiting) },
-		RateLimit: n.targetRateLimit,
-		HeldBack:  func() float64 { return float64(n.heldBack.Count()) },
-		InFlight:  func() float64 { return float64(n.inFlight.Load()) },
-		StoreAge:  func() float64 { return n.storeHealth.Age().Seconds() },
+		Version:      func() float64 { return float64(n.configuration.Version()) },
+		Peers:        func() float64 { return float64(n.membership.PeerCount()) },
+		Slots:        func() float64 { return float64(n.gateLoad().Slots) },
+		Running:      func() float64 { return float64(n.gateLoad().Running) },
+		Waiting:      func() float64 { return float64(n.gateLoad().Waiting) },
+		RateLimit:    func() float64 { rate, _ := n.targetRateLimit(); return rate },
+		RateLimitAge: func() float64 { _, age := n.targetRateLimit(); return age },
+		HeldBack:     func() float64 { return float64(n.heldBack.Count()) },
+		InFlight:     func() float64 { return float64(n.inFlight.Load()) },
+		StoreAge:     func() float64 { return n.storeHealth.Age().Seconds() },
 	}
 }
 
@@ -73,16 +74,21 @@
 	n.events.Add(eventlog.Member{Member: node, Change: "heard again"}, eventlog.State)
 }
 
-// noRateLimit is the value of the metric of the rate limit if the target states none.
+// noRateLimit is the value of the metrics of the rate limit if the target states none.
 const noRateLimit = -1
 
-// targetRateLimit returns the rate that the target states, in requests per second.
-func (n *Node) targetRateLimit() float64 {
+// targetRateLimit returns the rate that the target states, in requests per second, and the time since
+// its last response in seconds.
+func (n *Node) targetRateLimit() (rate, age float64) {
 	gate := n.target.Current()
-	if gate == nil || gate.RateLimit() == ratelimit.Unlimited {
-		return noRateLimit
+	if gate == nil {
+		return noRateLimit, noRateLimit
 	}
-	return gate.RateLimit()
+	rate, since := gate.RateLimit()
+	if rate == ratelimit.Unlimited {
+		return noRateLimit, noRateLimit
+	}
+	return rate, since.Seconds()
 }
 
 // gateLoad returns the load of the local target.
--- a/internal/sidecar/options.go
+++ b/internal/sidecar/options.go
@@ -18,6 +18,7 @@
 	"github.com/landingmast/landingmast/internal/sidecar/revalidation"
 	"github.com/landingmast/landingmast/internal/sidecar/settings"
 	"github.com/landingmast/landingmast/internal/sidecar/targetlink"
+	"github.com/landingmast/landingmast/internal/sidecar/targetstate"
 	"github.com/landingmast/landingmast/internal/store"
 )
 
@@ -145,10 +146,17 @@
 	}
 }
 
+func (n *Node) stateOptions() targetstate.Options {
+	return targetstate.Options{
+		Now: n.now, Enabled: func() bool { return n.policyOn(settings.TargetState) }, Headers: n.options.Headers,
+		Events: n.events, Invalid: n.metrics.InvalidStates,
+	}
+}
+
 func (n *Node) arrivalOptions() arrival.Options {
 	return arrival.Options{
 		Node: n.settings().Node, Incarnation: n.incarnation, Now: n.now, Headers: n.options.Headers, Version: n.configuration.Version,
-		Target: n.target, Quarantine: n.heldBack, Metrics: n.metrics, Events: n.events,
+		Target: n.target, States: n.states, Quarantine: n.heldBack, Metrics: n.metrics, Events: n.events,
 		Begin: func(w http.ResponseWriter, r *http.Request) (*duplex.Writer, *http.Request, func(), bool) {
 			return n.beginRequest(w, r, n.shutdown.leaving.Load, &n.shutdown.rejectAll)
 		},
@@ -159,7 +167,7 @@
 	return entry.Options{
 		Node: n.settings().Node, Now: n.now, Headers: n.options.Headers, Caller: n.localService, Configuration: n.configuration, ConfigFresh: n.freshness.Fresh,
 		Ingress: n.ingress, Quarantine: n.heldBack, Quotas: n.quotas, Services: n.services, Admission: n.admission, Liveness: n.liveness,
-		PeerClient: n.peers, Members: n.membership, SyncWith: n.exchanger.SyncInBackground, PolicyOn: n.policyOn, Metrics: n.metrics, Events: n.events,
+		PeerClient: n.peers, Members: n.membership, States: n.states, SyncWith: n.exchanger.SyncInBackground, PolicyOn: n.policyOn, Metrics: n.metrics, Events: n.events,
 		Begin: func(w http.ResponseWriter, r *http.Request) (*duplex.Writer, *http.Request, func(), bool) {
 			return n.beginRequest(w, r, n.shutdown.stopping.Load, &n.shutdown.rejectClients)
 		},
--- a/internal/sidecar/reply/reply.go
+++ b/internal/sidecar/reply/reply.go
@@ -33,6 +33,10 @@
 	Version     uint64        // configuration version of the replying node
 	Needs       []wire.Need   // demand on downstream services
 	Waited      time.Duration // time spent waiting for a slot of the target
+	// TargetState is the state that the node of the target keeps to; nil: the target states nothing, or
+	// the node is of a release that does not read it.
+	TargetState *outcome.TargetState
+	RetryAfter  time.Duration // time until the target is likely to have room; 0: unknown
 }
 
 // NotRun returns the reply to a request that was not and will not be executed.
@@ -134,7 +138,7 @@
 	return &wire.SidecarResult{
 		Outcome: string(r.Outcome), Reason: string(r.Reason), Arrived: r.Arrived, Status: r.Status, Length: length,
 		Incarnation: r.Incarnation, Version: int64(r.Version), Slots: r.Load.Slots, Running: r.Load.Running, Waiting: r.Load.Waiting,
-		Hold: r.Load.ServiceTime.Microseconds(), Downstream: r.Needs,
+		Hold: r.Load.ServiceTime.Microseconds(), Downstream: r.Needs, RetryAfter: r.RetryAfter.Milliseconds(),
 	}
 }
 
@@ -142,7 +146,8 @@
 func FromResult(result *wire.SidecarResult) *Reply {
 	return &Reply{
 		Outcome: outcome.Outcome(result.Outcome), Reason: outcome.Reason(result.Reason), Arrived: result.Arrived, Status: result.Status,
-		Length: result.Length, Incarnation: result.Incarnation, Version: uint64(max(result.Version, 0)), Needs: result.Downstream,
+		RetryAfter: time.Duration(max(result.RetryAfter, 0)) * time.Millisecond,
+		Length:     result.Length, Incarnation: result.Incarnation, Version: uint64(max(result.Version, 0)), Needs: result.Downstream,
 		Load: slots.Load{Slots: result.Slots, Running: result.Running, Waiting: result.Waiting, ServiceTime: time.Duration(result.Hold) * time.Microsecond},
 	}
 }
--- a/internal/sidecar/services/services.go
+++ b/internal/sidecar/services/services.go
@@ -31,6 +31,7 @@
 	allowance *retrybudget.AllowanceShare // the node's share of the global retry allowance
 	retention retrybudget.Reserve         // the share of retry budgets that the node retains
 	policy    settings.Policy
+	rank      func(instance string) (rank, senders int)
 }
 
 // Service is the node's view of one service.
@@ -53,12 +54,15 @@
 	Budget     retrybudget.Config
 	FirstStart bool // whether this is the first process of the node
 	Policy     settings.Policy
+	// Rank returns the place of the node among all nodes for an instance, and their number; nil: it is
+	// the only one.
+	Rank func(instance string) (rank, senders int)
 }
 
 // New returns Services without targets.
 func New(o Options) *Services {
 	return &Services{
-		node: o.Node, zone: o.Zone, now: o.Now, config: o.Budget, policy: o.Policy,
+		node: o.Node, zone: o.Zone, now: o.Now, config: o.Budget, policy: o.Policy, rank: o.Rank,
 		byName: map[string]*Service{}, allowance: retrybudget.NewAllowanceShare(o.Budget.Window, o.FirstStart),
 	}
 }
@@ -85,6 +89,7 @@
 // balancerConfig returns the balancer configuration under the current policy.
 func (s *Services) balancerConfig() balancer.Config {
 	config := balancer.DefaultConfig()
+	config.Rank = s.rank
 	config.NoSamples = !s.policy.Enabled(settings.Samples)
 	config.NoZones = !s.policy.Enabled(settings.Zones)
 	config.NoLosses = !s.policy.Enabled(settings.Losses)
@@ -120,6 +125,8 @@
 	endpoint *balancer.Endpoint
 	Node     string
 	Address  string
+	Instance string               // of the target, as listed in the membership
+	State    *outcome.TargetState // what the instance is known to state; nil: nothing
 }
 
 // Pick chooses a target and counts an attempt to it as in flight. It returns nil if there is none.
@@ -130,8 +137,11 @@
 	if endpoint == nil {
 		return nil
 	}
-	s.balancer.Sent(endpoint)
-	return &Choice{Service: s, class: requirement.Class, sentAt: now, endpoint: endpoint, Node: endpoint.Node, Address: endpoint.Address}
+	s.balancer.Sent(now, endpoint)
+	return &Choice{
+		Service: s, class: requirement.Class, sentAt: now, endpoint: endpoint, Node: endpoint.Node, Address: endpoint.Address,
+		Instance: endpoint.Instance, State: s.balancer.State(endpoint.Instance),
+	}
 }
 
 // Done records the result of the attempt.
@@ -159,6 +169,26 @@
 	}
 }
 
+// ObserveState records what an instance states in the response to the attempt. gated means that the
+// node of the target keeps the stated rate.
+func (c *Choice) ObserveState(now time.Duration, state outcome.TargetState, gated bool) {
+	if !state.Stated() && c.State == nil {
+		return // the usual case; a state learned since the attempt began is newer
+	}
+	s := c.Service
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.balancer.ObserveState(now, c.sentAt, state, gated)
+}
+
+// OverShare reports whether targets are left out only because the node has used its share of the
+// rates that they state.
+func (s *Service) OverShare(now time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.balancer.OverShare(now)
+}
+
 // Suspect stops sending to the target of an unresponsive node.
 func (s *Services) Suspect(node string) {
 	if !s.policy.Enabled(settings.Suspicion) {
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -36,9 +36,11 @@
 	TenantOrder Mechanism = "tenant_order"
 	// HoldBack blocks requests that have repeatedly crashed targets.
 	HoldBack Mechanism = "hold_back"
+	// TargetState follows what targets state in their responses: a rate limit, or that they leave.
+	TargetState Mechanism = "target_state"
 )
 
-var mechanisms = []Mechanism{Window, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack}
+var mechanisms = []Mechanism{Window, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState}
 
 // Enabled reports whether m is enabled.
 func (p Policy) Enabled(m Mechanism) bool { return !slices.Contains(p.Off, m) }
--- a/internal/sidecar/target/state.go
+++ b/internal/sidecar/target/state.go
@@ -1,29 +1,64 @@
 package target
 
-import "time"
+import (
+	"time"
+
+	"github.com/landingmast/landingmast/internal/core/outcome"
+)
 
 // ObserveRate applies the rate stated in a response to a request that was sent at sentAt, and
 // reports whether the rate in force changes.
 func (g *Gate) ObserveRate(sentAt time.Duration, rate float64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.stated.Observe(g.now(), sentAt, rate)
+	now := g.now()
+	first := g.statedAt == 0
+	g.statedAt = now
+	changed := g.stated.Observe(now, sentAt, rate)
+	if changed || first {
+		g.apply(g.core.SetRateLimit(now, g.stated.Rate()))
+	}
+	return changed
+}
+
+// AdoptRate applies the rate that another node has learned from the target, unless the target has
+// responded to this node, and reports whether the rate in force changes.
+func (g *Gate) AdoptRate(rate float64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if g.statedAt != 0 || !g.stated.Observe(now, now, rate) {
+		return false
+	}
+	g.apply(g.core.SetRateLimit(now, rate))
+	return true
+}
+
+// State returns what the target states, or nil if it states nothing.
+func (g *Gate) State() *outcome.TargetState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := &outcome.TargetState{Instance: g.Instance, RateLimit: g.stated.Rate(), Leaving: g.core.Draining()}
+	if !state.Stated() {
+		return nil
+	}
+	return state
 }
 
 // RateLimit returns the rate that the target states, in requests per second, or
-// ratelimit.Unlimited.
-func (g *Gate) RateLimit() float64 {
+// ratelimit.Unlimited, and the time since its last response; 0 if there was none.
+func (g *Gate) RateLimit() (rate float64, age time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.stated.Rate()
+	if g.statedAt == 0 {
+		return g.stated.Rate(), 0
+	}
+	return g.stated.Rate(), g.now() - g.statedAt
 }
 
-// ObserveLeaving records that a response stated that the target leaves, and reports whether this
-// was not known.
-func (g *Gate) ObserveLeaving() bool {
+// NextToken returns the time until a further request may be sent at the rate that the target states.
+func (g *Gate) NextToken() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	first := !g.leaving
-	g.leaving = true
-	return first
+	return g.core.NextToken(g.now())
 }
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -32,6 +32,8 @@
 	OnReplaced func(gate *Gate)
 	// SkipDeadlineCheck admits requests even if they cannot finish before their deadline.
 	SkipDeadlineCheck bool
+	// Restarted means that an earlier process of the node may have known what the target states.
+	Restarted bool
 }
 
 // Local is the local target of a node: its identity, gate and connections. It is safe for
@@ -60,7 +62,7 @@
 	mu          sync.Mutex
 	core        *slots.Gate
 	stated      ratelimit.Stated
-	leaving     bool // a response stated that the target leaves
+	statedAt    time.Duration // arrival of the last response; 0: none yet
 	nextID      uint64
 	waiting     map[uint64]chan slots.Decision
 	timerActive bool
@@ -131,7 +133,7 @@
 func (g *Gate) Load() (slots.Load, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.core.Load(), g.core.Draining()
+	return g.core.Load(g.now()), g.core.Draining()
 }
 
 func (g *Gate) setSlots(count int) {
@@ -300,6 +302,9 @@
 		if l.options.SkipDeadlineCheck {
 			l.gate.core.SkipDeadlineCheck()
 		}
+		if l.options.Restarted {
+			l.gate.core.StartProbation(l.options.Now())
+		}
 	}
 	l.gate.setSlots(report.Slots)
 	if report.Draining {
--- a/internal/sidecar/target/target_test.go
+++ b/internal/sidecar/target/target_test.go
@@ -49,3 +49,29 @@
 		})
 	}
 }
+
+func newLocal(now *time.Duration, restarted bool) *Local {
+	return New(Options{
+		Now: func() time.Duration { return *now }, OnChange: func() {}, Restarted: restarted,
+		NewLink: func() *targetlink.Link { return targetlink.New(targetlink.Options{}) },
+		Identify: func(context.Context) (roster.Report, bool) {
+			return roster.Report{Instance: "new", Service: "s", Slots: 10}, true
+		},
+	})
+}
+
+// A restarted node takes a rate from senders only until the target itself responds.
+func TestAdoptedRateGivesWayToTheTargets(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Second
+	target := newLocal(&now, true)
+	g.Expect(target.Heartbeat(roster.Report{Instance: "new", Service: "s", Slots: 10, Sequence: 1})).To(Succeed())
+	gate := target.Current()
+	g.Expect(gate.AdoptRate(3.6)).To(BeTrue())
+	g.Expect(gate.State().RateLimit).To(Equal(3.6))
+	now += time.Second
+	g.Expect(gate.ObserveRate(now-time.Millisecond, 8.9)).To(BeTrue())
+	g.Expect(gate.AdoptRate(3.6)).To(BeFalse())
+	rate, _ := gate.RateLimit()
+	g.Expect(rate).To(Equal(8.9))
+}
--- a/internal/testbed/deployment/deployment.go
+++ b/internal/testbed/deployment/deployment.go
@@ -47,6 +47,9 @@
 	LogOutput io.Writer     // destination of the node logs; nil discards them
 	// ReadsPerSecond limits the read requests served by the store; 0 means no limit.
 	ReadsPerSecond int
+	// IgnoresState selects machines whose nodes do not follow what targets state, like those of an
+	// earlier release, by index and service; nil: none.
+	IgnoresState func(index int, service string) bool
 }
 
 // Service describes the targets of a service.
--- a/internal/testbed/fleet/alone_test.go
+++ b/internal/testbed/fleet/alone_test.go
@@ -54,7 +54,7 @@
 // srv_grey_shed case also guards against routing that ignores declined requests; see
 // docs/incidents/declining-target.md.
 func TestEveryTroubleAlone(t *testing.T) {
-	for _, kind := range trouble.All() {
+	for _, kind := range append(trouble.All(), trouble.Statements()...) {
 		t.Run(kind.Name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
--- a/internal/testbed/fleet/judges_test.go
+++ b/internal/testbed/fleet/judges_test.go
@@ -41,15 +41,17 @@
 			cutDuringStop(mesh.Judge, 4)
 		}},
 		{"as many requests as a stated rate allows", "", func(mesh *testbed.Mesh) {
-			sendToStating(mesh.Judge, judge.Statement{RateLimit: 2}, judge.FaultRecovery, 17)
+			sendToStating(mesh.Judge, judge.Statement{Limited: true, RateLimit: 2}, judge.FaultRecovery, 17)
 		}},
 		{"more requests than a stated rate allows", "LIMIT", func(mesh *testbed.Mesh) {
-			sendToStating(mesh.Judge, judge.Statement{RateLimit: 2}, judge.FaultRecovery, 18)
+			sendToStating(mesh.Judge, judge.Statement{Limited: true, RateLimit: 2}, judge.FaultRecovery, 18)
+		}},
+		{"more requests than a stated rate allows, at once", "", func(mesh *testbed.Mesh) {
+			sendToStating(mesh.Judge, judge.Statement{Limited: true, RateLimit: 2}, time.Second, 18)
 		}},
-		{"more requests than a stated rate allows, at once", "", func(mesh *testbed.Mesh) { sendToStating(mesh.Judge, judge.Statement{RateLimit: 2}, time.Second, 18) }},
 		{"more requests than a rate allowed that was lifted", "", func(mesh *testbed.Mesh) {
-			sendToStating(mesh.Judge, judge.Statement{RateLimit: 2}, judge.FaultRecovery, 0)
-			mesh.Judge.StatesRate(stating, 0)
+			sendToStating(mesh.Judge, judge.Statement{Limited: true, RateLimit: 2}, judge.FaultRecovery, 0)
+			mesh.Judge.StatesNoRate(stating)
 			sendToStating(mesh.Judge, judge.Statement{}, 0, 30)
 		}},
 		{"a request soon after its target stated that it leaves", "", func(mesh *testbed.Mesh) {
@@ -111,7 +113,7 @@
 // sendToStating reports a request that a target answers with a statement and, after a while, more
 // requests from the same machine.
 func sendToStating(j *judge.Judge, statement judge.Statement, wait time.Duration, more int) {
-	if statement.RateLimit > 0 {
+	if statement.Limited {
 		j.StatesRate(stating, statement.RateLimit)
 	}
 	send := func(id string, statement judge.Statement) {
--- a/internal/testbed/judge/judge.go
+++ b/internal/testbed/judge/judge.go
@@ -68,7 +68,7 @@
 func New(drain time.Duration) *Judge {
 	return &Judge{Drain: drain, requests: map[string]*request{}, drained: map[string]time.Time{}, disturbed: map[string]time.Time{}, requestTimes: map[string][]time.Time{}, repeatTimes: map[string][]time.Time{}, tenancy: tenancy{
 		revoked: map[string]time.Time{}, limits: map[string]quotaLimit{}, runs: map[string][]quotaRun{},
-	}, stops: plannedStops{planned: map[string]time.Time{}}, statements: statements{targets: map[string]*statingTarget{}, frozen: map[string]time.Time{}}, harm: harmfulState{requests: map[string]*harmfulRequest{}, restarted: map[string]time.Time{}}}
+	}, stops: plannedStops{planned: map[string]time.Time{}}, statements: statements{targets: map[string]*statingTarget{}, frozen: map[string]time.Time{}, ignoring: map[string]bool{}}, harm: harmfulState{requests: map[string]*harmfulRequest{}, restarted: map[string]time.Time{}}}
 }
 
 // violate records a violation of a rule. Callers hold mu.
@@ -133,7 +133,7 @@
 	if req := j.requests[r.Header.Get("X-Request-Id")]; req != nil {
 		now := time.Now()
 		j.countArrival(req, at.Service, now)
-		j.checkStatements(req, at.Instance, now)
+		j.checkStatements(req, at, now)
 	}
 }
 
@@ -150,7 +150,7 @@
 		j.requests[id] = req
 	}
 	j.countArrival(req, at.Service, now)
-	j.checkStatements(req, at.Instance, now)
+	j.checkStatements(req, at, now)
 	began := &Run{request: req, instance: at.Instance}
 	req.runs = append(req.runs, began)
 	j.checkTenant(req, r, now)
--- a/internal/testbed/judge/statements.go
+++ b/internal/testbed/judge/statements.go
@@ -4,7 +4,8 @@
 
 // Statement is what a target states about itself in a response.
 type Statement struct {
-	RateLimit float64 // requests per second from all senders; 0: none
+	Limited   bool    // it states RateLimit
+	RateLimit float64 // requests per second from all senders
 	Leaving   bool    // it accepts no new requests
 }
 
@@ -20,8 +21,9 @@
 
 // statements tracks what targets state and which machines passed it on.
 type statements struct {
-	targets map[string]*statingTarget // by instance
-	frozen  map[string]time.Time      // last freeze, by IP
+	targets  map[string]*statingTarget // by instance
+	frozen   map[string]time.Time      // last freeze, by IP
+	ignoring map[string]bool           // by IP
 }
 
 // statingTarget is a target that has stated something.
@@ -47,19 +49,32 @@
 	return target
 }
 
-// StatesRate records that a target states a rate limit from now on; 0 lifts it.
+// StatesRate records that a target states a rate limit from now on.
 func (j *Judge) StatesRate(instance string, rate float64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	target := j.stating(instance)
-	if rate == 0 {
-		target.rates, target.arrivals = nil, nil
-		clear(target.limitKnown)
-		return
-	}
 	target.rates = append(target.rates, statedRate{time.Now(), rate})
 }
 
+// StatesNoRate records that a target states no rate limit any more.
+func (j *Judge) StatesNoRate(instance string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	target := j.stating(instance)
+	target.rates, target.arrivals = nil, nil
+	clear(target.limitKnown)
+}
+
+// IgnoresState records that the node of a machine does not follow what targets state, like one of an
+// earlier release. Two such nodes cannot keep a rule for targets' statements between them; any
+// request that passes another node counts.
+func (j *Judge) IgnoresState(ip string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.statements.ignoring[ip] = true
+}
+
 // Frozen records that a machine is frozen, which it may not notice.
 func (j *Judge) Frozen(ip string) {
 	j.mu.Lock()
@@ -73,7 +88,7 @@
 		return
 	}
 	target, origin := j.stating(run.instance), run.request.origin
-	if run.statement.RateLimit > 0 && len(target.rates) > 0 && target.limitKnown[origin].IsZero() {
+	if run.statement.Limited && len(target.rates) > 0 && target.limitKnown[origin].IsZero() {
 		target.limitKnown[origin] = now
 	}
 	if run.statement.Leaving && target.leaveKnown[origin].IsZero() {
@@ -87,20 +102,20 @@
 }
 
 // checkStatements checks the arrival of a request against what its target states. Callers hold mu.
-func (j *Judge) checkStatements(req *request, instance string, now time.Time) {
-	target := j.statements.targets[instance]
-	if target == nil {
+func (j *Judge) checkStatements(req *request, at Endpoint, now time.Time) {
+	target := j.statements.targets[at.Instance]
+	if target == nil || j.statements.ignoring[req.origin] && j.statements.ignoring[at.IP] {
 		return
 	}
-	at, known := target.leaveKnown[req.origin]
-	if known && !j.excusedSince(req.origin, at) && req.sent.Sub(at) > j.Drain+j.LateTolerance {
-		j.violate("DRAIN", "request %s was sent %s after its machine passed on that the target leaves", req.id, req.sent.Sub(at))
+	since, known := target.leaveKnown[req.origin]
+	if known && !j.excusedSince(req.origin, since) && req.sent.Sub(since) > j.Drain+j.LateTolerance {
+		j.violate("DRAIN", "request %s was sent %s after its machine passed on that the target leaves", req.id, req.sent.Sub(since))
 	}
-	at, known = target.limitKnown[req.origin]
-	if !known || now.Sub(at) < knownAfter || j.excusedSince(req.origin, at) || j.disturbed[req.origin].After(at) {
+	since, known = target.limitKnown[req.origin]
+	if !known || now.Sub(since) < knownAfter || j.excusedSince(req.origin, since) || j.disturbed[req.origin].After(since) {
 		return
 	}
-	target.checkRate(j, instance, now)
+	target.checkRate(j, at.Instance, now)
 }
 
 // checkRate counts an arrival from a machine that knows the limit. Callers hold mu.
--- a/internal/testbed/machine.go
+++ b/internal/testbed/machine.go
@@ -26,6 +26,7 @@
 	abort         context.CancelFunc // aborts the graceful shutdown
 	stopped       chan struct{}      // closed when the node has stopped
 	firstStart    bool               // the node has not been started before
+	ignoresState  bool               // the node does not follow what targets state
 	node          *sidecar.Node
 	clock         *machineClock
 }
@@ -47,6 +48,9 @@
 		Store:  settings.Store{Address: m.mesh.env.StoreAddress, ReadsPerSecond: float64(m.mesh.Plan.ReadsPerSecond)},
 	}
 	chosen.Keys.FailClosed = true
+	if m.ignoresState {
+		chosen.Policy.Off = append(chosen.Policy.Off, settings.TargetState)
+	}
 	chosen.SetDefaults()
 	return chosen
 }
--- a/internal/testbed/mesh.go
+++ b/internal/testbed/mesh.go
@@ -209,6 +209,10 @@
 				Zone: zone, Slots: service.Slots, Speed: speed, Works: service.Works, Judge: m.Judge, CrashSet: m.CrashSet,
 				Dial: m.env.Network.Dialer(ip), Listen: m.env.Network.Listen,
 			}})
+			if ignores := m.Plan.IgnoresState; ignores != nil && ignores(len(m.Machines)-1, name) {
+				m.Machines[len(m.Machines)-1].ignoresState = true
+				m.Judge.IgnoresState(ip)
+			}
 		}
 	}
 }
--- a/internal/testbed/target/serve.go
+++ b/internal/testbed/target/serve.go
@@ -52,15 +52,21 @@
 	}
 }
 
+// healthPath is the path of health checks.
+const healthPath = "/health"
+
 // handle responds to a request and reports whether the connection stays open.
 func (t *Target) handle(conn net.Conn, reader *bufio.Reader, r *http.Request, body []byte) bool {
 	id := r.Header.Get("X-Request-Id")
 	t.mu.Lock()
 	instance, faults, running, draining := t.instance, t.faults, t.running, t.draining
+	if r.URL.Path != healthPath {
+		t.requests++
+	}
 	t.mu.Unlock()
 	load := fmt.Sprintf("X-Instance-Id: %s\r\nX-Server-Load: %d,0,%d\r\n", instance, running, t.Slots) + stateHeader(t.statement())
 	switch {
-	case r.URL.Path == "/health":
+	case r.URL.Path == healthPath:
 		status := http.StatusOK
 		if draining {
 			status = http.StatusServiceUnavailable
@@ -136,12 +142,12 @@
 func (t *Target) statement() judge.Statement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return judge.Statement{RateLimit: t.rateLimit, Leaving: t.draining || t.leaving}
+	return judge.Statement{Limited: t.limited, RateLimit: t.rateLimit, Leaving: t.draining || t.leaving}
 }
 
 func stateHeader(statement judge.Statement) string {
 	header := ""
-	if statement.RateLimit > 0 {
+	if statement.Limited {
 		header += "Server-Limit: " + strconv.FormatFloat(statement.RateLimit, 'f', -1, 64) + "\r\n"
 	}
 	if statement.Leaving {
--- a/internal/testbed/target/target.go
+++ b/internal/testbed/target/target.go
@@ -67,8 +67,10 @@
 	instance   string
 	faults     Faults
 	running    int     // requests being executed
+	requests   int     // received by the instance, without health checks
 	sequence   int     // last heartbeat sequence number
-	rateLimit  float64 // stated in responses, requests per second; 0: none
+	limited    bool    // states rateLimit in responses
+	rateLimit  float64 // requests per second
 	leaving    bool    // stated in responses although heartbeats report ready
 	draining   bool
 	stopped    bool // not listening
@@ -91,7 +93,7 @@
 	t.instance = "i-" + strconv.FormatUint(rand.Uint64(), 36)
 	t.listener, t.done, t.conns = listener, make(chan struct{}), map[net.Conn]bool{}
 	t.running, t.sequence, t.draining, t.stopped = 0, 0, false, false
-	t.rateLimit, t.leaving = 0, false
+	t.limited, t.leaving, t.requests = false, false, 0
 	t.httpClient = &http.Client{Transport: &http.Transport{DialContext: t.Dial, MaxIdleConnsPerHost: 64}}
 	t.mu.Unlock()
 	t.reportListening(true)
@@ -120,12 +122,27 @@
 	t.faults = faults
 }
 
-// StateRate states a rate limit in all responses from now on, in requests per second; 0 lifts it.
+// StateRate states a rate limit in all responses from now on, in requests per second.
 func (t *Target) StateRate(rate float64) {
-	t.Judge.StatesRate(t.Instance(), rate)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.rateLimit = rate
+	t.Judge.StatesRate(t.instance, rate)
+	t.limited, t.rateLimit = true, rate
+}
+
+// LiftRate states no rate limit any more.
+func (t *Target) LiftRate() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Judge.StatesNoRate(t.instance)
+	t.limited = false
+}
+
+// Requests returns the number of requests that the instance was sent, without health checks.
+func (t *Target) Requests() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.requests
 }
 
 // Leave states in all responses that the target leaves, while its heartbeats still report that it is
--- a/internal/testbed/trouble/scenario.go
+++ b/internal/testbed/trouble/scenario.go
@@ -14,11 +14,13 @@
 // Scenario is a random deployment with a random fault schedule, generated from a seed. A seed
 // always generates the same scenario; runs of it can differ in goroutine scheduling.
 type Scenario struct {
-	Seed     uint64
-	Plan     deployment.Plan
-	Faults   []ScheduledFault
-	Harmful  []harmfulRequest
-	Duration time.Duration // how long clients send requests
+	Seed    uint64
+	Plan    deployment.Plan
+	Faults  []ScheduledFault
+	Harmful []harmfulRequest
+	// Statements are faults that overlap with Faults.
+	Statements []ScheduledFault
+	Duration   time.Duration // how long clients send requests
 }
 
 // harmfulRequest is a request that crashes its targets and is sent repeatedly.
@@ -48,6 +50,7 @@
 		})
 	}
 	day.drawHarmful(rand.New(rand.NewPCG(seed, 8)))
+	day.drawStatements(rand.New(rand.NewPCG(seed, 9)))
 	return day
 }
 
@@ -66,6 +69,21 @@
 	s.Plan.Services["s0"] = first
 }
 
+// drawStatements generates zero to two faults of targets that state something, and in one of three
+// scenarios nodes of an earlier release.
+func (s *Scenario) drawStatements(random *rand.Rand) {
+	all := Statements()
+	for range random.IntN(3) {
+		s.Statements = append(s.Statements, ScheduledFault{
+			Start: time.Duration(random.Int64N(int64(scenarioDuration / 2))), Kind: all[random.IntN(len(all))],
+		})
+	}
+	if random.IntN(3) == 0 {
+		old := random.Uint64()
+		s.Plan.IgnoresState = func(index int, _ string) bool { return old>>(index%64)&1 == 1 }
+	}
+}
+
 // sendHarmful repeatedly sends a harmful request for the given time.
 func sendHarmful(m *testbed.Mesh, number int, req harmfulRequest, span time.Duration) {
 	route := m.Plan.Routes[req.route]
@@ -127,6 +145,12 @@
 			fault.Inject(mesh, rand.New(rand.NewPCG(s.Seed, uint64(index))))
 		})
 	}
+	for index, statement := range s.Statements {
+		group.Go(func() {
+			time.Sleep(statement.Start)
+			statement.Inject(mesh, rand.New(rand.NewPCG(s.Seed, uint64(len(s.Faults)+index))))
+		})
+	}
 	for number, harmful := range s.Harmful {
 		group.Go(func() { sendHarmful(mesh, number, harmful, s.Duration) })
 	}
@@ -140,5 +164,11 @@
 	for _, fault := range s.Faults {
 		text += fmt.Sprintf(" %s at %.1fs;", fault.Name, fault.Start.Seconds())
 	}
+	for _, statement := range s.Statements {
+		text += fmt.Sprintf(" %s at %.1fs;", statement.Name, statement.Start.Seconds())
+	}
+	if s.Plan.IgnoresState != nil {
+		text += " nodes of an earlier release;"
+	}
 	return text + fmt.Sprintf(" %d harmful requests", len(s.Harmful))
 }
--- a/internal/testbed/trouble/trouble.go
+++ b/internal/testbed/trouble/trouble.go
@@ -72,10 +72,12 @@
 			chosen := mesh.RandomMachines(random, 0.1)
 			for _, machine := range chosen {
 				mesh.Network.SetIsolated(machine.IP, true)
+				mesh.Judge.Frozen(machine.IP)
 			}
 			mesh.ReportDisturbance(chosen, 3*time.Second)
 			for _, machine := range chosen {
 				mesh.Network.SetIsolated(machine.IP, false)
+				mesh.Judge.Frozen(machine.IP)
 			}
 		}},
 		{"suspended", 0.9, func(mesh *testbed.Mesh, random *rand.Rand) {
--- a/internal/wire/callheader.go
+++ b/internal/wire/callheader.go
@@ -43,7 +43,7 @@
 	if value := c.suspectHeader(); value != "" {
 		header.Set(headerSuspect, value)
 	}
-	return nil
+	return EncodeTargetState(header, c.TargetState)
 }
 
 // DecodeCall decodes a call from request headers. It returns an error if the sender uses an
@@ -56,6 +56,7 @@
 	value := header.Get(headerSuspect)
 	call.RetryGrant = parseGrant(header.Get(headerGrant))
 	call.Tenant = header.Get(headerTenant)
+	call.TargetState = DecodeTargetState(header)
 	call.Suspect, call.Trial = value == suspectValue, value == trialValue
 	return call, nil
 }
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/landingmast/landingmast/internal/codec"
+	"github.com/landingmast/landingmast/internal/core/outcome"
 )
 
 // Header names used between sidecar nodes.
@@ -48,6 +49,9 @@
 	// Suspect is set if a target has terminated while running the request, and Trial if the
 	// sender is the only node that may send it nevertheless. Both are sent in a separate header.
 	Suspect, Trial bool `avro:"-"`
+	// TargetState is what the sender knows that the target states; nil: nothing. It is sent in
+	// HeaderTargetState.
+	TargetState *outcome.TargetState `avro:"-"`
 }
 
 // SidecarResult is the metadata of a response.
