A target that states in its responses that it leaves gets no new requests

The node drains a target on the control path (heartbeat, DELETE) and did not read what its responses say.

Ruled out: draining at the senders alone. It holds for what they have seen themselves; the others learn from the node's record, so the node next to the target drains first.

Change: a response that states it counts as the heartbeat of a draining target: the gate refuses what was not sent, the record goes to all nodes, no later heartbeat undoes it. Senders keep it by instance, also while the instance is not listed: a node that was restarted, or one of an earlier release, may list it as ready again, and the sender must not send to what it has passed on as leaving. Statements of another instance (421, an earlier one at the address) change nothing. The health check at a restart reads it too.

After: TestTargetThatStatesThatItLeavesGetsNoNewRequests passes, and failed before; beside nodes that read no statements at the target or at the senders; when the target's node restarts meanwhile.

--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -125,7 +125,7 @@
 
 // usable reports whether a target may be picked at all.
 func (b *Balancer) usable(now time.Duration, e *Endpoint, excluded map[string]bool) bool {
-	return !excluded[e.Node] && !b.overShare(now, e)
+	return !excluded[e.Node] && !b.leaving(e) && !b.overShare(now, e)
 }
 
 // soonestAvailable returns the target whose avoidance period ends first.
--- a/internal/core/balancer/state.go
+++ b/internal/core/balancer/state.go
@@ -82,6 +82,12 @@
 	return &outcome.TargetState{Instance: instance, RateLimit: known.stated.Rate(), Leaving: known.leaving}
 }
 
+// leaving reports whether the instance states that it accepts no new requests.
+func (b *Balancer) leaving(e *Endpoint) bool {
+	known := b.states[e.Instance]
+	return known != nil && known.leaving
+}
+
 // overShare reports whether the sender has used its share of the rate that the instance states.
 func (b *Balancer) overShare(now time.Duration, e *Endpoint) bool {
 	known := b.states[e.Instance]
@@ -98,7 +104,7 @@
 // OverShare reports whether a target is left out only because the sender has used its share.
 func (b *Balancer) OverShare(now time.Duration) bool {
 	for _, endpoint := range b.order {
-		if b.overShare(now, endpoint) {
+		if !b.leaving(endpoint) && b.overShare(now, endpoint) {
 			return true
 		}
 	}
--- a/internal/core/balancer/state_test.go
+++ b/internal/core/balancer/state_test.go
@@ -18,6 +18,22 @@
 	return outcome.TargetState{Instance: instance, RateLimit: rate}
 }
 
+// Guards against sending to a leaving target as the last resort, and again when the node next to it
+// was away and lists it anew.
+func TestLeavingInstanceIsNeverPicked(t *testing.T) {
+	g := NewWithT(t)
+	b := newTwoZoneBalancer()
+	b.ObserveState(time.Second, 0, leaves("1"), false)
+	near := []Target{{Node: "near", Zone: "a", Instance: "1", Slots: 10}}
+	for _, targets := range [][]Target{near, nil, near} {
+		b.Update(targets)
+		g.Expect(b.Pick(time.Second, Requirement{}, nil, true)).To(BeNil())
+	}
+	near[0].Instance = "3"
+	b.Update(near)
+	g.Expect(b.Pick(time.Second, Requirement{}, nil, true)).NotTo(BeNil(), "its successor")
+}
+
 func TestLeavingIsNotUndone(t *testing.T) {
 	g := NewWithT(t)
 	b := newTwoZoneBalancer()
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -83,11 +83,22 @@
 	return Unchanged
 }
 
+// MarkDraining records that an instance is draining, and reports whether it is the current one and
+// this was not known.
+func (r *Roster) MarkDraining(instance string) bool {
+	if instance == "" || r.current.Instance != instance || r.current.Draining {
+		return false
+	}
+	r.current.Draining = true
+	return true
+}
+
 // Replace makes another instance the current one; the previous one has departed.
 func (r *Roster) Replace(report Report) {
 	if r.current.Instance != "" && r.current.Instance != report.Instance {
 		r.markDeparted(r.current.Instance)
 	}
+	report.Draining = report.Draining || r.current.Draining && r.current.Instance == report.Instance
 	r.current = report
 }
 
--- a/internal/sidecar/arrival/options.go
+++ b/internal/sidecar/arrival/options.go
@@ -31,6 +31,9 @@
 	Current() *target.Gate
 	// MarkReplaced reports that another instance now serves the target's address.
 	MarkReplaced(instance string)
+	// MarkLeaving reports that an instance states in its responses that it leaves. It returns whether
+	// this was not known.
+	MarkLeaving(instance string) bool
 }
 
 // StateReader reads what targets state in their responses.
--- a/internal/sidecar/arrival/state.go
+++ b/internal/sidecar/arrival/state.go
@@ -38,6 +38,9 @@
 	if rateValid && gate.ObserveRate(sentAt, state.RateLimit) {
 		i.recordRateLimit(gate, sourceResponse)
 	}
+	if state.Leaving && i.options.Target.MarkLeaving(gate.Instance) {
+		i.recordState(gate, eventlog.Target{Change: "leaving", Source: sourceResponse})
+	}
 }
 
 // adoptState applies what a sender knows of the target, which a node that was restarted does not.
--- a/internal/sidecar/identify.go
+++ b/internal/sidecar/identify.go
@@ -41,7 +41,8 @@
 	if parts := strings.Split(response.Header.Get(n.options.Headers.Load), ","); len(parts) == 3 {
 		report.Slots, _ = strconv.Atoi(strings.TrimSpace(parts[2]))
 	}
-	report.Draining = response.Status != http.StatusOK
+	state, _ := n.states.Read(report.Instance, service, response.Status, response.Header)
+	report.Draining = response.Status != http.StatusOK || state.Leaving
 	return report, report.Instance != ""
 }
 
--- a/internal/sidecar/target/state.go
+++ b/internal/sidecar/target/state.go
@@ -62,3 +62,18 @@
 	defer g.mu.Unlock()
 	return g.core.NextToken(g.now())
 }
+
+// MarkLeaving records that an instance states in a response that it leaves, which counts like a
+// heartbeat of a draining target. It reports whether this was not known.
+func (l *Local) MarkLeaving(instance string) bool {
+	l.mu.Lock()
+	marked := l.roster.MarkDraining(instance)
+	if marked {
+		l.updateGate()
+	}
+	l.mu.Unlock()
+	if marked {
+		l.options.OnChange()
+	}
+	return marked
+}
--- a/internal/sidecar/target/target_test.go
+++ b/internal/sidecar/target/target_test.go
@@ -60,6 +60,33 @@
 	})
 }
 
+// What an earlier instance at the address states must not change its successor.
+func TestLeavingOfAnEarlierInstanceIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Second
+	target := newLocal(&now, false)
+	g.Expect(target.Heartbeat(roster.Report{Instance: "old", Service: "s", Slots: 10, Sequence: 1})).To(Succeed())
+	g.Expect(target.Heartbeat(roster.Report{Instance: "new", Service: "s", Slots: 10, Sequence: 1})).To(Succeed())
+	g.Expect(target.MarkLeaving("old")).To(BeFalse())
+	g.Expect(target.Current().State()).To(BeNil())
+	g.Expect(target.MarkLeaving("new")).To(BeTrue())
+	g.Expect(target.MarkLeaving("new")).To(BeFalse())
+	g.Expect(target.Current().State().Leaving).To(BeTrue())
+}
+
+// A heartbeat that reports ready does not undo what the target's responses state.
+func TestHeartbeatDoesNotUndoLeaving(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Second
+	target := newLocal(&now, false)
+	for sequence := range int64(3) {
+		g.Expect(target.Heartbeat(roster.Report{Instance: "new", Service: "s", Slots: 10, Sequence: sequence + 1})).To(Succeed())
+		target.MarkLeaving("new")
+		report, _ := target.Report()
+		g.Expect(report.Draining).To(BeTrue())
+	}
+}
+
 // A restarted node takes a rate from senders only until the target itself responds.
 func TestAdoptedRateGivesWayToTheTargets(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/testbed/fleet/statement_test.go
+++ b/internal/testbed/fleet/statement_test.go
@@ -196,10 +196,39 @@
 // A target that states in its responses that it leaves must get no new requests, also while its
 // heartbeats say nothing. Guards against passing the statement on to clients without reading it.
 func TestTargetThatStatesThatItLeavesGetsNoNewRequests(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		ignores func(index int, service string) bool
+	}{
+		{"all nodes follow it", nil},
+		{"its node is of an earlier release", func(_ int, service string) bool { return service == "deep" }},
+		{"senders are of an earlier release", func(_ int, service string) bool { return service != "deep" }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			plan := deployment.ThreeTier()
+			plan.IgnoresState = tc.ignores
+			mesh := runMesh(t, plan, 10*time.Second, func(mesh *testbed.Mesh) {
+				time.Sleep(2 * time.Second)
+				targetsOf(mesh, "deep")[0].Target.Leave(5 * time.Second)
+			})
+			g.Expect(mesh.Judge.Violations()).To(BeEmpty())
+			g.Expect(mesh.Tally.Share("/deep/")).To(BeNumerically(">", 0.97), "%v", mesh.Tally.Status)
+		})
+	}
+}
+
+// A node that is restarted next to a leaving target forgets that it leaves; the senders must not.
+func TestLeavingTargetGetsNothingWhenItsNodeRestarts(t *testing.T) {
 	g := NewWithT(t)
-	mesh := runMesh(t, deployment.ThreeTier(), 10*time.Second, func(mesh *testbed.Mesh) {
+	mesh := runMesh(t, deployment.ThreeTier(), 12*time.Second, func(mesh *testbed.Mesh) {
 		time.Sleep(2 * time.Second)
-		targetsOf(mesh, "deep")[0].Target.Leave(5 * time.Second)
+		machine := targetsOf(mesh, "deep")[0]
+		go machine.Target.Leave(8 * time.Second)
+		time.Sleep(2500 * time.Millisecond)
+		testbed.KillAndRestart([]*testbed.Machine{machine})
+		time.Sleep(6 * time.Second)
 	})
 	g.Expect(mesh.Judge.Violations()).To(BeEmpty())
 }
--- a/internal/testbed/trouble/statements.go
+++ b/internal/testbed/trouble/statements.go
@@ -40,5 +40,10 @@
 				machine.Target.LiftRate()
 			}
 		}},
+		{"states that it leaves", 0.9, func(mesh *testbed.Mesh, random *rand.Rand) {
+			target := mesh.RandomMachines(random, 0.05)[0].Target
+			target.Leave(testbed.DrainGracePeriod + 2*time.Second)
+			_ = target.Start()
+		}},
 	}
 }
