A sender without a part of a stated rate tries its target again

What callers saw: nothing yet, found by reading the fix. Beside a node of an earlier release the senders share a stated rate, and only so many get a part of it. The others got nothing at all; since only a response tells that a limit was lifted, they would never have sent there again.

The admission of few requests after a restart applies to the first target of the process alone, not to each later one.

--- a/internal/core/balancer/state.go
+++ b/internal/core/balancer/state.go
@@ -12,9 +12,8 @@
 type knownState struct {
 	stated  ratelimit.Stated
 	leaving bool
-	// limited means that the node of the target does not keep the stated rate, so that the sender
-	// sends no more than its share; share is nil if it has none.
-	limited       bool
+	// share bounds what the sender sends if the node of the target does not keep the stated rate;
+	// nil: it does, or none is stated.
 	share         *ratelimit.Bucket
 	rank, senders int // for which share was made
 }
@@ -43,17 +42,17 @@
 func (b *Balancer) updateShare(now time.Duration, instance string, known *knownState, gated, changed bool) {
 	rate := known.stated.Rate()
 	if gated || rate == ratelimit.Unlimited {
-		known.limited, known.share = false, nil
+		known.share = nil
 		return
 	}
 	rank, senders := 0, 1
 	if b.config.Rank != nil {
 		rank, senders = b.config.Rank(instance)
 	}
-	if known.limited && !changed && known.rank == rank && known.senders == senders {
+	if known.share != nil && !changed && known.rank == rank && known.senders == senders {
 		return
 	}
-	known.limited, known.rank, known.senders = true, rank, senders
+	known.rank, known.senders = rank, senders
 	known.share = ratelimit.NewShare(now, rate, rank, senders)
 }
 
@@ -91,7 +90,7 @@
 // overShare reports whether the sender has used its share of the rate that the instance states.
 func (b *Balancer) overShare(now time.Duration, e *Endpoint) bool {
 	known := b.states[e.Instance]
-	return known != nil && known.limited && (known.share == nil || !known.share.Ready(now))
+	return known != nil && known.share != nil && !known.share.Ready(now)
 }
 
 // takeShare counts a request against the sender's share.
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -46,10 +46,13 @@
 	lastHeartbeat time.Duration
 	coldUntil     time.Duration
 	gate          *Gate // nil if no target is known
+	restarted     bool  // Options.Restarted, until the first gate
 }
 
 // New returns a Local without a known target.
-func New(options Options) *Local { return &Local{options: options, roster: roster.New()} }
+func New(options Options) *Local {
+	return &Local{options: options, roster: roster.New(), restarted: options.Restarted}
+}
 
 // Gate wraps a slots.Gate with channels for waiting requests and a timer that expires them.
 // It has its own mutex because it can outlive its target.
@@ -302,8 +305,9 @@
 		if l.options.SkipDeadlineCheck {
 			l.gate.core.SkipDeadlineCheck()
 		}
-		if l.options.Restarted {
+		if l.restarted {
 			l.gate.core.StartProbation(l.options.Now())
+			l.restarted = false
 		}
 	}
 	l.gate.setSlots(report.Slots)
