--- a/internal/core/quota/keeper.go
+++ b/internal/core/quota/keeper.go
@@ -151,21 +151,3 @@
 	t.limit = limit
 	return t
 }
-
-// Usage is the allocation of a tenant's limit.
-type Usage struct {
-	Limit     Limit
-	Demand    float64 // requests per second over all recently reporting nodes
-	Allocated Share
-	Processes int
-	Pool      float64
-}
-
-// Usage returns the allocation of a tenant's limit; false if no process has reported the tenant.
-func (k *Keeper) Usage(tenant string) (Usage, bool) {
-	t := k.tenants[tenant]
-	if t == nil {
-		return Usage{}, false
-	}
-	return Usage{Limit: t.limit, Allocated: t.allocated, Processes: len(t.processes), Pool: t.pool, Demand: t.demand}, true
-}
--- a/internal/mesh/core/limiter/limiter.go
+++ b/internal/mesh/core/limiter/limiter.go
@@ -70,7 +70,6 @@
 type queuedCall struct {
 	call       Call
 	enqueuedAt time.Duration
-	order      uint64
 }
 
 type activeCall struct {
@@ -87,7 +86,6 @@
 	limit    int
 	queue    []queuedCall // sorted by level, then arrival
 	active   map[uint64]*activeCall
-	sequence uint64
 	learner  learner
 	draining bool
 }
@@ -126,8 +124,7 @@
 // Arrive admits, queues or refuses a call. When the queue is full, its least
 // important call is refused to make room.
 func (l *Limiter) Arrive(now time.Duration, call Call) []Action {
-	item := queuedCall{call: call, enqueuedAt: now, order: l.sequence}
-	l.sequence++
+	item := queuedCall{call: call, enqueuedAt: now}
 	if l.draining {
 		return []Action{l.refuse(now, item, outcome.ReasonDraining)}
 	}
--- a/internal/mesh/dataplane/gate.go
+++ b/internal/mesh/dataplane/gate.go
@@ -42,10 +42,9 @@
 
 // ticket is the result of an admission request: a slot at the target or a refusal.
 type ticket struct {
-	id        uint64
-	action    limiter.Action
-	cursor    admission.Rank
-	decidedAt time.Duration
+	id     uint64
+	action limiter.Action
+	cursor admission.Rank
 }
 
 func (t ticket) admitted() bool { return t.action.Kind == limiter.Admit }
@@ -65,7 +64,7 @@
 
 	select {
 	case action := <-decision:
-		return ticket{id: call.ID, action: action, cursor: cursor, decidedAt: g.now()}
+		return ticket{id: call.ID, action: action, cursor: cursor}
 	case <-ctx.Done():
 		return g.withdraw(call.ID, decision, cursor)
 	}
