An unused connection without TLS holds a stop for 250 ms instead of a second

What callers saw: calls that need the only target of a service fail for up to 1.2 s while its node restarts, 0.05 s in most restarts.

Cause: closing a server awaits the first request of each connection opened in the last second, since with TLS 1.3 a client may send before the handshake has ended. Senders open connections that they never use, most at the end of a stop, when answers ask to close their connections.

Change: without TLS a client sends as soon as it has connected, so 250 ms are enough; with TLS the second stays.

--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -44,23 +45,32 @@
 func (s *Server) awaitsFirstRequest(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, opened := range s.newConns {
-		if now.Sub(opened) < firstRequestTimeout {
+	for conn, opened := range s.newConns {
+		if now.Sub(opened) < firstRequestTimeout(conn) {
 			return true
 		}
 	}
 	return false
 }
 
+// firstRequestTimeout returns how long to wait for the first request of a connection.
+func firstRequestTimeout(conn net.Conn) time.Duration {
+	if _, encrypted := conn.(*tls.Conn); encrypted {
+		return tlsRequestTimeout
+	}
+	return plainRequestTimeout
+}
+
 const (
 	// flushTimeout is the time that net/http may take to write the rest of the responses after
 	// the last handler has returned.
 	flushTimeout = 200 * time.Millisecond
-	// firstRequestTimeout is how long to wait for the first request of a connection. With TLS 1.3
-	// a client may send it before the server has finished the handshake, and cannot tell whether it
-	// was executed if the connection is cut. The wait is limited since clients also open
-	// connections that they never use.
-	firstRequestTimeout = time.Second
+	// tlsRequestTimeout and plainRequestTimeout are how long to wait for the first request of a
+	// connection. A client sends it as soon as it has connected, with TLS 1.3 before the server has
+	// finished the handshake, and cannot tell whether it was executed if the connection is cut. The
+	// wait is limited since clients also open connections that they never use.
+	tlsRequestTimeout   = time.Second
+	plainRequestTimeout = 250 * time.Millisecond
 	pollInterval        = 10 * time.Millisecond
 )
 
