--- a/internal/testbed/machine.go
+++ b/internal/testbed/machine.go
@@ -16,6 +16,7 @@
 // Machine is a simulated host with a node and a target.
 type Machine struct {
 	mesh   *Mesh
+	Index  int // in Mesh.Machines
 	IP     string
 	Zone   string
 	Target *target.Target
--- a/internal/testbed/mesh.go
+++ b/internal/testbed/mesh.go
@@ -204,7 +204,7 @@
 			if len(service.Speeds) > 0 {
 				speed = service.Speeds[index%len(service.Speeds)]
 			}
-			m.Machines = append(m.Machines, &Machine{mesh: m, IP: ip, Zone: zone, firstStart: true, clock: newMachineClock(), Target: &target.Target{
+			m.Machines = append(m.Machines, &Machine{mesh: m, Index: len(m.Machines), IP: ip, Zone: zone, firstStart: true, clock: newMachineClock(), Target: &target.Target{
 				Service: name, Address: ip + ":" + portTarget, Outbound: ip + ":" + portOutbound, Control: ip + ":" + portControl,
 				Zone: zone, Slots: service.Slots, Speed: speed, Works: service.Works, Judge: m.Judge, CrashSet: m.CrashSet,
 				Dial: m.env.Network.Dialer(ip), Listen: m.env.Network.Listen,
--- a/internal/testbed/soak/processes.go
+++ b/internal/testbed/soak/processes.go
@@ -32,9 +32,12 @@
 // soak runs nodes as landingmastd processes. It signals only processes that it started.
 type soak struct {
 	daemon string // path of landingmastd
-	folder string // for settings and logs
-	octet  int    // second octet of all addresses, which keeps concurrent soaks apart
-	mesh   *testbed.Mesh
+	// previous is the path of landingmastd of an earlier release, which every other machine runs; empty:
+	// none does.
+	previous string
+	folder   string // for settings and logs
+	octet    int    // second octet of all addresses, which keeps concurrent soaks apart
+	mesh     *testbed.Mesh
 
 	mu              sync.Mutex
 	processes       map[string]*process    // by machine
@@ -50,9 +53,9 @@
 	expected bool          // the exit was requested
 }
 
-func newSoak(daemon, folder string) *soak {
+func newSoak(daemon, previous, folder string) *soak {
 	return &soak{
-		daemon: daemon, folder: folder, octet: 16 + os.Getpid()%200,
+		daemon: daemon, previous: previous, folder: folder, octet: 16 + os.Getpid()%200,
 		processes: map[string]*process{}, relays: map[string][2]*relay{}, busy: map[string]*sync.Mutex{},
 	}
 }
@@ -111,6 +114,17 @@
 	return os.WriteFile(s.file(m, ".yaml"), []byte(text), 0o600)
 }
 
+// runsPrevious reports whether a machine, by its index, runs the earlier release.
+func (s *soak) runsPrevious(index int) bool { return s.previous != "" && index%2 == 1 }
+
+// program returns the path of landingmastd that a machine runs.
+func (s *soak) program(m *testbed.Machine) string {
+	if s.runsPrevious(m.Index) {
+		return s.previous
+	}
+	return s.daemon
+}
+
 // Start implements testbed.Nodes.
 func (s *soak) Start(m *testbed.Machine, chosen *settings.Settings) error {
 	if _, err := s.relaysOf(m); err != nil {
@@ -123,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(s.daemon, "--settings", s.file(m, ".yaml"), "sidecar")
+	command := exec.Command(s.program(m), "--settings", s.file(m, ".yaml"), "sidecar")
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return err
--- a/internal/testbed/soak/troubles.go
+++ b/internal/testbed/soak/troubles.go
@@ -45,6 +45,7 @@
 			}
 		})
 	}
+	actors.Go(func() { s.runStatements(ctx, rand.New(rand.NewPCG(seed, statementActor))) })
 	actors.Wait()
 	clients.Wait()
 	names := make([]string, 0, len(counts))
@@ -55,6 +56,19 @@
 	return strings.Join(names, ", ")
 }
 
+// statementActor is the random stream of runStatements, apart from those of the other faults, so that a
+// seed keeps what it draws of them.
+const statementActor = 1 << 32
+
+// runStatements has targets state rates or that they leave, beside the other faults.
+func (s *soak) runStatements(ctx context.Context, random *rand.Rand) {
+	kinds := trouble.Statements()
+	for ctx.Err() == nil {
+		kinds[random.IntN(len(kinds))].Inject(s.mesh, random)
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+	}
+}
+
 // readyTimeout is how long machines may take to become ready after the last fault.
 const readyTimeout = 20 * time.Second
 
