A lifted limit is told to senders too

What callers saw: nothing yet, found by reading the fix. A response that still states a limit can be passed on after a later one has lifted it. The reply then carried no state, its sender took the node for one of an earlier release and kept a share of the rate itself; one without a part of it would have tried the target again only after 4 s for each node, minutes in a large fleet.

Change: once a target has stated a rate, its gate tells the state in each reply, a lifted limit too. tryAdmit says that it takes a token.

TestLiftedLimitIsTold failed before (nil once the limit was lifted).

--- a/internal/core/slots/rate.go
+++ b/internal/core/slots/rate.go
@@ -37,8 +37,8 @@
 	maxProbation = time.Second
 )
 
-// admits reports whether a request may be sent now, and takes its token.
-func (g *Gate) admits(now time.Duration) bool {
+// tryAdmit reports whether a request may be sent now. If so, its token is taken.
+func (g *Gate) tryAdmit(now time.Duration) bool {
 	if len(g.running) >= g.slots || now < g.probationEndsAt && len(g.running) >= probationRequests {
 		return false
 	}
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -157,7 +157,7 @@
 	if now >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonExpired}}
 	}
-	if len(g.queue) == 0 && g.admits(now) {
+	if len(g.queue) == 0 && g.tryAdmit(now) {
 		g.running[request.ID] = activeRequest{class: request.Class, startedAt: now}
 		return []Decision{{ID: request.ID, Send: true}}
 	}
@@ -290,7 +290,7 @@
 		kept = append(kept, item)
 	}
 	g.queue = kept
-	for len(g.queue) > 0 && g.admits(now) {
+	for len(g.queue) > 0 && g.tryAdmit(now) {
 		next := g.queue[0]
 		g.queue = g.queue[1:]
 		g.running[next.request.ID] = activeRequest{class: next.request.Class, startedAt: now}
--- a/internal/sidecar/entry/state.go
+++ b/internal/sidecar/entry/state.go
@@ -24,8 +24,7 @@
 	}
 	state, rateValid := r.options.States.Read(choice.Instance, r.service, response.Status, response.Header)
 	if !rateValid {
-		// Keeps the rate in force, which is what an instance that is not known states.
-		state.RateLimit = r.knownRate(choice)
+		state.RateLimit = knownRate(choice) // the rate in force stays
 	}
 	if state.Instance != "" {
 		choice.ObserveState(r.options.Now(), state, false)
@@ -33,7 +32,7 @@
 }
 
 // knownRate returns the rate that the target of an attempt is known to state.
-func (r *request) knownRate(choice *services.Choice) float64 {
+func knownRate(choice *services.Choice) float64 {
 	if choice.State == nil {
 		return ratelimit.Unlimited
 	}
--- a/internal/sidecar/target/state.go
+++ b/internal/sidecar/target/state.go
@@ -15,6 +15,7 @@
 	first := g.statedAt == 0
 	g.statedAt = now
 	changed := g.stated.Observe(now, sentAt, rate)
+	g.hasStated = g.hasStated || changed
 	if changed || first {
 		g.apply(g.core.SetRateLimit(now, g.stated.Rate()))
 	}
@@ -30,16 +31,19 @@
 	if g.statedAt != 0 || !g.stated.Observe(now, now, rate) {
 		return false
 	}
+	g.hasStated = true
 	g.apply(g.core.SetRateLimit(now, rate))
 	return true
 }
 
-// State returns what the target states, or nil if it states nothing.
+// State returns what the target states, or nil if it has stated nothing. A lifted limit is told, too:
+// a response that still states it may be passed on later, and its sender must not take the node for
+// one that keeps no limits.
 func (g *Gate) State() *outcome.TargetState {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	state := &outcome.TargetState{Instance: g.Instance, RateLimit: g.stated.Rate(), Leaving: g.core.Draining()}
-	if !state.Stated() {
+	if !g.hasStated && !state.Stated() {
 		return nil
 	}
 	return state
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -65,6 +65,7 @@
 	mu          sync.Mutex
 	core        *slots.Gate
 	stated      ratelimit.Stated
+	hasStated   bool          // a rate was stated, or adopted
 	statedAt    time.Duration // arrival of the last response; 0: none yet
 	nextID      uint64
 	waiting     map[uint64]chan slots.Decision
--- a/internal/sidecar/target/target_test.go
+++ b/internal/sidecar/target/target_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/core/ratelimit"
 	"github.com/landingmast/landingmast/internal/core/roster"
 	"github.com/landingmast/landingmast/internal/sidecar/targetlink"
 	. "github.com/onsi/gomega"
@@ -102,3 +103,20 @@
 	rate, _ := gate.RateLimit()
 	g.Expect(rate).To(Equal(8.9))
 }
+
+// Guards against senders that take a node for one of an earlier release, and share a rate that is no
+// longer stated, since a response that stated it was passed on after the limit was lifted.
+func TestLiftedLimitIsTold(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Second
+	target := newLocal(&now, false)
+	g.Expect(target.Heartbeat(roster.Report{Instance: "new", Service: "s", Slots: 10, Sequence: 1})).To(Succeed())
+	gate := target.Current()
+	g.Expect(gate.State()).To(BeNil())
+	for _, rate := range []float64{3.6, ratelimit.Unlimited} {
+		now += time.Second
+		g.Expect(gate.ObserveRate(now-time.Millisecond, rate)).To(BeTrue())
+		g.Expect(gate.State()).NotTo(BeNil())
+		g.Expect(gate.State().RateLimit).To(Equal(rate))
+	}
+}
