Read routes of kind upload: large bodies, run at most once

What callers saw: every request of a deployment with an upload route got 503.

Cause: the adapter knew three kinds of routes and rejected the whole configuration for a fourth one that the platform documents, so that no node had a configuration. Ruled out: limits of body sizes, since streamed bodies pass as they are.

Change: intent.Upload. Repeatable names the kinds that may run more than once instead of the one that may not, so that a kind added later is not repeated by omission. Clients of the testbed know uploads. Kinds that are not documented are rejected as before.

--- a/internal/core/intent/intent.go
+++ b/internal/core/intent/intent.go
@@ -24,10 +24,12 @@
 	Unsafe
 	// Download requests have large responses and may run more than once.
 	Download
+	// Upload requests have large bodies and run at most once for each client attempt.
+	Upload
 )
 
 // Repeatable reports whether a request of the kind may run more than once.
-func (k Kind) Repeatable() bool { return k != Unsafe }
+func (k Kind) Repeatable() bool { return k == Safe || k == Download }
 
 // Backend is a service of a route and its share of the requests.
 type Backend struct {
--- a/internal/testbed/client/client.go
+++ b/internal/testbed/client/client.go
@@ -90,7 +90,7 @@
 			return
 		}
 		notRun := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-		if attempt > 0 || (route.Kind == deployment.Unsafe && !notRun) {
+		if attempt > 0 || (route.AtMostOnce() && !notRun) {
 			return
 		}
 		if status == 0 {
@@ -119,7 +119,7 @@
 // is 0 when the response has no Retry-After header.
 func (c *Clients) Attempt(ctx context.Context, origin Origin, route deployment.Route, uri, tenant, key string, deadline time.Time) (status int, retryAfter time.Duration) {
 	id := newRequestID()
-	c.Judge.Expect(id, origin.IP, uri, route.Service, origin.Service, route.Kind == deployment.Unsafe, route.MaxAttempts)
+	c.Judge.Expect(id, origin.IP, uri, route.Service, origin.Service, route.AtMostOnce(), route.MaxAttempts)
 	clientDeadline := deadline
 	if after := time.Duration(c.abandonAfter.Load()); after > 0 && rand.IntN(abandonOneIn) == 0 {
 		clientDeadline = time.Now().Add(after)
@@ -165,7 +165,7 @@
 
 // RequestBody returns the request body that clients send on a route.
 func RequestBody(route deployment.Route) string {
-	if route.Kind == deployment.Unsafe {
+	if route.AtMostOnce() {
 		return strings.Repeat("b", max(route.Body, 1))
 	}
 	return ""
@@ -173,7 +173,7 @@
 
 func newRequest(ctx context.Context, origin Origin, route deployment.Route, id, uri string, deadline time.Time) (*http.Request, error) {
 	method := http.MethodGet
-	if route.Kind == deployment.Unsafe {
+	if route.AtMostOnce() {
 		method = http.MethodPost
 	}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+origin.Outbound+uri, strings.NewReader(RequestBody(route)))
@@ -202,7 +202,7 @@
 	for range 2 {
 		tenant, key := c.PickCredentials()
 		status, retryAfter := c.Attempt(ctx, origin, route, path, tenant, key, deadline)
-		if status == http.StatusOK || route.Kind == deployment.Unsafe && status != http.StatusServiceUnavailable {
+		if status == http.StatusOK || route.AtMostOnce() && status != http.StatusServiceUnavailable {
 			return
 		}
 		time.Sleep(min(retryAfter, time.Until(deadline)/3))
--- a/internal/testbed/client/persistent.go
+++ b/internal/testbed/client/persistent.go
@@ -38,7 +38,7 @@
 func (c *Clients) sendOnConn(conn net.Conn, reader *bufio.Reader, origin Origin, route deployment.Route) bool {
 	deadline := time.Now().Add(route.Deadline)
 	id, uri := newRequestID(), route.Prefix+randomPathSuffix()
-	c.Judge.Expect(id, origin.IP, uri, route.Service, origin.Service, route.Kind == deployment.Unsafe, route.MaxAttempts)
+	c.Judge.Expect(id, origin.IP, uri, route.Service, origin.Service, route.AtMostOnce(), route.MaxAttempts)
 	request, err := newRequest(context.Background(), origin, route, id, uri, deadline)
 	if err != nil {
 		return false
--- a/internal/testbed/deployment/deployment.go
+++ b/internal/testbed/deployment/deployment.go
@@ -20,12 +20,13 @@
 const (
 	Safe   = "safe"
 	Unsafe = "unsafe" // executed at most once
+	Upload = "upload" // executed at most once, with a large body
 )
 
 // Route is a route and its client load.
 type Route struct {
 	Prefix            string        // path prefix
-	Kind              string        // Safe or Unsafe
+	Kind              string        // Safe, Unsafe or Upload
 	Service           string        // service that handles the requests
 	Priority          int           // 0 is the most important
 	MaxAttempts       int           // maximum number of targets tried per request
@@ -37,6 +38,9 @@
 	Public            bool          // requires no API key
 }
 
+// AtMostOnce reports whether a request of the route may run only once.
+func (r Route) AtMostOnce() bool { return r.Kind != Safe }
+
 // Plan describes a deployment.
 type Plan struct {
 	Zones     []string
