Admission by congestion price of shared services

Cause: a route's window closes at waits that are a share of its own timeout. Ruled out: the order of the gates, which goes by priority but cannot help chains whose later calls arrive after their time.

Change: gates measure the load that they are offered; results carry it with the slot time that a request took, in a header of its own; each node keeps a price for each service, a leaky integral of that load, and admits by it at the start of a chain: by priority, then by need. Without a price the window decides as before. policy.off: prices.

--- /dev/null
+++ b/internal/core/pricing/pricing.go
@@ -0,0 +1,249 @@
+// Package pricing decides at the start of a call chain whether to admit a request while a service
+// that the chain needs is offered more load than it can serve.
+//
+// Each node keeps a congestion price for each service: a leaky integral of the load offered to the
+// service, as its targets report it in the results of calls. Nodes that call the same service see
+// the same load and arrive at the same price without exchanging it. A request is admitted with a
+// probability that falls as the price passes its merit: routes are refused in order of priority and,
+// within a priority, those that need most of the service per request first, since more requests are
+// served completely from the same capacity that way. A minimum share of each route stays admitted.
+//
+// The package does no locking and uses no clock or randomness. docs/design/shared-capacity.md
+// compares it with a window moved by waits and with credits granted by one node.
+package pricing
+
+import (
+	"math"
+	"time"
+)
+
+// Config configures a Controller.
+type Config struct {
+	// Setpoint is the offered load that the prices steer to. It is below 1 so that queues stay short.
+	Setpoint float64
+	// Rise and Fall are the change of a price per second for each unit of offered load above and
+	// below the setpoint.
+	Rise, Fall float64
+	// Surcharge is added to the price for each unit of offered load above the setpoint, so that a burst
+	// is answered before the integral has followed it.
+	Surcharge float64
+	// Leak is the time constant with which a price decays. It makes the prices of nodes that saw
+	// different samples converge.
+	Leak time.Duration
+	// Smoothing is the time constant of the moving average over the reports of targets.
+	Smoothing time.Duration
+	// Expiry is the age at which the samples of a service are no longer used. Its price then decays
+	// with the time constant Decay.
+	Expiry, Decay time.Duration
+	// MinShare is the admission probability of a route whose merit the price has passed.
+	MinShare float64
+}
+
+// DefaultConfig returns the default configuration. A sample shows an admission of about a second ago:
+// the integral rises slowly, so that it does not overshoot meanwhile, and the surcharge answers bursts.
+// It falls faster, since refusing with free slots costs callers more than a short queue.
+func DefaultConfig() Config {
+	return Config{
+		Setpoint: 0.95, Rise: 0.5, Fall: 3, Surcharge: 3, Leak: 15 * time.Second, Smoothing: 200 * time.Millisecond,
+		Expiry: 2 * time.Second, Decay: 2 * time.Second, MinShare: 0.25,
+	}
+}
+
+// Usage is what one request took of a service, including all calls further downstream.
+type Usage struct {
+	Service  string
+	SlotTime time.Duration // of all calls together
+	Offered  float64       // mean offered load of the targets that were called; 0: unknown
+}
+
+// Route identifies a route and its rank.
+type Route struct {
+	Name string
+	// Rank is the number of priorities between the least important one and that of the route.
+	Rank int
+}
+
+// Decision is an admission probability and its reason.
+type Decision struct {
+	Probability float64
+	Service     string  // with the price that decides; empty: no price applies
+	Price       float64 // of that service
+	Merit       float64 // of the route there
+	Offered     float64 // offered load of that service
+}
+
+// Controller holds the prices of one node. It is not safe for concurrent use.
+type Controller struct {
+	config   Config
+	services map[string]*service
+	routes   map[string]*route
+	largest  map[needKey]float64 // largest need of a service among the routes of a rank
+	sortedAt time.Duration       // when largest was computed
+}
+
+// needKey identifies the routes of one rank that call a service.
+type needKey struct {
+	service string
+	rank    int
+}
+
+// route holds what is known of the requests of one route.
+type route struct {
+	rank   int
+	needs  map[string]float64 // mean slot time in ns, by service
+	seenAt time.Duration
+}
+
+// New returns a Controller without prices.
+func New(config Config) *Controller {
+	return &Controller{config: config, services: map[string]*service{}, routes: map[string]*route{}}
+}
+
+const (
+	// needWeight is the weight of one request in the mean needs of its route.
+	needWeight = 0.05
+	// rankingInterval is how often the largest needs are computed anew.
+	rankingInterval = 500 * time.Millisecond
+	// routeExpiry is how long a route without requests takes part in the order.
+	routeExpiry = 30 * time.Second
+)
+
+// Observe records what a request of a route took. A request that was not served may have made only
+// some of its calls, so it can raise the means but not lower them.
+func (c *Controller) Observe(now time.Duration, r Route, usages []Usage, served bool) {
+	for _, usage := range usages {
+		if usage.Offered > 0 {
+			c.service(usage.Service).sample(now, usage.Offered, &c.config)
+		}
+	}
+	known := c.routes[r.Name]
+	if known == nil {
+		known = &route{needs: map[string]float64{}}
+		c.routes[r.Name] = known
+	}
+	known.rank, known.seenAt = r.Rank, now
+	known.observe(usages, served)
+}
+
+func (r *route) observe(usages []Usage, served bool) {
+	if !served || len(r.needs) == 0 {
+		for _, usage := range usages {
+			if need := float64(usage.SlotTime); need > r.needs[usage.Service] {
+				r.needs[usage.Service] = need
+			}
+		}
+		return
+	}
+	for name := range r.needs {
+		r.needs[name] *= 1 - needWeight
+	}
+	for _, usage := range usages {
+		r.needs[usage.Service] += needWeight * float64(usage.SlotTime)
+	}
+}
+
+func (c *Controller) service(name string) *service {
+	s := c.services[name]
+	if s == nil {
+		s = &service{}
+		c.services[name] = s
+	}
+	return s
+}
+
+// Admit returns the probability with which to admit a request of the route. The service that allows
+// least decides. Without a price above 0 the probability is 1 and the decision names no service.
+func (c *Controller) Admit(now time.Duration, r Route) Decision {
+	decision := Decision{Probability: 1}
+	known := c.routes[r.Name]
+	if known == nil {
+		return decision
+	}
+	for name, need := range known.needs {
+		s := c.services[name]
+		if s == nil || need <= 0 {
+			continue
+		}
+		price := s.current(now, &c.config)
+		if price <= 0 {
+			continue
+		}
+		merit := c.merit(now, name, need, r.Rank)
+		if share := c.share(price, merit); decision.Service == "" || share < decision.Probability {
+			decision = Decision{Probability: share, Service: name, Price: price, Merit: merit, Offered: s.offered}
+		}
+	}
+	return decision
+}
+
+// merit returns the price above which requests are refused: rankStep for each rank, so that a route is
+// refused after all less important ones, and the more within a rank the less of the service a request
+// needs.
+func (c *Controller) merit(now time.Duration, service string, need float64, rank int) float64 {
+	c.refresh(now)
+	largest := max(c.largest[needKey{service, rank}], need)
+	return rankStep*float64(rank) + min(math.Log(largest/need), maxNeedMerit)
+}
+
+const (
+	// rankStep is the merit of a rank. It exceeds the width of the band in which a route is refused, so
+	// that the price can vary with its samples without reaching the next rank.
+	rankStep = 2.0
+	// maxNeedMerit bounds the advantage of small needs.
+	maxNeedMerit = 2.0
+)
+
+// share returns the admission probability at a price: 1 up to the merit, falling to MinShare within a
+// band of 1. Beyond it the remaining requests are thinned out slowly, so that an overload by minimum
+// shares alone ends too.
+func (c *Controller) share(price, merit float64) float64 {
+	excess := price - merit
+	switch {
+	case excess <= 0:
+		return 1
+	case excess < 1:
+		return 1 - (1-c.config.MinShare)*excess
+	default:
+		return c.config.MinShare * math.Exp(-max(excess-thinAfter, 0))
+	}
+}
+
+// thinAfter is how far a price must have passed a merit before a route gets less than its minimum
+// share: far enough that all more important routes are reduced first.
+const thinAfter = 6.0
+
+// refresh computes the largest needs anew if they are too old.
+func (c *Controller) refresh(now time.Duration) {
+	if c.largest != nil && now-c.sortedAt < rankingInterval {
+		return
+	}
+	c.largest, c.sortedAt = map[needKey]float64{}, now
+	for name, r := range c.routes {
+		if now-r.seenAt > routeExpiry {
+			delete(c.routes, name)
+			continue
+		}
+		for service, need := range r.needs {
+			key := needKey{service, r.rank}
+			c.largest[key] = max(c.largest[key], need)
+		}
+	}
+}
+
+// Price returns the current price of a service and its offered load; 0 if there are none.
+func (c *Controller) Price(now time.Duration, name string) (price, offered float64) {
+	s := c.services[name]
+	if s == nil {
+		return 0, 0
+	}
+	return s.current(now, &c.config), s.offered
+}
+
+// ForEachService calls f for each service with a price above 0.
+func (c *Controller) ForEachService(now time.Duration, f func(name string, price, offered float64)) {
+	for name, s := range c.services {
+		if price := s.current(now, &c.config); price > 0 {
+			f(name, price, s.offered)
+		}
+	}
+}
--- a/internal/core/ratelimit/bucket.go
+++ b/internal/core/ratelimit/bucket.go
@@ -33,6 +33,9 @@
 	b.tokens = min(b.tokens, b.depth)
 }
 
+// Rate returns the rate that the bucket enforces, in requests per second; it is above 0.
+func (b *Bucket) Rate() float64 { return b.rate }
+
 // Depth returns the most tokens that the bucket holds.
 func (b *Bucket) Depth() float64 { return b.depth }
 
--- /dev/null
+++ b/internal/core/slots/offered_test.go
@@ -0,0 +1,81 @@
+package slots
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// offer submits a request of 100 ms every interval for a second, as long as the gate accepts them, and
+// returns the offered load at the end.
+func offer(gate *Gate, interval time.Duration) float64 {
+	type run struct {
+		id  uint64
+		end time.Duration
+	}
+	var running []run
+	admit := func(now time.Duration, decisions []Decision) {
+		for _, decision := range decisions {
+			if decision.Send {
+				running = append(running, run{decision.ID, now + 100*time.Millisecond})
+			}
+		}
+	}
+	id := uint64(0)
+	for now := time.Duration(0); now < 2*time.Second; now += interval {
+		for len(running) > 0 && running[0].end <= now {
+			first := running[0]
+			running = running[1:]
+			admit(first.end, gate.Finish(first.end, first.id, true))
+		}
+		id++
+		admit(now, gate.Submit(now, Request{ID: id, Deadline: now + 300*time.Millisecond, Class: "read"}))
+	}
+	return gate.OfferedLoad(2 * time.Second)
+}
+
+// The offered load must show how much more than its capacity a target is asked for, although its
+// running requests never exceed its slots and refused requests leave no trace in the queue.
+func TestOfferedLoad(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		interval time.Duration // between requests of 100 ms; the target has 19 usable slots
+		from, to float64
+	}{
+		{"half of the capacity", 10500 * time.Microsecond, 0.45, 0.6},
+		{"just the capacity", 5300 * time.Microsecond, 0.9, 1.1},
+		{"twice the capacity, with a queue", 2650 * time.Microsecond, 1.9, 2.4},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			load := offer(New(20), tc.interval)
+			g.Expect(load).To(BeNumerically(">=", tc.from))
+			g.Expect(load).To(BeNumerically("<=", tc.to))
+		})
+	}
+}
+
+func TestOfferedLoadFallsWithoutRequests(t *testing.T) {
+	g := NewWithT(t)
+	gate := New(20)
+	g.Expect(offer(gate, 2650*time.Microsecond)).To(BeNumerically(">", 1.5))
+	gate.Drain(2 * time.Second)
+	g.Expect(gate.OfferedLoad(4 * time.Second)).To(BeNumerically("<", 0.01))
+}
+
+// A target that states a rate has free slots while it is asked for more than it takes.
+func TestOfferedLoadOfRateLimitedTarget(t *testing.T) {
+	g := NewWithT(t)
+	gate := New(200)
+	gate.SetRateLimit(0, 10)
+	for id := range uint64(60) {
+		now := time.Duration(id) * 33 * time.Millisecond
+		for _, decision := range gate.Submit(now, Request{ID: id, Deadline: now + time.Second}) {
+			if decision.Send {
+				gate.Finish(now+time.Millisecond, decision.ID, true)
+			}
+		}
+	}
+	g.Expect(gate.OfferedLoad(2 * time.Second)).To(BeNumerically("~", 3, 0.5))
+}
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -50,6 +50,8 @@
 	Waiting int
 	// ServiceTime is the mean service time of a request; 0: not enough samples.
 	ServiceTime time.Duration
+	// Offered is the offered load of the target, see Gate.OfferedLoad; 0: unknown.
+	Offered float64
 }
 
 // Occupancy returns the running and queued requests per slot.
@@ -82,8 +84,9 @@
 func (m *meanTime) reliable() bool { return m.count >= minSamples }
 
 type queuedRequest struct {
-	request Request
-	arrived time.Duration
+	request  Request
+	arrived  time.Duration
+	slotTime float64 // ns; expected
 }
 
 // Gate is the gate of one target. It is not safe for concurrent use.
@@ -94,7 +97,8 @@
 	serviceTime       meanTime             // over all requests
 	classes           map[string]*meanTime // by class
 	rate              *ratelimit.Bucket    // nil: the target states no rate
-	probationEndsAt   time.Duration        // until then few requests are admitted at the same time
+	offered           offeredLoad
+	probationEndsAt   time.Duration // until then few requests are admitted at the same time
 	draining          bool
 	skipDeadlineCheck bool
 }
@@ -135,7 +139,7 @@
 
 // Load returns the current load.
 func (g *Gate) Load(now time.Duration) Load {
-	load := Load{Slots: g.slots, Running: len(g.running), Waiting: len(g.queue)}
+	load := Load{Slots: g.slots, Running: len(g.running), Waiting: len(g.queue), Offered: g.OfferedLoad(now)}
 	if g.serviceTime.reliable() {
 		load.ServiceTime = time.Duration(g.serviceTime.mean)
 	}
@@ -153,6 +157,8 @@
 	if g.draining {
 		return []Decision{{ID: request.ID, Reason: ReasonDraining}}
 	}
+	slotTime := g.expectedSlotTime(request.Class)
+	g.offered.add(now, slotTime)
 	request.Deadline -= g.minTimeLeft(request.Class)
 	if now >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonExpired}}
@@ -171,7 +177,7 @@
 	}
 	g.queue = append(g.queue, queuedRequest{})
 	copy(g.queue[position+1:], g.queue[position:])
-	g.queue[position] = queuedRequest{request: request, arrived: now}
+	g.queue[position] = queuedRequest{request: request, arrived: now, slotTime: slotTime}
 	decisions := g.dispatch(now, nil)
 	switch {
 	case g.tokenWait(now, len(g.queue)) > maxTokenWait:
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -1,7 +1,8 @@
-// Package admission decides whether a client request is admitted. It drives the controller of
-// core/overload and owns its state: the admission window of each route, the demand of a route's
-// requests on other services, and the occupancy of those services. Callers must report the end of
-// each admitted request and the demand observed by each attempt.
+// Package admission decides whether a client request is admitted. While a service that the request
+// needs has a congestion price, core/pricing decides; otherwise the window of its route does, in
+// core/overload. The package owns the state of both: prices, windows, the demand of a route's requests on
+// other services, and the occupancy of those services. Callers must report the end of each admitted
+// request and the demand observed by each attempt.
 package admission
 
 import (
@@ -11,6 +12,7 @@
 
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/core/overload"
+	"github.com/landingmast/landingmast/internal/core/pricing"
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
@@ -19,9 +21,11 @@
 	now            func() time.Duration
 	configuration  Configuration
 	windowDisabled bool
+	pricesDisabled bool
 
-	mutex sync.Mutex
-	core  *overload.Controller
+	mutex  sync.Mutex
+	core   *overload.Controller
+	prices *pricing.Controller
 }
 
 // Configuration is the routing configuration in force.
@@ -29,30 +33,41 @@
 	Load() *intent.Intent // nil until a configuration is known
 }
 
-// New returns a Control without requests in flight. If windowDisabled is set, every request is
-// admitted.
-func New(now func() time.Duration, configuration Configuration, windowDisabled bool) *Control {
-	return &Control{now: now, configuration: configuration, windowDisabled: windowDisabled, core: overload.New(overload.DefaultConfig())}
+// Options configures a Control.
+type Options struct {
+	Now            func() time.Duration
+	Configuration  Configuration
+	WindowDisabled bool // windows refuse nothing
+	PricesDisabled bool // there are no prices
+}
+
+// New returns a Control without requests in flight.
+func New(o Options) *Control {
+	return &Control{
+		now: o.Now, configuration: o.Configuration, windowDisabled: o.WindowDisabled, pricesDisabled: o.PricesDisabled,
+		core: overload.New(overload.DefaultConfig()), prices: pricing.New(pricing.DefaultConfig()),
+	}
 }
 
 // Decision explains why a client request was admitted or rejected.
 type Decision struct {
 	Probability float64 // probability with which the request was admitted
-	Bottleneck  string  // service with the longest wait for slots in the call chain; empty if unknown
+	Bottleneck  string  // service with the decisive price, or the longest wait in the call chain; empty if unknown
 	Occupancy   float64 // occupancy of Bottleneck
-	InFlight    int     // requests of the route in flight; set on rejection
-	WindowSize  float64 // size of the route's admission window; set on rejection
+	Price       float64 // price of Bottleneck; 0: the window decided
+	Merit       float64 // price up to which all requests of the route are admitted
+	Offered     float64 // offered load of Bottleneck; set if there is a price
+	InFlight    int     // requests of the route in flight; set on rejection by the window
+	WindowSize  float64 // size of the route's admission window; set on rejection by it
 }
 
 // Admit decides whether a client request on the route is admitted. If it is, End must be called.
 func (c *Control) Admit(route *intent.Route) (admitted bool, decision Decision) {
+	rank := c.priorityAboveLowest(route)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.now()
-	decision.Probability = 1
-	if !c.windowDisabled {
-		decision.Probability, decision.Bottleneck = c.core.AdmitProbability(now, route.Name)
-	}
+	decision = c.decide(now, route.Name, rank)
 	if decision.Bottleneck != "" {
 		decision.Occupancy = c.core.Occupancy(decision.Bottleneck)
 	}
@@ -60,10 +75,35 @@
 		c.core.Begin(now, route.Name)
 		return true, decision
 	}
-	decision.InFlight, decision.WindowSize = c.core.Window(now, route.Name)
+	if decision.Price == 0 {
+		decision.InFlight, decision.WindowSize = c.core.Window(now, route.Name)
+	}
 	return false, decision
 }
 
+// decide returns the decision by price or, without a price, by window.
+func (c *Control) decide(now time.Duration, route string, rank int) Decision {
+	if !c.pricesDisabled {
+		price := c.prices.Admit(now, pricing.Route{Name: route, Rank: rank})
+		if price.Service != "" {
+			return Decision{Probability: price.Probability, Bottleneck: price.Service, Price: price.Price, Merit: price.Merit, Offered: price.Offered}
+		}
+	}
+	if c.windowDisabled {
+		return Decision{Probability: 1}
+	}
+	probability, bottleneck := c.core.AdmitProbability(now, route)
+	return Decision{Probability: probability, Bottleneck: bottleneck}
+}
+
+// EachPrice calls f for each service with a price, with its offered load. f must not call methods of
+// Control, which is locked meanwhile.
+func (c *Control) EachPrice(f func(service string, price, offered float64)) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.prices.ForEachService(c.now(), f)
+}
+
 // Window returns the number of requests of a route in flight and the size of its admission window.
 func (c *Control) Window(route *intent.Route) (inFlight int, size float64) {
 	c.mutex.Lock()
@@ -124,8 +164,12 @@
 func (c *Control) RecordNeeds(route *intent.Route, needs []wire.Need, served bool) {
 	now := c.now()
 	decoded := decodeNeeds(needs)
+	rank := c.priorityAboveLowest(route)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if !c.pricesDisabled {
+		c.prices.Observe(now, pricing.Route{Name: route.Name, Rank: rank}, decodeUsages(needs), served)
+	}
 	for _, need := range decoded {
 		c.core.Observe(now, need.Service, need.Occupancy)
 	}
@@ -140,3 +184,14 @@
 	}
 	return decoded
 }
+
+// decodeUsages returns the slot time that needs took, for those whose targets report their load.
+func decodeUsages(needs []wire.Need) []pricing.Usage {
+	usages := make([]pricing.Usage, 0, len(needs))
+	for _, need := range needs {
+		if need.Offered > 0 {
+			usages = append(usages, pricing.Usage{Service: need.Service, SlotTime: need.SlotTime, Offered: need.Offered})
+		}
+	}
+	return usages
+}
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -113,6 +113,9 @@
 	if waits := reply.EncodeWaits(response); waits != "" {
 		header.Set(wire.HeaderSidecarWaits, waits)
 	}
+	if usage := reply.EncodeUsage(response); usage != "" {
+		header.Set(wire.HeaderSidecarUsage, usage)
+	}
 	SuppressDefaultHeaders(header)
 	if response.Stream == nil {
 		header.Set("Content-Length", strconv.Itoa(len(response.Body)))
@@ -230,7 +233,9 @@
 	call := req.Call
 	running := &Running{ID: call.RequestID, Context: ctx, Importance: call.Importance, IsRetry: call.IsRetry, Tenant: call.Tenant, RetryGrant: call.RetryGrant, needs: map[string]wire.Need{}}
 	i.Running.add(call.RequestID, running)
+	sentAt := i.options.Now()
 	response := i.sendToTarget(ctx, gate, req, header)
+	response.SlotTime = i.options.Now() - sentAt
 	i.Running.remove(call.RequestID, running)
 	answered := response.Outcome == outcome.Answered
 	if response.Stream == nil {
--- a/internal/sidecar/arrival/running.go
+++ b/internal/sidecar/arrival/running.go
@@ -30,6 +30,8 @@
 		sum := r.needs[need.Service]
 		sum.Service = need.Service
 		if calls := sum.Calls + need.Calls; calls > 0 {
+			sum.SlotTime += need.SlotTime
+			sum.Offered = meanOffered(sum, need)
 			sum.Wait = (sum.Wait*time.Duration(sum.Calls) + need.Wait*time.Duration(need.Calls)) / time.Duration(calls)
 			sum.Calls = calls
 		}
@@ -40,6 +42,17 @@
 	}
 }
 
+// meanOffered returns the mean offered load of two demands on a service, by calls.
+func meanOffered(a, b wire.Need) float64 {
+	switch {
+	case a.Offered <= 0:
+		return b.Offered
+	case b.Offered <= 0:
+		return a.Offered
+	}
+	return (a.Offered*float64(a.Calls) + b.Offered*float64(b.Calls)) / float64(a.Calls+b.Calls)
+}
+
 func (r *Running) collectNeeds() []wire.Need {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/sidecar/entry/entry.go
+++ b/internal/sidecar/entry/entry.go
@@ -179,7 +179,7 @@
 func (r *request) recordNeeds(response *reply.Reply) {
 	needs := response.Needs
 	if pressure, known := r.options.Services.Get(r.service).Pressure(r.options.Now()); known && response.Load.Slots > 0 {
-		needs = append(needs, wire.Need{Service: r.service, Calls: 1, Occupancy: int(pressure.Occupancy * wire.OccupancyScale), Wait: response.Waited})
+		needs = append(needs, wire.Need{Service: r.service, Calls: 1, Occupancy: int(pressure.Occupancy * wire.OccupancyScale), Wait: response.Waited, SlotTime: response.SlotTime, Offered: response.Load.Offered})
 	}
 	r.needs = needs
 	if r.parent != nil {
--- a/internal/sidecar/entry/steps.go
+++ b/internal/sidecar/entry/steps.go
@@ -162,6 +162,7 @@
 	var admitted bool
 	admitted, r.decision = r.options.Admission.Admit(r.route)
 	if !admitted {
+		r.options.Metrics.Shed.WithLabelValues(r.route.Name, r.decision.Bottleneck).Inc()
 		r.options.Quotas.ReturnToken(r.keyTenant)
 		r.reject(http.StatusServiceUnavailable, outcome.ReasonOverload, retryafter.Shed(r.clientTimeout()))
 		return false
--- a/internal/sidecar/entry/window_test.go
+++ b/internal/sidecar/entry/window_test.go
@@ -28,7 +28,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
 			now := func() time.Duration { return 0 }
-			control := admission.New(now, configuration.New(nil, nil), false)
+			control := admission.New(admission.Options{Now: now, Configuration: configuration.New(nil, nil)})
 			route := &intent.Route{Name: "read", Objective: time.Second}
 			r := &request{options: &Options{Now: now, Admission: control}, route: route, incoming: httptest.NewRequest(http.MethodGet, "/", nil), timeout: time.Second, status: tc.status, noCapacity: tc.noCapacity}
 			admitted, _ := control.Admit(route)
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -25,9 +25,12 @@
 	TookMS            float64   `json:"took_ms" doc:"time from arrival to response"`
 	TimeLimitMS       float64   `json:"hold_ms" doc:"time limit: the client's deadline or the route's timeout"`
 	ObjectiveMS       float64   `json:"objective_ms,omitempty" doc:"latency objective of the route"`
-	AdmitProbability  float64   `json:"share" doc:"admission probability: 1 unless the route's window is full"`
-	BottleneckService string    `json:"decisive,omitempty" doc:"service that caused the longest slot wait in the route's call chains, if the window is enforced"`
+	AdmitProbability  float64   `json:"share" doc:"admission probability: 1 unless the route's window is full or a service that it needs has a price"`
+	BottleneckService string    `json:"decisive,omitempty" doc:"service whose price decided or, without a price, that caused the longest slot wait in the route's call chains, if the window is enforced"`
 	Occupancy         float64   `json:"occupancy,omitempty" doc:"mean occupancy of that service: running and waiting requests over slots"`
+	Price             float64   `json:"price,omitempty" doc:"congestion price of that service; missing: the window decided"`
+	Merit             float64   `json:"merit,omitempty" doc:"price up to which all requests of the route are admitted"`
+	Offered           float64   `json:"offered,omitempty" doc:"offered load of that service: slot time asked for over what its targets provide"`
 	InFlight          int       `json:"in_flight,omitempty" doc:"requests of the route in flight from this node when it was rejected"`
 	WindowSize        float64   `json:"fits,omitempty" doc:"size of the route's window at that time"`
 	RetryAfterMS      float64   `json:"retry_after_ms,omitempty" doc:"value of Retry-After sent to the client"`
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -16,6 +16,8 @@
 	Requests *prometheus.CounterVec
 	// RequestDuration is the time from a request's arrival to its response in seconds, by service.
 	RequestDuration *prometheus.HistogramVec
+	// Shed counts requests refused by admission control, by route and by the service that was overloaded.
+	Shed *prometheus.CounterVec
 	// Attempts counts attempts by service, outcome and reason.
 	Attempts *prometheus.CounterVec
 	// Retries counts retries by service; RetriesDenied counts retries rejected by the retry budget.
@@ -48,6 +50,8 @@
 	RateLimit, RateLimitAge func() float64
 	// StoreAge is the time since the last response of the store in seconds.
 	StoreAge func() float64
+	// EachPrice calls f for each service with a congestion price, with its offered load.
+	EachPrice func(f func(service string, price, offered float64))
 }
 
 const namespace = "landingmast_sidecar"
@@ -71,6 +75,7 @@
 		RequestDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: durationBuckets,
 		}, []string{"service"}),
+		Shed:           counters("shed_total", "Requests refused by admission control, by the overloaded service.", "route", "overloaded"),
 		Attempts:       counters("sends_total", "Sendings to targets' nodes, by how they ended.", "service", "outcome", "reason"),
 		Retries:        counters("repeats_total", "Requests sent to a second target.", "service"),
 		RetriesDenied:  counters("repeats_denied_total", "Repeats that the budget did not allow.", "service"),
@@ -85,7 +90,7 @@
 		SilentNodes:    counter("silent_nodes_total", "Times that another node was taken for dead."),
 		Omitted:        counters("log_lines_omitted_total", "Log lines that were left out.", "kind"),
 	}
-	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
+	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Shed, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
 	for _, gauge := range []struct {
 		name, help string
 		read       func() float64
@@ -103,9 +108,34 @@
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: gauge.name, Help: gauge.help}, gauge.read))
 	}
+	m.registry.MustRegister(&priceCollector{each: gauges.EachPrice})
 	return m
 }
 
+// priceCollector collects the prices of services. A service without a price has no metrics.
+type priceCollector struct {
+	each func(f func(service string, price, offered float64))
+}
+
+var (
+	priceDesc   = prometheus.NewDesc(namespace+"_service_price", "Congestion price of a service at this node.", []string{"service"}, nil)
+	offeredDesc = prometheus.NewDesc(namespace+"_service_offered_load", "Offered load of a service with a price, as this node sees it: above 1 it is asked for more than it can do.", []string{"service"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (*priceCollector) Describe(descs chan<- *prometheus.Desc) {
+	descs <- priceDesc
+	descs <- offeredDesc
+}
+
+// Collect implements prometheus.Collector.
+func (c *priceCollector) Collect(metrics chan<- prometheus.Metric) {
+	c.each(func(service string, price, offered float64) {
+		metrics <- prometheus.MustNewConstMetric(priceDesc, prometheus.GaugeValue, price, service)
+		metrics <- prometheus.MustNewConstMetric(offeredDesc, prometheus.GaugeValue, offered, service)
+	})
+}
+
 // Handler serves the metrics in the Prometheus exposition format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -118,7 +118,9 @@
 	n.configuration = configuration.New(options.ParseIntent, n.events)
 	n.metrics = metrics.New(n.gauges())
 	n.storeHealth = storehealth.New(n.events, n.metrics.StoreCalls)
-	n.admission = admission.New(n.now, n.configuration, !n.policyOn(window))
+	n.admission = admission.New(admission.Options{
+		Now: n.now, Configuration: n.configuration, WindowDisabled: !n.policyOn(window), PricesDisabled: !n.policyOn(prices),
+	})
 	n.services = services.New(services.Options{
 		Node: settings.Node, Zone: settings.Zone, Now: n.now, Budget: budget(settings), FirstStart: settings.FirstStart, Policy: settings.Policy,
 		Rank: func(instance string) (int, int) { return n.membership.Rank([]byte(instance)) },
@@ -151,6 +153,7 @@
 const (
 	inTime = settings.InTime
 	window = settings.Window
+	prices = settings.Prices
 
 	targetState = settings.TargetState
 )
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -24,6 +24,7 @@
 		HeldBack:     func() float64 { return float64(n.heldBack.Count()) },
 		InFlight:     func() float64 { return float64(n.inFlight.Load()) },
 		StoreAge:     func() float64 { return n.storeHealth.Age().Seconds() },
+		EachPrice:    func(f func(service string, price, offered float64)) { n.admission.EachPrice(f) },
 	}
 }
 
--- a/internal/sidecar/reply/reply.go
+++ b/internal/sidecar/reply/reply.go
@@ -33,6 +33,7 @@
 	Version     uint64        // configuration version of the replying node
 	Needs       []wire.Need   // demand on downstream services
 	Waited      time.Duration // time spent waiting for a slot of the target
+	SlotTime    time.Duration // time that the request occupied a slot of the target
 	// TargetState is the state that the node of the target keeps to; nil: the target states nothing, or
 	// the node is of a release that does not read it.
 	TargetState *outcome.TargetState
@@ -197,6 +198,59 @@
 	}
 }
 
+// EncodeUsage encodes the slot time that the request and its calls took and the load offered to the
+// targets that they reached; it returns an empty string if none is known. Encoding errors are ignored:
+// the reply is valid without usage, and nodes of earlier releases send none.
+func EncodeUsage(r *Reply) string {
+	message := &wire.Usage{Services: make([]wire.ServiceUsage, 0, len(r.Needs)+1)}
+	if r.Load.Slots > 0 && r.Load.Offered > 0 {
+		message.Services = append(message.Services, encodeServiceUsage("", r.SlotTime, r.Load.Offered))
+	}
+	for _, need := range r.Needs {
+		if need.Offered > 0 {
+			message.Services = append(message.Services, encodeServiceUsage(need.Service, need.SlotTime, need.Offered))
+		}
+	}
+	if len(message.Services) == 0 {
+		return ""
+	}
+	head, err := wire.UsageCodec.EncodeHeader(message)
+	if err != nil {
+		return ""
+	}
+	return head
+}
+
+func encodeServiceUsage(service string, slotTime time.Duration, offered float64) wire.ServiceUsage {
+	return wire.ServiceUsage{Service: service, SlotTime: slotTime.Microseconds(), Offered: int(offered * wire.OccupancyScale)}
+}
+
+// SetUsage decodes the usage of services into the reply. It ignores usage that cannot be decoded or
+// is not positive.
+func (r *Reply) SetUsage(head string) {
+	if head == "" {
+		return
+	}
+	message, err := wire.UsageCodec.DecodeHeader(head)
+	if err != nil {
+		return
+	}
+	for _, usage := range message.Services {
+		if usage.SlotTime < 0 || usage.Offered <= 0 {
+			continue
+		}
+		slotTime, offered := time.Duration(usage.SlotTime)*time.Microsecond, float64(usage.Offered)/wire.OccupancyScale
+		if usage.Service == "" {
+			r.SlotTime, r.Load.Offered = slotTime, offered
+		}
+		for index := range r.Needs {
+			if r.Needs[index].Service == usage.Service {
+				r.Needs[index].SlotTime, r.Needs[index].Offered = slotTime, offered
+			}
+		}
+	}
+}
+
 // WithoutHeader returns the reply without a header. It copies the reply instead of modifying it,
 // since the reply may be cached.
 func (r *Reply) WithoutHeader(name string) *Reply {
--- a/internal/sidecar/reply/reply_test.go
+++ b/internal/sidecar/reply/reply_test.go
@@ -8,6 +8,7 @@
 	"testing/iotest"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/core/slots"
 	"github.com/landingmast/landingmast/internal/wire"
 	. "github.com/onsi/gomega"
 )
@@ -72,3 +73,33 @@
 		})
 	}
 }
+
+// Slot times and offered loads must survive the way to the sender, where a price is made of them.
+func TestUsageIsEncodedWithTheResult(t *testing.T) {
+	g := NewWithT(t)
+	sent := &Reply{
+		SlotTime: 40 * time.Millisecond, Load: slots.Load{Slots: 9, Offered: 1.25},
+		Needs: []wire.Need{{Service: "deep", Calls: 4, SlotTime: 220 * time.Millisecond, Offered: 0.5}, {Service: "old", Calls: 1}},
+	}
+	received := FromResult(sent.Result())
+	received.SetUsage(EncodeUsage(sent))
+	g.Expect(received.SlotTime).To(Equal(sent.SlotTime))
+	g.Expect(received.Load.Offered).To(Equal(1.25))
+	g.Expect(received.Needs[0].SlotTime).To(Equal(220 * time.Millisecond))
+	g.Expect(received.Needs[0].Offered).To(Equal(0.5))
+	g.Expect(received.Needs[1].Offered).To(BeZero(), "a service whose nodes report nothing")
+}
+
+// Nodes of the previous release send no usage, and what cannot be read must not become a load.
+func TestInvalidUsageIsIgnored(t *testing.T) {
+	negative, err := wire.UsageCodec.EncodeHeader(&wire.Usage{Services: []wire.ServiceUsage{{SlotTime: -1, Offered: 1000}, {Service: "deep", SlotTime: 1, Offered: -5}}})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	for _, head := range []string{"", "not Avro", negative} {
+		g := NewWithT(t)
+		received := &Reply{Needs: []wire.Need{{Service: "deep", Calls: 1}}}
+		received.SetUsage(head)
+		g.Expect(received.Load.Offered).To(BeZero())
+		g.Expect(received.Needs[0].Offered).To(BeZero())
+	}
+	NewWithT(t).Expect(EncodeUsage(&Reply{})).To(BeEmpty())
+}
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -12,6 +12,8 @@
 const (
 	// Window limits a route's concurrent requests at the entry of call chains.
 	Window Mechanism = "window"
+	// Prices admits requests by the congestion prices of the services that they need.
+	Prices Mechanism = "prices"
 	// Urgency orders requests of equal priority by their latency objective.
 	Urgency Mechanism = "urgency"
 	// Grants delegate retry budget to the nodes that make downstream calls.
@@ -40,7 +42,7 @@
 	TargetState Mechanism = "target_state"
 )
 
-var mechanisms = []Mechanism{Window, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState}
+var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState}
 
 // Enabled reports whether m is enabled.
 func (p Policy) Enabled(m Mechanism) bool { return !slices.Contains(p.Off, m) }
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -122,8 +122,8 @@
 
 // Policy configures traffic management.
 type Policy struct {
-	// Off lists mechanisms to disable; default none. Accepted values: window, urgency, grants,
-	// ration, declined, repeats, samples, zones, losses, suspicion, in_time, tenant_order,
+	// Off lists mechanisms to disable; default none. Accepted values: window, prices, urgency,
+	// grants, ration, declined, repeats, samples, zones, losses, suspicion, in_time, tenant_order,
 	// hold_back, target_state.
 	Off []Mechanism `yaml:"off"`
 }
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -15,6 +15,7 @@
 	HeaderSidecarResult = "Landingmast-Sidecar-Result"
 	HeaderSidecarPong   = "Landingmast-Sidecar-Pong"
 	HeaderSidecarWaits  = "Landingmast-Sidecar-Waits"
+	HeaderSidecarUsage  = "Landingmast-Sidecar-Usage"
 )
 
 // CallSeparator separates the request ID from the suffix that identifies a downstream call made
@@ -81,6 +82,11 @@
 	Occupancy int    `avro:"occupancy"` // running and queued requests, in thousandths of the slots; -1: unknown
 	// Wait is the mean time that a call waited for a slot. It is sent in Waits.
 	Wait time.Duration `avro:"-"`
+	// SlotTime is the time that the calls occupied slots, all of them together, and Offered the mean
+	// offered load of the targets that they reached, relative to what these provide; 0: unknown.
+	// Both are sent in Usage.
+	SlotTime time.Duration `avro:"-"`
+	Offered  float64       `avro:"-"`
 }
 
 // Waits accompanies a SidecarResult if the request or a downstream call waited for a slot. It is
@@ -95,6 +101,20 @@
 	Wait    int64  `avro:"wait_us"` // mean per call
 }
 
+// Usage accompanies a SidecarResult if the nodes of the targets that the request and its downstream
+// calls reached report their offered load. It is a separate message so that nodes of the previous
+// release can decode the result.
+type Usage struct {
+	Services []ServiceUsage `avro:"services"`
+}
+
+// ServiceUsage is the slot time that a request took of a service and the load offered to it.
+type ServiceUsage struct {
+	Service  string `avro:"service"`      // empty: the request itself
+	SlotTime int64  `avro:"slot_time_us"` // total over all calls
+	Offered  int    `avro:"offered"`      // slot time asked for, in thousandths of what the targets provide
+}
+
 // NodeRecord describes a sidecar node to the other nodes.
 type NodeRecord struct {
 	Node            string `avro:"node"`
@@ -257,6 +277,9 @@
 	waitsSchema = `{"type":"record","name":"Waits","fields":[
 {"name":"services","type":{"type":"array","items":{"type":"record","name":"ServiceWait","fields":[
 {"name":"service","type":"string"},{"name":"wait_us","type":"long"}]}},"default":[]}]}`
+	usageSchema = `{"type":"record","name":"Usage","fields":[
+{"name":"services","type":{"type":"array","items":{"type":"record","name":"ServiceUsage","fields":[
+{"name":"service","type":"string"},{"name":"slot_time_us","type":"long"},{"name":"offered","type":"int"}]}},"default":[]}]}`
 	newsSchema = `{"type":"record","name":"News","fields":[
 {"name":"from","type":"string"},{"name":"forward","type":{"type":"array","items":"string"},"default":[]},
 {"name":"version","type":"long","default":0},
@@ -301,6 +324,7 @@
 	ExchangeCodec      = codec.New[Exchange](MaxMessage, exchangeSchema, ExchangeSchemaV1, ExchangeSchemaV2)
 	BroadcastCodec     = codec.New[Broadcast](MaxMessage, newsSchema)
 	WaitsCodec         = codec.New[Waits](codec.MaxHeader, waitsSchema)
+	UsageCodec         = codec.New[Usage](codec.MaxHeader, usageSchema)
 	PongCodec          = codec.New[Pong](codec.MaxHeader, pongSchema)
 	NodeRecordCodec    = codec.New[NodeRecord](codec.MaxHeader, nodeRecordSchema)
 	FreshnessCodec     = codec.New[Freshness](MaxMessage, freshnessSchema)
