Returning requests go first; prices and windows make one decision

A refused request that returned was drawn for like a new one.

Change: the lesser of both probabilities admits. A request that states less time than new ones of its route counts as returning and has one more unit of merit. Retry-After of a refusal by price leaves half of the objective.

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -63,6 +63,13 @@
 	Rank int
 }
 
+// Request is a client's request at the start of its chain.
+type Request struct {
+	Route
+	// Deadline is how long the client still waits, as it states; 0: unknown.
+	Deadline time.Duration
+}
+
 // Decision is an admission probability and its reason.
 type Decision struct {
 	Probability float64
@@ -70,6 +77,7 @@
 	Price       float64 // of that service
 	Merit       float64 // of the route there
 	Offered     float64 // offered load of that service
+	Returning   bool    // the request was refused before
 }
 
 // Controller holds the prices of one node. It is not safe for concurrent use.
@@ -77,6 +85,7 @@
 	config   Config
 	services map[string]*service
 	routes   map[string]*route
+	starting startingDeadlines
 	largest  map[needKey]float64 // largest need of a service among the routes of a rank
 	sortedAt time.Duration       // when largest was computed
 }
@@ -96,7 +105,7 @@
 
 // New returns a Controller without prices.
 func New(config Config) *Controller {
-	return &Controller{config: config, services: map[string]*service{}, routes: map[string]*route{}}
+	return &Controller{config: config, services: map[string]*service{}, routes: map[string]*route{}, starting: startingDeadlines{routes: map[string]*startingDeadline{}}}
 }
 
 const (
@@ -151,10 +160,10 @@
 	return s
 }
 
-// Admit returns the probability with which to admit a request of the route. The service that allows
-// least decides. Without a price above 0 the probability is 1 and the decision names no service.
-func (c *Controller) Admit(now time.Duration, r Route) Decision {
-	decision := Decision{Probability: 1}
+// Admit returns the probability with which to admit a request. The service that allows least decides.
+// Without a price above 0 the probability is 1 and the decision names no service.
+func (c *Controller) Admit(now time.Duration, r Request) Decision {
+	decision := Decision{Probability: 1, Returning: c.starting.returning(now, r.Name, r.Deadline)}
 	known := c.routes[r.Name]
 	if known == nil {
 		return decision
@@ -169,8 +178,11 @@
 			continue
 		}
 		merit := c.merit(now, name, need, r.Rank)
+		if decision.Returning {
+			merit += returningMerit
+		}
 		if share := c.share(price, merit); decision.Service == "" || share < decision.Probability {
-			decision = Decision{Probability: share, Service: name, Price: price, Merit: merit, Offered: s.offered}
+			decision.Probability, decision.Service, decision.Price, decision.Merit, decision.Offered = share, name, price, merit, s.offered
 		}
 	}
 	return decision
@@ -191,6 +203,10 @@
 	rankStep = 2.0
 	// maxNeedMerit bounds the advantage of small needs.
 	maxNeedMerit = 2.0
+	// returningMerit is added for a request that was refused before: its client has waited already, and
+	// a second refusal leaves it no time for a third attempt. It stays below rankStep, so that returning
+	// requests do not displace more important ones.
+	returningMerit = 1.0
 )
 
 // share returns the admission probability at a price: 1 up to the merit, falling to MinShare within a
--- a/internal/core/pricing/pricing_test.go
+++ b/internal/core/pricing/pricing_test.go
@@ -33,8 +33,8 @@
 func TestNothingIsRefusedBelowTheSetpoint(t *testing.T) {
 	g := NewWithT(t)
 	c, now := overloaded(0.9, 20*time.Second, large, small)
-	g.Expect(c.Admit(now, large)).To(Equal(Decision{Probability: 1}))
-	g.Expect(c.Admit(now, Route{Name: "unknown"}).Probability).To(Equal(1.0))
+	g.Expect(c.Admit(now, Request{Route: large})).To(Equal(Decision{Probability: 1}))
+	g.Expect(c.Admit(now, Request{Route: Route{Name: "unknown"}}).Probability).To(Equal(1.0))
 }
 
 func TestRoutesAreRefusedInOrder(t *testing.T) {
@@ -52,12 +52,12 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
 			c, now := overloaded(1.3, tc.span, large, small, urgent)
-			g.Expect(c.Admit(now, large).Probability).To(BeNumerically("<=", tc.large))
-			g.Expect(c.Admit(now, small).Probability).To(BeNumerically("<=", tc.small))
-			g.Expect(c.Admit(now, small).Probability).To(BeNumerically(">=", c.Admit(now, large).Probability))
-			g.Expect(c.Admit(now, urgent).Probability).To(BeNumerically(">=", c.Admit(now, small).Probability))
-			g.Expect(c.Admit(now, urgent).Probability).To(BeNumerically(">", tc.urgentAbove))
-			g.Expect(c.Admit(now, large).Service).To(Equal("deep"))
+			g.Expect(c.Admit(now, Request{Route: large}).Probability).To(BeNumerically("<=", tc.large))
+			g.Expect(c.Admit(now, Request{Route: small}).Probability).To(BeNumerically("<=", tc.small))
+			g.Expect(c.Admit(now, Request{Route: small}).Probability).To(BeNumerically(">=", c.Admit(now, Request{Route: large}).Probability))
+			g.Expect(c.Admit(now, Request{Route: urgent}).Probability).To(BeNumerically(">=", c.Admit(now, Request{Route: small}).Probability))
+			g.Expect(c.Admit(now, Request{Route: urgent}).Probability).To(BeNumerically(">", tc.urgentAbove))
+			g.Expect(c.Admit(now, Request{Route: large}).Service).To(Equal("deep"))
 		})
 	}
 }
@@ -66,7 +66,7 @@
 	g := NewWithT(t)
 	c, now := overloaded(2, 5*time.Second, large)
 	c.Observe(now, small, []Usage{{Service: "files", SlotTime: time.Second, Offered: 0.5}}, true)
-	g.Expect(c.Admit(now, small).Probability).To(Equal(1.0))
+	g.Expect(c.Admit(now, Request{Route: small}).Probability).To(Equal(1.0))
 }
 
 // A node that gets no more reports must return to the decision without prices.
@@ -76,7 +76,7 @@
 	before, _ := c.Price(now, "deep")
 	held, _ := c.Price(now+time.Second, "deep")
 	g.Expect(held).To(Equal(before))
-	g.Expect(c.Admit(now+20*time.Second, large)).To(Equal(Decision{Probability: 1}))
+	g.Expect(c.Admit(now+20*time.Second, Request{Route: large})).To(Equal(Decision{Probability: 1}))
 }
 
 // A load of a single report after a pause must not be extrapolated over the pause.
@@ -105,5 +105,37 @@
 		c.Observe(0, large, []Usage{{Service: "deep", SlotTime: -time.Second, Offered: offered}}, true)
 	}
 	g.Expect(c.services).To(BeEmpty())
-	g.Expect(c.Admit(0, large)).To(Equal(Decision{Probability: 1}))
+	g.Expect(c.Admit(0, Request{Route: large})).To(Equal(Decision{Probability: 1}))
+}
+
+// A request that was refused and returns in time must find room before new ones of its route, or it is
+// refused again; it must not displace a more important route.
+func TestReturningRequestsGoFirst(t *testing.T) {
+	g := NewWithT(t)
+	c, now := overloaded(1.3, 800*time.Millisecond, large, urgent)
+	admit := func(route Route, deadline time.Duration) Decision {
+		return c.Admit(now, Request{Route: route, Deadline: deadline})
+	}
+	fresh := admit(large, 5*time.Second)
+	returning := admit(large, 4200*time.Millisecond)
+	g.Expect(fresh.Returning).To(BeFalse())
+	g.Expect(returning.Returning).To(BeTrue())
+	g.Expect(fresh.Probability).To(BeNumerically("<", 0.6))
+	g.Expect(returning.Probability).To(BeNumerically(">", 0.8))
+	g.Expect(returning.Merit).To(BeNumerically("<", admit(urgent, 5*time.Second).Merit))
+	g.Expect(admit(large, 4990*time.Millisecond).Returning).To(BeFalse(), "rounding")
+	g.Expect(admit(large, 0).Returning).To(BeFalse(), "no deadline stated")
+}
+
+// When clients begin to state shorter deadlines, new requests must not count as returning for long.
+func TestStartingDeadlineFollowsClients(t *testing.T) {
+	g := NewWithT(t)
+	c := New(DefaultConfig())
+	admit := func(now, deadline time.Duration) bool {
+		return c.Admit(now, Request{Route: large, Deadline: deadline}).Returning
+	}
+	g.Expect(admit(0, 5*time.Second)).To(BeFalse())
+	g.Expect(admit(time.Second, 2*time.Second)).To(BeTrue())
+	g.Expect(admit(11*time.Second, 2*time.Second)).To(BeFalse())
+	g.Expect(admit(12*time.Second, 2*time.Second)).To(BeFalse())
 }
--- a/internal/core/pricing/simulation_test.go
+++ b/internal/core/pricing/simulation_test.go
@@ -133,7 +133,7 @@
 	second := int(now / time.Second)
 	s.arrived[index][second]++
 	route := Route{Name: k.name, Rank: k.rank}
-	if decision := controller.Admit(now, route); !s.noPrices && s.random.Float64() >= decision.Probability {
+	if decision := controller.Admit(now, Request{Route: route}); !s.noPrices && s.random.Float64() >= decision.Probability {
 		return
 	}
 	s.admitted[index][second]++
--- a/internal/core/retryafter/retryafter.go
+++ b/internal/core/retryafter/retryafter.go
@@ -25,6 +25,8 @@
 	shedDivisor  = 3
 	quotaDivisor = 3
 	rateDivisor  = 3
+	// objectiveDivisor gives the longest delay that leaves half of the objective for serving.
+	objectiveDivisor = 2
 )
 
 // Range is a range of delays from Min to Min+Spread.
@@ -48,6 +50,17 @@
 // attemptTimeout is how long its sender waits for one attempt.
 func Shed(attemptTimeout time.Duration) Range { return jittered(attemptTimeout / (2 * shedDivisor)) }
 
+// ShedByPrice returns the delay for a request refused by the congestion price of a service. The price
+// follows the load within a second and prefers returning requests, so that one that returns within half
+// of its objective can still be served in time. objective is that of the route; 0: none.
+func ShedByPrice(attemptTimeout, objective time.Duration) Range {
+	longest := attemptTimeout / shedDivisor
+	if objective > 0 {
+		longest = min(longest, objective/objectiveDivisor)
+	}
+	return jittered(longest / 2)
+}
+
 // NotRun returns the delay for a request that no target ran. Quarantined requests must not be
 // retried.
 func NotRun(reason outcome.Reason) Range {
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -1,6 +1,6 @@
-// Package admission decides whether a client request is admitted. While a service that the request
-// needs has a congestion price, core/pricing decides; otherwise the window of its route does, in
-// core/overload. The package owns the state of both: prices, windows, the demand of a route's requests on
+// Package admission decides whether a client request is admitted: by the congestion prices of the
+// services that it needs (core/pricing) or the window of its route (core/overload), whichever allows
+// less. The package owns the state of both: prices, windows, the demand of a route's requests on
 // other services, and the occupancy of those services. Callers must report the end of each admitted
 // request and the demand observed by each attempt.
 package admission
@@ -54,20 +54,22 @@
 	Probability float64 // probability with which the request was admitted
 	Bottleneck  string  // service with the decisive price, or the longest wait in the call chain; empty if unknown
 	Occupancy   float64 // occupancy of Bottleneck
-	Price       float64 // price of Bottleneck; 0: the window decided
+	Price       float64 // price of Bottleneck; 0: no price decided
 	Merit       float64 // price up to which all requests of the route are admitted
 	Offered     float64 // offered load of Bottleneck; set if there is a price
+	Returning   bool    // whether the request was refused before; set if there is a price
 	InFlight    int     // requests of the route in flight; set on rejection by the window
 	WindowSize  float64 // size of the route's admission window; set on rejection by it
 }
 
-// Admit decides whether a client request on the route is admitted. If it is, End must be called.
-func (c *Control) Admit(route *intent.Route) (admitted bool, decision Decision) {
+// Admit decides whether a client request on the route is admitted. deadline is how long its client still
+// waits; 0: unknown. If it is admitted, End must be called.
+func (c *Control) Admit(route *intent.Route, deadline time.Duration) (admitted bool, decision Decision) {
 	rank := c.priorityAboveLowest(route)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.now()
-	decision = c.decide(now, route.Name, rank)
+	decision = c.decide(now, pricing.Request{Route: pricing.Route{Name: route.Name, Rank: rank}, Deadline: deadline})
 	if decision.Bottleneck != "" {
 		decision.Occupancy = c.core.Occupancy(decision.Bottleneck)
 	}
@@ -81,19 +83,22 @@
 	return false, decision
 }
 
-// decide returns the decision by price or, without a price, by window.
-func (c *Control) decide(now time.Duration, route string, rank int) Decision {
-	if !c.pricesDisabled {
-		price := c.prices.Admit(now, pricing.Route{Name: route, Rank: rank})
-		if price.Service != "" {
-			return Decision{Probability: price.Probability, Bottleneck: price.Service, Price: price.Price, Merit: price.Merit, Offered: price.Offered}
-		}
+// decide returns the decision by price or by window, whichever allows less. A price keeps the waits
+// short that windows act on; the window remains for chains that are late at short waits already, since
+// they make many calls, and for targets that report no load.
+func (c *Control) decide(now time.Duration, request pricing.Request) Decision {
+	decision := Decision{Probability: 1}
+	if !c.windowDisabled {
+		decision.Probability, decision.Bottleneck = c.core.AdmitProbability(now, request.Name)
+	}
+	if c.pricesDisabled {
+		return decision
 	}
-	if c.windowDisabled {
-		return Decision{Probability: 1}
+	price := c.prices.Admit(now, request)
+	if price.Service == "" || price.Probability > decision.Probability {
+		return decision
 	}
-	probability, bottleneck := c.core.AdmitProbability(now, route)
-	return Decision{Probability: probability, Bottleneck: bottleneck}
+	return Decision{Probability: price.Probability, Bottleneck: price.Service, Price: price.Price, Merit: price.Merit, Offered: price.Offered, Returning: price.Returning}
 }
 
 // EachPrice calls f for each service with a price, with its offered load. f must not call methods of
--- a/internal/sidecar/entry/entry.go
+++ b/internal/sidecar/entry/entry.go
@@ -116,6 +116,14 @@
 	return defaultTimeout
 }
 
+// statedTimeout returns how long the client waits for a response; 0 if it does not say.
+func (r *request) statedTimeout() time.Duration {
+	if r.incoming.Header.Get(r.options.Headers.Deadline) == "" {
+		return 0
+	}
+	return r.clientTimeout()
+}
+
 // effectiveTimeout returns the client's timeout capped by the timeout of the route.
 func (r *request) effectiveTimeout() time.Duration {
 	timeout := r.clientTimeout()
--- a/internal/sidecar/entry/steps.go
+++ b/internal/sidecar/entry/steps.go
@@ -160,13 +160,21 @@
 		return true
 	}
 	var admitted bool
-	admitted, r.decision = r.options.Admission.Admit(r.route)
+	admitted, r.decision = r.options.Admission.Admit(r.route, r.statedTimeout())
 	if !admitted {
 		r.options.Metrics.Shed.WithLabelValues(r.route.Name, r.decision.Bottleneck).Inc()
 		r.options.Quotas.ReturnToken(r.keyTenant)
-		r.reject(http.StatusServiceUnavailable, outcome.ReasonOverload, retryafter.Shed(r.clientTimeout()))
+		r.reject(http.StatusServiceUnavailable, outcome.ReasonOverload, r.shedDelay())
 		return false
 	}
 	r.onFinish(r.releaseWindow)
 	return true
 }
+
+// shedDelay returns the Retry-After of a request that admission refused.
+func (r *request) shedDelay() retryafter.Range {
+	if r.decision.Price > 0 {
+		return retryafter.ShedByPrice(r.clientTimeout(), r.route.Objective)
+	}
+	return retryafter.Shed(r.clientTimeout())
+}
