Ignore the order in which results reach the prices

Cause: RecordNeeds read the clock before it had the lock, so that a sample could be older than the one before it. Its negative interval moved the price backward and set the time of the last sample back, so that the next sample counted twice.

Change: the clock is read under the lock, and a sample that is older than the last one counts for no time.

Result: TestSamplesOutOfOrder, which failed before (price 0.25 -> 0.14 by a sample of 0.5 s ago).

--- a/internal/core/pricing/pricing_test.go
+++ b/internal/core/pricing/pricing_test.go
@@ -139,3 +139,14 @@
 	g.Expect(admit(11*time.Second, 2*time.Second)).To(BeFalse())
 	g.Expect(admit(12*time.Second, 2*time.Second)).To(BeFalse())
 }
+
+// Results are recorded by concurrent requests. A sample that is recorded late must neither move the
+// price backward nor make the next one count twice.
+func TestSamplesOutOfOrder(t *testing.T) {
+	g := NewWithT(t)
+	c, now := overloaded(1.5, time.Second, large)
+	before := *c.services["deep"]
+	c.Observe(now-500*time.Millisecond, large, []Usage{{Service: "deep", SlotTime: slotTimes["large"], Offered: 1.5}}, true)
+	g.Expect(c.services["deep"].price).To(Equal(before.price))
+	g.Expect(c.services["deep"].sampledAt).To(Equal(before.sampledAt))
+}
--- a/internal/core/pricing/service.go
+++ b/internal/core/pricing/service.go
@@ -25,9 +25,9 @@
 	negligiblePrice = 0.01
 )
 
-// sample records a reported load and moves the price.
+// sample records a reported load and moves the price. Samples may arrive out of order.
 func (s *service) sample(now time.Duration, offered float64, config *Config) {
-	elapsed := now - s.sampledAt
+	elapsed := max(now-s.sampledAt, 0)
 	if !s.sampled || elapsed > config.Expiry {
 		s.price = s.decayed(now, config)
 		s.offered, s.sampledAt, s.sampled = offered, now, true
@@ -42,7 +42,7 @@
 	}
 	s.price += (gain*deviation - s.price/config.Leak.Seconds()) * step
 	s.price = min(max(s.price, 0), maxPrice)
-	s.sampledAt = now
+	s.sampledAt += elapsed
 }
 
 // minSampleWeight is the minimum weight of a sample, for samples in quick succession.
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -167,11 +167,11 @@
 // RecordNeeds records the demand of an attempt on downstream services. served reports that the
 // request was served, which means that its needs are complete.
 func (c *Control) RecordNeeds(route *intent.Route, needs []wire.Need, served bool) {
-	now := c.now()
 	decoded := decodeNeeds(needs)
 	rank := c.priorityAboveLowest(route)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	now := c.now() // under the lock: times in order
 	if !c.pricesDisabled {
 		c.prices.Observe(now, pricing.Route{Name: route.Name, Rank: rank}, decodeUsages(needs), served)
 	}
