Release the admission lock before metrics are sent

Cause: the collector of prices sent to the channel of the scrape while it held the lock of the admission control. A scrape that was read slowly blocked all requests of the node.

Change: the metrics are collected under the lock and sent after it.

--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -128,12 +128,18 @@
 	descs <- offeredDesc
 }
 
-// Collect implements prometheus.Collector.
+// Collect implements prometheus.Collector. It sends after each has returned, since the channel may
+// block and each holds the lock of the admission control.
 func (c *priceCollector) Collect(metrics chan<- prometheus.Metric) {
+	var collected []prometheus.Metric
 	c.each(func(service string, price, offered float64) {
-		metrics <- prometheus.MustNewConstMetric(priceDesc, prometheus.GaugeValue, price, service)
-		metrics <- prometheus.MustNewConstMetric(offeredDesc, prometheus.GaugeValue, offered, service)
+		collected = append(collected,
+			prometheus.MustNewConstMetric(priceDesc, prometheus.GaugeValue, price, service),
+			prometheus.MustNewConstMetric(offeredDesc, prometheus.GaugeValue, offered, service))
 	})
+	for _, metric := range collected {
+		metrics <- metric
+	}
 }
 
 // Handler serves the metrics in the Prometheus exposition format.
