Forget needs and services that are no longer seen

Cause: a mean need decays by a factor and never reaches 0. Services were never removed, and routes only while there was a price, so that both accumulated over changes of the configuration.

Change: a need that was not reported for routeExpiry (30 s) is removed, and so are services without samples for that time, also without a price.

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -99,10 +99,16 @@
 // route holds what is known of the requests of one route.
 type route struct {
 	rank   int
-	needs  map[string]float64 // mean slot time in ns, by service
+	needs  map[string]*need // by service
 	seenAt time.Duration
 }
 
+// need is what a request of a route takes of a service.
+type need struct {
+	slotTime float64 // mean, in ns
+	seenAt   time.Duration
+}
+
 // New returns a Controller without prices.
 func New(config Config) *Controller {
 	return &Controller{config: config, services: map[string]*service{}, routes: map[string]*route{}, starting: startingDeadlines{routes: map[string]*startingDeadline{}}}
@@ -113,7 +119,8 @@
 	needWeight = 0.05
 	// rankingInterval is how often the largest needs are computed anew.
 	rankingInterval = 500 * time.Millisecond
-	// routeExpiry is how long a route without requests takes part in the order.
+	// routeExpiry is how long a route without requests takes part in the order, and how long a route
+	// needs a service that its requests do not call any more.
 	routeExpiry = 30 * time.Second
 )
 
@@ -127,27 +134,36 @@
 	}
 	known := c.routes[r.Name]
 	if known == nil {
-		known = &route{needs: map[string]float64{}}
+		known = &route{needs: map[string]*need{}}
 		c.routes[r.Name] = known
 	}
 	known.rank, known.seenAt = r.Rank, now
-	known.observe(usages, served)
+	known.observe(now, usages, served)
+	c.refresh(now)
 }
 
-func (r *route) observe(usages []Usage, served bool) {
-	if !served || len(r.needs) == 0 {
-		for _, usage := range usages {
-			if need := float64(usage.SlotTime); need > r.needs[usage.Service] {
-				r.needs[usage.Service] = need
-			}
+func (r *route) observe(now time.Duration, usages []Usage, served bool) {
+	replace := !served || len(r.needs) == 0
+	if !replace {
+		for _, n := range r.needs {
+			n.slotTime *= 1 - needWeight
 		}
-		return
-	}
-	for name := range r.needs {
-		r.needs[name] *= 1 - needWeight
 	}
 	for _, usage := range usages {
-		r.needs[usage.Service] += needWeight * float64(usage.SlotTime)
+		if usage.SlotTime <= 0 {
+			continue
+		}
+		n := r.needs[usage.Service]
+		if n == nil {
+			n = &need{}
+			r.needs[usage.Service] = n
+		}
+		n.seenAt = now
+		if replace {
+			n.slotTime = max(n.slotTime, float64(usage.SlotTime))
+		} else {
+			n.slotTime += needWeight * float64(usage.SlotTime)
+		}
 	}
 }
 
@@ -168,16 +184,16 @@
 	if known == nil {
 		return decision
 	}
-	for name, need := range known.needs {
+	for name, n := range known.needs {
 		s := c.services[name]
-		if s == nil || need <= 0 {
+		if s == nil {
 			continue
 		}
 		price := s.current(now, &c.config)
 		if price <= 0 {
 			continue
 		}
-		merit := c.merit(now, name, need, r.Rank)
+		merit := c.merit(now, name, n.slotTime, r.Rank)
 		if decision.Returning {
 			merit += returningMerit
 		}
@@ -228,7 +244,8 @@
 // share: far enough that all more important routes are reduced first.
 const thinAfter = 6.0
 
-// refresh computes the largest needs anew if they are too old.
+// refresh computes the largest needs anew if they are too old, and removes routes, needs and services
+// that were not seen lately, since a new configuration may not have them any more.
 func (c *Controller) refresh(now time.Duration) {
 	if c.largest != nil && now-c.sortedAt < rankingInterval {
 		return
@@ -239,9 +256,18 @@
 			delete(c.routes, name)
 			continue
 		}
-		for service, need := range r.needs {
+		for service, n := range r.needs {
+			if now-n.seenAt > routeExpiry {
+				delete(r.needs, service)
+				continue
+			}
 			key := needKey{service, r.rank}
-			c.largest[key] = max(c.largest[key], need)
+			c.largest[key] = max(c.largest[key], n.slotTime)
+		}
+	}
+	for name, s := range c.services {
+		if now-s.sampledAt > routeExpiry {
+			delete(c.services, name) // its price has decayed
 		}
 	}
 }
--- a/internal/core/pricing/pricing_test.go
+++ b/internal/core/pricing/pricing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 	"time"
 
@@ -95,7 +96,7 @@
 	for range 100 {
 		c.Observe(now, large, []Usage{{Service: "deep", SlotTime: time.Millisecond, Offered: 1}}, false)
 	}
-	g.Expect(c.routes["large"].needs["deep"]).To(BeNumerically("~", float64(slotTimes["large"]), 1e7))
+	g.Expect(c.routes["large"].needs["deep"].slotTime).To(BeNumerically("~", float64(slotTimes["large"]), 1e7))
 }
 
 func TestInvalidReportsAreIgnored(t *testing.T) {
@@ -150,3 +151,32 @@
 	g.Expect(c.services["deep"].price).To(Equal(before.price))
 	g.Expect(c.services["deep"].sampledAt).To(Equal(before.sampledAt))
 }
+
+// A route whose requests do not call a service any more must not be refused by its price.
+func TestServicesNoLongerCalledAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	c, now := overloaded(1.3, time.Second, large, small)
+	for end := now + time.Minute; now < end; now += interval {
+		c.Observe(now, small, []Usage{{Service: "deep", SlotTime: slotTimes["small"], Offered: 1.3}}, true)
+		c.Observe(now, large, []Usage{{Service: "files", SlotTime: slotTimes["large"], Offered: 0.5}}, true)
+	}
+	g.Expect(c.Admit(now, Request{Route: small}).Probability).To(BeNumerically("<", 0.5))
+	g.Expect(c.Admit(now, Request{Route: large})).To(Equal(Decision{Probability: 1}))
+}
+
+// Routes and services that vanish from the configuration must not accumulate, also without overload.
+func TestVanishedRoutesAndServicesAreRemoved(t *testing.T) {
+	g := NewWithT(t)
+	c := New(DefaultConfig())
+	now := time.Duration(0)
+	for generation := range 1000 {
+		name := strconv.Itoa(generation)
+		c.Observe(now, Route{Name: name}, []Usage{{Service: name, SlotTime: time.Second, Offered: 0.5}}, true)
+		c.Observe(now, small, []Usage{{Service: name, SlotTime: time.Second, Offered: 0.5}}, true)
+		now += time.Second
+	}
+	const kept = 35 // those of the last 30 s, and a few until the next check
+	g.Expect(len(c.routes)).To(BeNumerically("<=", kept))
+	g.Expect(len(c.services)).To(BeNumerically("<=", kept))
+	g.Expect(len(c.routes["small"].needs)).To(BeNumerically("<=", kept))
+}
