Report no offered load from targets that drain

Cause: a draining gate counts no arrivals, so that its offered load falls to 0 within a second while its last requests still run (here 1.02 after 0.2 s, from above 1.5). Their results lowered the price of the service in all nodes, although the load had only moved to fewer targets.

Change: the offered load of a draining gate is 0, which means unknown. The test of the load's decay used Drain to empty the queue; it uses Expire instead.

Result: TestDrainingTargetReportsNoOfferedLoad, which failed before.

--- a/internal/core/slots/offered.go
+++ b/internal/core/slots/offered.go
@@ -33,8 +33,12 @@
 // and that queued requests need to be served within backlogSpan, relative to what the target provides:
 // above 1 it is asked for more than it can do. Without the queue, a backlog would persist once arrivals
 // match the capacity. For a target that states a rate, the load is at least the rate of requests
-// relative to that rate.
+// relative to that rate. It is 0, unknown, while the gate drains: the load then goes to other targets,
+// and its absence here says nothing about them.
 func (g *Gate) OfferedLoad(now time.Duration) float64 {
+	if g.draining {
+		return 0
+	}
 	decay := g.offered.decay(now)
 	load := g.offered.slotTime * decay / float64(offeredWindow)
 	for i := range g.queue {
--- a/internal/core/slots/offered_test.go
+++ b/internal/core/slots/offered_test.go
@@ -60,10 +60,21 @@
 	g := NewWithT(t)
 	gate := New(20)
 	g.Expect(offer(gate, 2650*time.Microsecond)).To(BeNumerically(">", 1.5))
-	gate.Drain(2 * time.Second)
+	gate.Expire(4 * time.Second)
 	g.Expect(gate.OfferedLoad(4 * time.Second)).To(BeNumerically("<", 0.01))
 }
 
+// A target that leaves answers its last requests while others get the new ones. It must not report that
+// its service has room, or all nodes lower their prices during a restart of the targets.
+func TestDrainingTargetReportsNoOfferedLoad(t *testing.T) {
+	g := NewWithT(t)
+	gate := New(20)
+	g.Expect(offer(gate, 2650*time.Microsecond)).To(BeNumerically(">", 1.5))
+	gate.Drain(2 * time.Second)
+	g.Expect(gate.Load(2200 * time.Millisecond).Running).To(BeNumerically(">", 0))
+	g.Expect(gate.OfferedLoad(2200 * time.Millisecond)).To(BeZero())
+}
+
 // A target that states a rate has free slots while it is asked for more than it takes.
 func TestOfferedLoadOfRateLimitedTarget(t *testing.T) {
 	g := NewWithT(t)
