Take a deadline that cannot be read for unknown

Cause: statedTimeout returned the default of 10 s for a header that is not a number. Admission remembers the longest deadline of a route: for 10 s all requests with a shorter one counted as returning after a refusal.

Change: statedTimeout reports whether the client states a valid deadline; clientTimeout uses the default otherwise, as before.

--- a/internal/sidecar/entry/entry.go
+++ b/internal/sidecar/entry/entry.go
@@ -108,20 +108,19 @@
 
 // clientTimeout returns how long the client waits for a response.
 func (r *request) clientTimeout() time.Duration {
-	if text := r.incoming.Header.Get(r.options.Headers.Deadline); text != "" {
-		if milliseconds, err := strconv.ParseFloat(text, 64); err == nil && milliseconds >= 0 {
-			return time.Duration(milliseconds * float64(time.Millisecond))
-		}
+	if timeout, valid := r.statedTimeout(); valid {
+		return timeout
 	}
 	return defaultTimeout
 }
 
-// statedTimeout returns how long the client waits for a response; 0 if it does not say.
-func (r *request) statedTimeout() time.Duration {
-	if r.incoming.Header.Get(r.options.Headers.Deadline) == "" {
-		return 0
+// statedTimeout returns how long the client says that it waits for a response, if it does.
+func (r *request) statedTimeout() (timeout time.Duration, valid bool) {
+	milliseconds, err := strconv.ParseFloat(r.incoming.Header.Get(r.options.Headers.Deadline), 64)
+	if err != nil || !(milliseconds >= 0) {
+		return 0, false
 	}
-	return r.clientTimeout()
+	return time.Duration(milliseconds * float64(time.Millisecond)), true
 }
 
 // effectiveTimeout returns the client's timeout capped by the timeout of the route.
--- a/internal/sidecar/entry/steps.go
+++ b/internal/sidecar/entry/steps.go
@@ -160,7 +160,8 @@
 		return true
 	}
 	var admitted bool
-	admitted, r.decision = r.options.Admission.Admit(r.route, r.statedTimeout())
+	stated, _ := r.statedTimeout()
+	admitted, r.decision = r.options.Admission.Admit(r.route, stated)
 	if !admitted {
 		r.options.Metrics.Shed.WithLabelValues(r.route.Name, r.decision.Bottleneck).Inc()
 		r.options.Quotas.ReturnToken(r.keyTenant)
