Encode the usage of idle targets

Cause: an offered load below a thousandth was encoded as 0, which means unknown, and the slot time was ignored with it. The need of a route then decayed with each call of a service with spare capacity. The tests of the encoding could not show it: the received reply shared its slice of needs with the one sent, and they passed with a SetUsage that ignored all needs.

Change: the load is rounded up to a thousandth. The tests encode and decode the result.

Result: TestUsageOfIdleTargetsIsEncoded, which failed before; TestUsageIsEncodedWithTheResult fails now if SetUsage ignores needs.

--- a/internal/sidecar/reply/reply.go
+++ b/internal/sidecar/reply/reply.go
@@ -221,8 +221,9 @@
 	return head
 }
 
+// encodeServiceUsage rounds a small load up, since 0 means unknown.
 func encodeServiceUsage(service string, slotTime time.Duration, offered float64) wire.ServiceUsage {
-	return wire.ServiceUsage{Service: service, SlotTime: slotTime.Microseconds(), Offered: int(offered * wire.OccupancyScale)}
+	return wire.ServiceUsage{Service: service, SlotTime: slotTime.Microseconds(), Offered: max(int(offered*wire.OccupancyScale), 1)}
 }
 
 // SetUsage decodes the usage of services into the reply. It ignores usage that cannot be decoded or
--- a/internal/sidecar/reply/reply_test.go
+++ b/internal/sidecar/reply/reply_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// transmit returns the reply as its receiver decodes it, sharing nothing with the one sent.
+func transmit(t *testing.T, sent *Reply) *Reply {
+	t.Helper()
+	g := NewWithT(t)
+	head, err := wire.SidecarResultCodec.EncodeHeader(sent.Result())
+	g.Expect(err).NotTo(HaveOccurred())
+	result, err := wire.SidecarResultCodec.DecodeHeader(head)
+	g.Expect(err).NotTo(HaveOccurred())
+	received := FromResult(result)
+	received.SetUsage(EncodeUsage(sent))
+	return received
+}
+
 // Slot times and offered loads must survive the way to the sender, where a price is made of them.
 func TestUsageIsEncodedWithTheResult(t *testing.T) {
 	g := NewWithT(t)
@@ -81,8 +94,7 @@
 		SlotTime: 40 * time.Millisecond, Load: slots.Load{Slots: 9, Offered: 1.25},
 		Needs: []wire.Need{{Service: "deep", Calls: 4, SlotTime: 220 * time.Millisecond, Offered: 0.5}, {Service: "old", Calls: 1}},
 	}
-	received := FromResult(sent.Result())
-	received.SetUsage(EncodeUsage(sent))
+	received := transmit(t, sent)
 	g.Expect(received.SlotTime).To(Equal(sent.SlotTime))
 	g.Expect(received.Load.Offered).To(Equal(1.25))
 	g.Expect(received.Needs[0].SlotTime).To(Equal(220 * time.Millisecond))
@@ -90,6 +102,15 @@
 	g.Expect(received.Needs[1].Offered).To(BeZero(), "a service whose nodes report nothing")
 }
 
+// A load below a thousandth must not become 0, or the slot time of calls to idle targets is lost.
+func TestUsageOfIdleTargetsIsEncoded(t *testing.T) {
+	g := NewWithT(t)
+	sent := &Reply{Needs: []wire.Need{{Service: "deep", Calls: 1, SlotTime: 10 * time.Millisecond, Offered: 0.0002}}}
+	received := transmit(t, sent)
+	g.Expect(received.Needs[0].SlotTime).To(Equal(10 * time.Millisecond))
+	g.Expect(received.Needs[0].Offered).To(BeNumerically(">", 0))
+}
+
 // Nodes of the previous release send no usage, and what cannot be read must not become a load.
 func TestInvalidUsageIsIgnored(t *testing.T) {
 	negative, err := wire.UsageCodec.EncodeHeader(&wire.Usage{Services: []wire.ServiceUsage{{SlotTime: -1, Offered: 1000}, {Service: "deep", SlotTime: 1, Offered: -5}}})
