Exclude a request from the load that its own result reports

Cause: a target reports its offered load with results only, that is when a request has just arrived. With few requests their own share dominates: targets at half of their capacity reported 3.4 (a stated rate of 1 request per second), 1.4 (3.6 per second), 0.71 and 0.78 (one slot). Prices then refused 0.43 and 0.40 of the requests to the former two (simulation of one target, 200 s).

Change: the load in a result excludes the request itself. An idle target reports 0.001, since 0 means unknown. Gate.Load does not compute the offered load any more; it read the queue also for log lines.

Result: TestReportedLoadOfFewRequests, which failed before.

--- a/internal/core/slots/offered.go
+++ b/internal/core/slots/offered.go
@@ -36,28 +36,47 @@
 // relative to that rate. It is 0, unknown, while the gate drains: the load then goes to other targets,
 // and its absence here says nothing about them.
 func (g *Gate) OfferedLoad(now time.Duration) float64 {
+	decay := g.offered.decay(now)
+	return g.relativeLoad(g.offered.slotTime*decay, g.offered.requests*decay)
+}
+
+// OfferedLoadBesides returns the offered load without the share of one request, which was submitted at
+// a time. Results report it. A load that is sampled only when a request has just arrived counts that
+// request too often: a target that states 3.6 requests per second and gets half of that would report
+// more than it can do.
+func (g *Gate) OfferedLoadBesides(now time.Duration, class string, submittedAt time.Duration) float64 {
+	decay := g.offered.decay(now)
+	own := math.Exp(-float64(now-submittedAt) / float64(offeredWindow))
+	return g.relativeLoad(max(g.offered.slotTime*decay-g.expectedSlotTime(class)*own, 0), max(g.offered.requests*decay-own, 0))
+}
+
+// relativeLoad returns the load of slotTime (ns) and requests within offeredWindow, and of the queue,
+// relative to what the target provides.
+func (g *Gate) relativeLoad(slotTime, requests float64) float64 {
 	if g.draining {
 		return 0
 	}
-	decay := g.offered.decay(now)
-	load := g.offered.slotTime * decay / float64(offeredWindow)
+	load := slotTime / float64(offeredWindow)
 	for i := range g.queue {
 		load += g.queue[i].slotTime / float64(backlogSpan)
 	}
 	load /= float64(g.slots)
 	if g.rate != nil {
-		requestRate := g.offered.requests * decay / offeredWindow.Seconds()
-		load = max(load, min(requestRate/g.rate.Rate(), maxOfferedLoad))
+		load = max(load, requests/offeredWindow.Seconds()/g.rate.Rate())
 	}
-	return min(load, maxOfferedLoad)
+	return min(max(load, minOfferedLoad), maxOfferedLoad)
 }
 
 // backlogSpan is the time within which a queue is to be worked off. A shorter one refuses more than is
 // needed, a longer one leaves requests to expire in the queue.
 const backlogSpan = time.Second
 
-// maxOfferedLoad bounds the load that one target reports.
-const maxOfferedLoad = 8.0
+const (
+	// minOfferedLoad is the load of an idle target, since 0 means unknown.
+	minOfferedLoad = 0.001
+	// maxOfferedLoad bounds the load that one target reports.
+	maxOfferedLoad = 8.0
+)
 
 // expectedSlotTime returns the time in ns that a request of a class is expected to occupy a slot.
 func (g *Gate) expectedSlotTime(class string) float64 {
--- a/internal/core/slots/offered_test.go
+++ b/internal/core/slots/offered_test.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -90,3 +91,73 @@
 	}
 	g.Expect(gate.OfferedLoad(2 * time.Second)).To(BeNumerically("~", 3, 0.5))
 }
+
+// An idle target must report that it is idle: senders ignore a load of 0, and would keep their price.
+func TestIdleTargetReportsOfferedLoad(t *testing.T) {
+	g := NewWithT(t)
+	gate := New(20)
+	gate.Submit(0, Request{ID: 1, Deadline: time.Second})
+	g.Expect(gate.OfferedLoadBesides(0, "", 0)).To(BeNumerically(">", 0))
+	g.Expect(gate.OfferedLoad(time.Hour)).To(BeNumerically(">", 0))
+}
+
+// A target with few requests reports its load only with the results of these. The report must be right
+// on average, or callers are refused although there is room.
+func TestReportedLoadOfFewRequests(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		slots int
+		rate  float64 // stated; 0: none
+		work  time.Duration
+	}{
+		{"one request per second", 200, 1, 10 * time.Millisecond},
+		{"few requests per second", 200, 3.6, 10 * time.Millisecond},
+		{"one slot", 1, 0, 100 * time.Millisecond},
+		{"one slot, long requests", 1, 0, 300 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			const utilization = 0.5
+			random := rand.New(rand.NewPCG(3, 5))
+			gate, interval := New(tc.slots), tc.work.Seconds()/utilization
+			if tc.rate > 0 {
+				gate.SetRateLimit(0, tc.rate)
+				interval = 1 / tc.rate / utilization
+			}
+			submitted, ends := map[uint64]time.Duration{}, map[uint64]time.Duration{}
+			sum, reports := 0.0, 0
+			report := func(now time.Duration, id uint64) {
+				sum += gate.OfferedLoadBesides(now, "read", submitted[id])
+				reports++
+			}
+			apply := func(now time.Duration, decisions []Decision) {
+				for _, decision := range decisions {
+					if decision.Send {
+						ends[decision.ID] = now + tc.work
+					} else {
+						report(now, decision.ID)
+					}
+				}
+			}
+			next, id := time.Duration(0), uint64(0)
+			for now := time.Duration(0); now < 10*time.Minute; now += time.Millisecond {
+				for ended, end := range ends {
+					if end <= now {
+						delete(ends, ended)
+						apply(now, gate.Finish(now, ended, true))
+						report(now, ended)
+					}
+				}
+				apply(now, gate.Expire(now))
+				if now < next {
+					continue
+				}
+				next += time.Duration(random.ExpFloat64() * interval * float64(time.Second))
+				id++
+				submitted[id] = now
+				apply(now, gate.Submit(now, Request{ID: id, Deadline: now + 2*time.Second, Class: "read"}))
+			}
+			g := NewWithT(t)
+			g.Expect(sum / float64(reports)).To(BeNumerically("~", utilization, 0.2))
+		})
+	}
+}
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -50,7 +50,8 @@
 	Waiting int
 	// ServiceTime is the mean service time of a request; 0: not enough samples.
 	ServiceTime time.Duration
-	// Offered is the offered load of the target, see Gate.OfferedLoad; 0: unknown.
+	// Offered is the offered load of the target, see Gate.OfferedLoadBesides; 0: unknown. Gate.Load does
+	// not set it.
 	Offered float64
 }
 
@@ -139,7 +140,7 @@
 
 // Load returns the current load.
 func (g *Gate) Load(now time.Duration) Load {
-	load := Load{Slots: g.slots, Running: len(g.running), Waiting: len(g.queue), Offered: g.OfferedLoad(now)}
+	load := Load{Slots: g.slots, Running: len(g.running), Waiting: len(g.queue)}
 	if g.serviceTime.reliable() {
 		load.ServiceTime = time.Duration(g.serviceTime.mean)
 	}
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -222,7 +222,7 @@
 	default:
 		response = i.run(ctx, gate, id, req, header)
 	}
-	response.Load, _ = gate.Load()
+	response.Load = gate.LoadBesides(call.Route, now)
 	response.Waited = decision.Waited
 	i.attachState(gate, response)
 	return response
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -140,6 +140,17 @@
 	return g.core.Load(g.now()), g.core.Draining()
 }
 
+// LoadBesides returns the load of the target. The offered load excludes one request of a class, which
+// was submitted at a time.
+func (g *Gate) LoadBesides(class string, submittedAt time.Duration) slots.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	load := g.core.Load(now)
+	load.Offered = g.core.OfferedLoadBesides(now, class, submittedAt)
+	return load
+}
+
 func (g *Gate) setSlots(count int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
