Pages and comments: what prices and windows decide together

Comments on the merits left out that needs add up to a rank, and one called a quantity the whole slot time that leaves out the body of a streamed response.

Change: pages, field descriptions and comments follow the code.

Result: no change of behavior; internal/reference passes.

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -215,13 +215,15 @@
 
 const (
 	// rankStep is the merit of a rank. It exceeds the width of the band in which a route is refused, so
-	// that the price can vary with its samples without reaching the next rank.
+	// that between routes of equal needs the price can vary with its samples without reaching the next
+	// rank.
 	rankStep = 2.0
-	// maxNeedMerit bounds the advantage of small needs.
+	// maxNeedMerit bounds the advantage of small needs. It is at most rankStep: a small need makes up for
+	// one rank, but does not go before it.
 	maxNeedMerit = 2.0
 	// returningMerit is added for a request that was refused before: its client has waited already, and
-	// a second refusal leaves it no time for a third attempt. It stays below rankStep, so that returning
-	// requests do not displace more important ones.
+	// a second refusal leaves it no time for a third attempt. It stays below rankStep, so that a returning
+	// request does not go before new ones of a more important route of equal need.
 	returningMerit = 1.0
 )
 
@@ -241,7 +243,8 @@
 }
 
 // thinAfter is how far a price must have passed a merit before a route gets less than its minimum
-// share: far enough that all more important routes are reduced first.
+// share: far enough that all routes of the next rank are reduced first, and those of the rank after it
+// unless their needs are small.
 const thinAfter = 6.0
 
 // refresh computes the largest needs anew if they are too old, and removes routes, needs and services
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -26,9 +26,9 @@
 	TimeLimitMS       float64   `json:"hold_ms" doc:"time limit: the client's deadline or the route's timeout"`
 	ObjectiveMS       float64   `json:"objective_ms,omitempty" doc:"latency objective of the route"`
 	AdmitProbability  float64   `json:"share" doc:"admission probability: 1 unless the route's window is full or a service that it needs has a price"`
-	BottleneckService string    `json:"decisive,omitempty" doc:"service whose price decided or, without a price, that caused the longest slot wait in the route's call chains, if the window is enforced"`
+	BottleneckService string    `json:"decisive,omitempty" doc:"service whose price decided or, if the window did, that caused the longest slot wait in the route's call chains"`
 	Occupancy         float64   `json:"occupancy,omitempty" doc:"mean occupancy of that service: running and waiting requests over slots"`
-	Price             float64   `json:"price,omitempty" doc:"congestion price of that service; missing: the window decided"`
+	Price             float64   `json:"price,omitempty" doc:"congestion price of that service; missing: no price decided"`
 	Merit             float64   `json:"merit,omitempty" doc:"price up to which all requests of the route are admitted"`
 	Offered           float64   `json:"offered,omitempty" doc:"offered load of that service: slot time asked for over what its targets provide"`
 	Returning         bool      `json:"returning,omitempty" doc:"whether the client was refused before: it states less time than new requests of the route"`
--- a/internal/sidecar/reply/reply.go
+++ b/internal/sidecar/reply/reply.go
@@ -33,7 +33,7 @@
 	Version     uint64        // configuration version of the replying node
 	Needs       []wire.Need   // demand on downstream services
 	Waited      time.Duration // time spent waiting for a slot of the target
-	SlotTime    time.Duration // time that the request occupied a slot of the target
+	SlotTime    time.Duration // time that the request occupied a slot of the target; a streamed body: up to its first part
 	// TargetState is the state that the node of the target keeps to; nil: the target states nothing, or
 	// the node is of a release that does not read it.
 	TargetState *outcome.TargetState
