Bound what one failed request adds to the need of its route

Cause: a request that was not served replaced the mean need if its slot time was larger. One request at a target that hangs made its route the most expensive one of its priority: it was refused first, and all others got up to maxNeedMerit, until some 20 to 60 requests were served.

Change: such a request raises the mean by its weight, like a served one.

Result: TestFailedRequestHardlyRaisesNeeds, which failed before (0.1 s -> 1 s by one request; now 0.145 s).

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -143,8 +143,8 @@
 }
 
 func (r *route) observe(now time.Duration, usages []Usage, served bool) {
-	replace := !served || len(r.needs) == 0
-	if !replace {
+	first := len(r.needs) == 0
+	if served {
 		for _, n := range r.needs {
 			n.slotTime *= 1 - needWeight
 		}
@@ -153,16 +153,20 @@
 		if usage.SlotTime <= 0 {
 			continue
 		}
+		slotTime := float64(usage.SlotTime)
 		n := r.needs[usage.Service]
 		if n == nil {
 			n = &need{}
 			r.needs[usage.Service] = n
 		}
 		n.seenAt = now
-		if replace {
-			n.slotTime = max(n.slotTime, float64(usage.SlotTime))
-		} else {
-			n.slotTime += needWeight * float64(usage.SlotTime)
+		switch {
+		case n.slotTime == 0 && (first || !served):
+			n.slotTime = slotTime
+		case served:
+			n.slotTime += needWeight * slotTime
+		default:
+			n.slotTime += needWeight * max(slotTime-n.slotTime, 0)
 		}
 	}
 }
@@ -186,7 +190,7 @@
 	}
 	for name, n := range known.needs {
 		s := c.services[name]
-		if s == nil {
+		if s == nil || n.slotTime <= 0 {
 			continue
 		}
 		price := s.current(now, &c.config)
--- a/internal/core/pricing/pricing_test.go
+++ b/internal/core/pricing/pricing_test.go
@@ -99,6 +99,19 @@
 	g.Expect(c.routes["large"].needs["deep"].slotTime).To(BeNumerically("~", float64(slotTimes["large"]), 1e7))
 }
 
+// A single request at a target that hangs must not change the order of the routes for long: its route
+// may have few others that lower the mean again.
+func TestFailedRequestHardlyRaisesNeeds(t *testing.T) {
+	g := NewWithT(t)
+	c, now := overloaded(1, time.Second, small)
+	c.Observe(now, small, []Usage{{Service: "deep", SlotTime: 10 * slotTimes["small"], Offered: 1}}, false)
+	g.Expect(c.routes["small"].needs["deep"].slotTime).To(BeNumerically("<", 1.5*float64(slotTimes["small"])))
+	for range 100 {
+		c.Observe(now, small, []Usage{{Service: "deep", SlotTime: 10 * slotTimes["small"], Offered: 1}}, false)
+	}
+	g.Expect(c.routes["small"].needs["deep"].slotTime).To(BeNumerically(">", 9*float64(slotTimes["small"])), "all requests take longer")
+}
+
 func TestInvalidReportsAreIgnored(t *testing.T) {
 	g := NewWithT(t)
 	c := New(DefaultConfig())
