Leave routes of calls out of the order of prices

Cause: RecordNeeds also gets the calls of running requests, whose routes are never admitted by price. A node beside a target that makes long calls on an inner route gave all other routes of its priority up to maxNeedMerit more than other nodes did.

Change: calls count for the loads of services only. This also saves their bookkeeping.

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -127,11 +127,7 @@
 // Observe records what a request of a route took. A request that was not served may have made only
 // some of its calls, so it can raise the means but not lower them.
 func (c *Controller) Observe(now time.Duration, r Route, usages []Usage, served bool) {
-	for _, usage := range usages {
-		if usage.Offered > 0 {
-			c.service(usage.Service).sample(now, usage.Offered, &c.config)
-		}
-	}
+	c.ObserveCall(now, usages)
 	known := c.routes[r.Name]
 	if known == nil {
 		known = &route{needs: map[string]*need{}}
@@ -139,6 +135,16 @@
 	}
 	known.rank, known.seenAt = r.Rank, now
 	known.observe(now, usages, served)
+}
+
+// ObserveCall records the loads that a call of a running request met. Calls are not admitted by price:
+// their routes take no part in the order.
+func (c *Controller) ObserveCall(now time.Duration, usages []Usage) {
+	for _, usage := range usages {
+		if usage.Offered > 0 {
+			c.service(usage.Service).sample(now, usage.Offered, &c.config)
+		}
+	}
 	c.refresh(now)
 }
 
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -165,14 +165,19 @@
 }
 
 // RecordNeeds records the demand of an attempt on downstream services. served reports that the
-// request was served, which means that its needs are complete.
-func (c *Control) RecordNeeds(route *intent.Route, needs []wire.Need, served bool) {
+// request was served, which means that its needs are complete. isCall reports that a running request
+// made it, so that it was not subject to admission.
+func (c *Control) RecordNeeds(route *intent.Route, needs []wire.Need, served, isCall bool) {
 	decoded := decodeNeeds(needs)
 	rank := c.priorityAboveLowest(route)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.now() // under the lock: times in order
-	if !c.pricesDisabled {
+	switch {
+	case c.pricesDisabled:
+	case isCall:
+		c.prices.ObserveCall(now, decodeUsages(needs))
+	default:
 		c.prices.Observe(now, pricing.Route{Name: route.Name, Rank: rank}, decodeUsages(needs), served)
 	}
 	for _, need := range decoded {
--- a/internal/sidecar/admission/admission_test.go
+++ b/internal/sidecar/admission/admission_test.go
@@ -13,6 +13,25 @@
 
 func (f fixedConfiguration) Load() *intent.Intent { return f.intent }
 
+// A node beside a target sees the calls of that target. Their routes must not change the order of the
+// routes that clients ask for, or nodes disagree about it; their loads count.
+func TestRoutesOfCallsTakeNoPartInTheOrder(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Duration(0)
+	c := New(Options{Now: func() time.Duration { return now }, Configuration: fixedConfiguration{&intent.Intent{}}})
+	entered, inner := &intent.Route{Name: "entered"}, &intent.Route{Name: "inner"}
+	needs := func(slotTime time.Duration) []wire.Need {
+		return []wire.Need{{Service: "deep", Calls: 1, SlotTime: slotTime, Offered: 1.5}}
+	}
+	c.RecordNeeds(entered, needs(100*time.Millisecond), true, false)
+	for ; now < time.Second; now += 50 * time.Millisecond {
+		c.RecordNeeds(inner, needs(time.Second), true, true)
+	}
+	_, decision := c.Admit(entered, time.Second)
+	g.Expect(decision.Price).To(BeNumerically(">", 1), "of the loads of calls")
+	g.Expect(decision.Merit).To(BeZero())
+}
+
 // Either mechanism must be able to refuse, and a switch in the policy must leave the other one alone.
 func TestLesserProbabilityAdmits(t *testing.T) {
 	const timeout = time.Second
@@ -42,7 +61,7 @@
 				c.core.Begin(now, route.Name)
 			}
 			for ; now < time.Second; now += 50 * time.Millisecond {
-				c.RecordNeeds(route, []wire.Need{{Service: "deep", Calls: 1, SlotTime: 100 * time.Millisecond, Offered: tc.offered}}, true)
+				c.RecordNeeds(route, []wire.Need{{Service: "deep", Calls: 1, SlotTime: 100 * time.Millisecond, Offered: tc.offered}}, true, false)
 			}
 			_, decision := c.Admit(route, timeout)
 			g.Expect(decision.Probability).To(BeNumerically("<=", tc.probability))
--- a/internal/sidecar/entry/entry.go
+++ b/internal/sidecar/entry/entry.go
@@ -192,7 +192,7 @@
 	if r.parent != nil {
 		r.parent.AddNeeds(needs)
 	}
-	r.options.Admission.RecordNeeds(r.route, needs, response.Outcome == outcome.Answered && response.Status < http.StatusBadRequest)
+	r.options.Admission.RecordNeeds(r.route, needs, response.Outcome == outcome.Answered && response.Status < http.StatusBadRequest, r.parent != nil)
 }
 
 // resolveParent looks up the request at the local target that made this call and derives the
