--- a/internal/core/pricing/pricing_test.go
+++ b/internal/core/pricing/pricing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 	"time"
 
@@ -95,7 +96,20 @@
 	for range 100 {
 		c.Observe(now, large, []Usage{{Service: "deep", SlotTime: time.Millisecond, Offered: 1}}, false)
 	}
-	g.Expect(c.routes["large"].needs["deep"]).To(BeNumerically("~", float64(slotTimes["large"]), 1e7))
+	g.Expect(c.routes["large"].needs["deep"].slotTime).To(BeNumerically("~", float64(slotTimes["large"]), 1e7))
+}
+
+// A single request at a target that hangs must not change the order of the routes for long: its route
+// may have few others that lower the mean again.
+func TestFailedRequestHardlyRaisesNeeds(t *testing.T) {
+	g := NewWithT(t)
+	c, now := overloaded(1, time.Second, small)
+	c.Observe(now, small, []Usage{{Service: "deep", SlotTime: 10 * slotTimes["small"], Offered: 1}}, false)
+	g.Expect(c.routes["small"].needs["deep"].slotTime).To(BeNumerically("<", 1.5*float64(slotTimes["small"])))
+	for range 100 {
+		c.Observe(now, small, []Usage{{Service: "deep", SlotTime: 10 * slotTimes["small"], Offered: 1}}, false)
+	}
+	g.Expect(c.routes["small"].needs["deep"].slotTime).To(BeNumerically(">", 9*float64(slotTimes["small"])), "all requests take longer")
 }
 
 func TestInvalidReportsAreIgnored(t *testing.T) {
@@ -139,3 +153,43 @@
 	g.Expect(admit(11*time.Second, 2*time.Second)).To(BeFalse())
 	g.Expect(admit(12*time.Second, 2*time.Second)).To(BeFalse())
 }
+
+// Results are recorded by concurrent requests. A sample that is recorded late must neither move the
+// price backward nor make the next one count twice.
+func TestSamplesOutOfOrder(t *testing.T) {
+	g := NewWithT(t)
+	c, now := overloaded(1.5, time.Second, large)
+	before := *c.services["deep"]
+	c.Observe(now-500*time.Millisecond, large, []Usage{{Service: "deep", SlotTime: slotTimes["large"], Offered: 1.5}}, true)
+	g.Expect(c.services["deep"].price).To(Equal(before.price))
+	g.Expect(c.services["deep"].sampledAt).To(Equal(before.sampledAt))
+}
+
+// A route whose requests do not call a service any more must not be refused by its price.
+func TestServicesNoLongerCalledAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	c, now := overloaded(1.3, time.Second, large, small)
+	for end := now + time.Minute; now < end; now += interval {
+		c.Observe(now, small, []Usage{{Service: "deep", SlotTime: slotTimes["small"], Offered: 1.3}}, true)
+		c.Observe(now, large, []Usage{{Service: "files", SlotTime: slotTimes["large"], Offered: 0.5}}, true)
+	}
+	g.Expect(c.Admit(now, Request{Route: small}).Probability).To(BeNumerically("<", 0.5))
+	g.Expect(c.Admit(now, Request{Route: large})).To(Equal(Decision{Probability: 1}))
+}
+
+// Routes and services that vanish from the configuration must not accumulate, also without overload.
+func TestVanishedRoutesAndServicesAreRemoved(t *testing.T) {
+	g := NewWithT(t)
+	c := New(DefaultConfig())
+	now := time.Duration(0)
+	for generation := range 1000 {
+		name := strconv.Itoa(generation)
+		c.Observe(now, Route{Name: name}, []Usage{{Service: name, SlotTime: time.Second, Offered: 0.5}}, true)
+		c.Observe(now, small, []Usage{{Service: name, SlotTime: time.Second, Offered: 0.5}}, true)
+		now += time.Second
+	}
+	const kept = 35 // those of the last 30 s, and a few until the next check
+	g.Expect(len(c.routes)).To(BeNumerically("<=", kept))
+	g.Expect(len(c.services)).To(BeNumerically("<=", kept))
+	g.Expect(len(c.routes["small"].needs)).To(BeNumerically("<=", kept))
+}
--- a/internal/sidecar/reply/reply.go
+++ b/internal/sidecar/reply/reply.go
@@ -33,7 +33,7 @@
 	Version     uint64        // configuration version of the replying node
 	Needs       []wire.Need   // demand on downstream services
 	Waited      time.Duration // time spent waiting for a slot of the target
-	SlotTime    time.Duration // time that the request occupied a slot of the target
+	SlotTime    time.Duration // time that the request occupied a slot of the target; a streamed body: up to its first part
 	// TargetState is the state that the node of the target keeps to; nil: the target states nothing, or
 	// the node is of a release that does not read it.
 	TargetState *outcome.TargetState
@@ -221,8 +221,9 @@
 	return head
 }
 
+// encodeServiceUsage rounds a small load up, since 0 means unknown.
 func encodeServiceUsage(service string, slotTime time.Duration, offered float64) wire.ServiceUsage {
-	return wire.ServiceUsage{Service: service, SlotTime: slotTime.Microseconds(), Offered: int(offered * wire.OccupancyScale)}
+	return wire.ServiceUsage{Service: service, SlotTime: slotTime.Microseconds(), Offered: max(int(offered*wire.OccupancyScale), 1)}
 }
 
 // SetUsage decodes the usage of services into the reply. It ignores usage that cannot be decoded or
