Chains that need least go first while a service is scarce

Change: the offered load of a target counts what it declines as capacity that it does not provide, so that chains are refused at their start. While a service has a price, the need of a chain's route goes with its calls, in a header of its own, and orders chains of one priority at gates and for retries.

--- a/internal/core/importance/importance_test.go
+++ b/internal/core/importance/importance_test.go
@@ -35,3 +35,18 @@
 	g.Expect(first).To(BeNumerically("<", late))
 	g.Expect(late).To(BeNumerically("<", last))
 }
+
+// Chains of many calls must not go before those of few when a service is scarce, and none may pass a
+// more important one.
+func TestWithNeedOrdersWithinPriorities(t *testing.T) {
+	g := NewWithT(t)
+	route := func(priority int) *intent.Route { return &intent.Route{Priority: priority} }
+	small := WithNeed(Of(route(1), nil, 2*time.Second), 10)
+	large := WithNeed(Of(route(1), nil, 100*time.Millisecond), 31)
+	g.Expect(small).To(BeNumerically("<", large))
+	g.Expect(OfCall(small)).To(BeNumerically("<", small))
+	g.Expect(large).To(BeNumerically("<", Of(route(2), nil, 0)))
+	g.Expect(small).To(BeNumerically(">", Of(route(0), nil, time.Hour)))
+	g.Expect(WithNeed(large, 99)).To(Equal(large), "out of range")
+	g.Expect(WithNeed(Of(route(1), nil, 0), 0)).To(Equal(Of(route(1), nil, 0)), "unknown")
+}
--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -77,7 +77,10 @@
 	Price       float64 // of that service
 	Merit       float64 // of the route there
 	Offered     float64 // offered load of that service
-	Returning   bool    // the request was refused before
+	// RelativeNeed is the need of the route relative to the largest one of its rank there, on a
+	// logarithmic scale from 0 for the smallest distinguished need to 1 for the largest one.
+	RelativeNeed float64
+	Returning    bool // the request was refused before
 }
 
 // Controller holds the prices of one node. It is not safe for concurrent use.
@@ -197,24 +200,25 @@
 		if price <= 0 {
 			continue
 		}
-		merit := c.merit(now, name, n.slotTime, r.Rank)
+		needMerit := c.needMerit(now, name, n.slotTime, r.Rank)
+		merit := rankStep*float64(r.Rank) + needMerit
 		if decision.Returning {
 			merit += returningMerit
 		}
 		if share := c.share(price, merit); decision.Service == "" || share < decision.Probability {
 			decision.Probability, decision.Service, decision.Price, decision.Merit, decision.Offered = share, name, price, merit, s.offered
+			decision.RelativeNeed = 1 - needMerit/maxNeedMerit
 		}
 	}
 	return decision
 }
 
-// merit returns the price above which requests are refused: rankStep for each rank, so that a route is
-// refused after all less important ones, and the more within a rank the less of the service a request
-// needs.
-func (c *Controller) merit(now time.Duration, service string, need float64, rank int) float64 {
+// needMerit returns the part of the merit that grows the less of the service a request needs. The other
+// part is rankStep for each rank, so that a route is refused after all less important ones.
+func (c *Controller) needMerit(now time.Duration, service string, need float64, rank int) float64 {
 	c.refresh(now)
 	largest := max(c.largest[needKey{service, rank}], need)
-	return rankStep*float64(rank) + min(math.Log(largest/need), maxNeedMerit)
+	return min(math.Log(largest/need), maxNeedMerit)
 }
 
 const (
--- a/internal/core/retrybudget/ranklimiter.go
+++ b/internal/core/retrybudget/ranklimiter.go
@@ -45,9 +45,14 @@
 	r.excluded, r.updatedAt, r.lastCut = 1-share, now, now
 }
 
-// Rank returns the rank of a chain: by priority first, then by a hash that is the same on all
-// nodes. Priority 0 is the most important; priorities is the number of priorities.
-func Rank(priority, priorities int, hash uint64) float64 {
+// Rank returns the rank of a chain: by priority first, then by need, then by a hash that is the same on
+// all nodes. Priority 0 is the most important; priorities is the number of priorities. need is a class
+// from 1 to needs, 0 if it is unknown: chains of fewer calls complete with fewer retries.
+func Rank(priority, priorities, need, needs int, hash uint64) float64 {
 	level := min(max(priority, 0), max(priorities-1, 0))
-	return (float64(level) + float64(hash>>11)/(1<<53)) / float64(max(priorities, 1))
+	position := float64(hash>>11) / (1 << 53)
+	if need > 0 {
+		position = (float64(min(need, needs)-1) + position) / float64(needs)
+	}
+	return (float64(level) + position) / float64(max(priorities, 1))
 }
--- a/internal/core/retrybudget/ranklimiter_test.go
+++ b/internal/core/retrybudget/ranklimiter_test.go
@@ -12,19 +12,23 @@
 	for _, tc := range []struct {
 		name                 string
 		priority, priorities int
+		need                 int
 		hash                 uint64
 		from, to             float64
 	}{
-		{"highest priority, lowest hash", 0, 3, 0, 0, 0},
-		{"highest priority, highest hash", 0, 3, 1<<64 - 1, 0.33, 0.3334},
-		{"lowest priority, lowest hash", 2, 3, 0, 0.66, 0.67},
-		{"lowest priority, highest hash", 2, 3, 1<<64 - 1, 0.99, 1},
-		{"unknown priority", 7, 3, 0, 0.66, 0.67},
-		{"no priorities", 0, 0, 1 << 63, 0.49, 0.51},
+		{"highest priority, lowest hash", 0, 3, 0, 0, 0, 0},
+		{"highest priority, highest hash", 0, 3, 0, 1<<64 - 1, 0.33, 0.3334},
+		{"lowest priority, lowest hash", 2, 3, 0, 0, 0.66, 0.67},
+		{"lowest priority, highest hash", 2, 3, 0, 1<<64 - 1, 0.99, 1},
+		{"unknown priority", 7, 3, 0, 0, 0.66, 0.67},
+		{"no priorities", 0, 0, 0, 1 << 63, 0.49, 0.51},
+		{"small need before any hash", 1, 3, 1, 1<<64 - 1, 0.33, 0.35},
+		{"large need", 1, 3, 31, 0, 0.65, 0.66},
+		{"need out of range", 1, 3, 99, 0, 0.65, 0.66},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
-			rank := Rank(tc.priority, tc.priorities, tc.hash)
+			rank := Rank(tc.priority, tc.priorities, tc.need, 31, tc.hash)
 			g.Expect(rank).To(And(BeNumerically(">=", tc.from), BeNumerically("<=", tc.to)))
 		})
 	}
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -6,6 +6,7 @@
 package admission
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -58,6 +59,7 @@
 	Merit       float64 // price up to which all requests of the route are admitted
 	Offered     float64 // offered load of Bottleneck; set if there is a price
 	Returning   bool    // whether the request was refused before; set if there is a price
+	NeedClass   int     // need of the route for the scarcest service that it needs, see wire.SidecarCall; 0: none is scarce
 	InFlight    int     // requests of the route in flight; set on rejection by the window
 	WindowSize  float64 // size of the route's admission window; set on rejection by it
 }
@@ -95,10 +97,16 @@
 		return decision
 	}
 	price := c.prices.Admit(now, request)
-	if price.Service == "" || price.Probability > decision.Probability {
+	if price.Service == "" {
 		return decision
 	}
-	return Decision{Probability: price.Probability, Bottleneck: price.Service, Price: price.Price, Merit: price.Merit, Offered: price.Offered, Returning: price.Returning}
+	decision.NeedClass = 1 + int(math.Round(price.RelativeNeed*(wire.MaxNeedClass-1)))
+	if price.Probability > decision.Probability {
+		return decision
+	}
+	decision.Probability, decision.Bottleneck = price.Probability, price.Service
+	decision.Price, decision.Merit, decision.Offered, decision.Returning = price.Price, price.Merit, price.Offered, price.Returning
+	return decision
 }
 
 // EachPrice calls f for each service with a price, with its offered load. f must not call methods of
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -231,13 +231,16 @@
 // run sends the request to the target and reads its response.
 func (i *Ingress) run(ctx context.Context, gate *target.Gate, id uint64, req *request, header http.Header) *reply.Reply {
 	call := req.Call
-	running := &Running{ID: call.RequestID, Context: ctx, Importance: call.Importance, IsRetry: call.IsRetry, Tenant: call.Tenant, RetryGrant: call.RetryGrant, needs: map[string]wire.Need{}}
+	running := &Running{ID: call.RequestID, Context: ctx, Importance: call.Importance, IsRetry: call.IsRetry, Tenant: call.Tenant, RetryGrant: call.RetryGrant, NeedClass: call.NeedClass, needs: map[string]wire.Need{}}
 	i.Running.add(call.RequestID, running)
 	sentAt := i.options.Now()
 	response := i.sendToTarget(ctx, gate, req, header)
 	response.SlotTime = i.options.Now() - sentAt
 	i.Running.remove(call.RequestID, running)
 	answered := response.Outcome == outcome.Answered
+	if response.Arrived {
+		gate.CountResponse(response.Reason.Declined())
+	}
 	if response.Stream == nil {
 		gate.Release(id, answered)
 		if response.Outcome == outcome.Answered {
--- a/internal/sidecar/arrival/running.go
+++ b/internal/sidecar/arrival/running.go
@@ -17,6 +17,7 @@
 	IsRetry    bool
 	Tenant     string  // name of the owning tenant; may be empty
 	RetryGrant float64 // share of the retry budgets left to its calls
+	NeedClass  int     // need of its chain for a scarce service; see wire.SidecarCall
 
 	mutex sync.Mutex
 	needs map[string]wire.Need
--- a/internal/sidecar/entry/send.go
+++ b/internal/sidecar/entry/send.go
@@ -106,7 +106,7 @@
 		priorities = current.LowestPriority() + 1
 	}
 	root, _, _ := strings.Cut(r.id, wire.CallSeparator)
-	return retrybudget.Rank(r.importance/importance.PriorityStep, priorities, xxhash.Sum64String(root))
+	return retrybudget.Rank(r.importance/importance.PriorityStep, priorities, r.needClass, wire.MaxNeedClass, xxhash.Sum64String(root))
 }
 
 // requirement returns what the balancer must satisfy: a response within the objective of the route
@@ -126,7 +126,7 @@
 		RequestID: r.id, Method: r.incoming.Method, URI: requestURI(r.incoming), Host: r.incoming.Host, Service: r.service, Route: r.route.Name,
 		Caller: r.options.Caller(), From: r.options.Node, Importance: r.importance, Idempotent: repeatable,
 		IsRetry: r.parentIsRetry || r.delivered > 0, Attempt: r.delivered, Remaining: r.remaining(ctx).Microseconds(),
-		Version: int64(r.intent.Version), RetryGrant: r.retryGrant, Tenant: r.tenant, Suspect: suspect, Trial: r.trial,
+		Version: int64(r.intent.Version), RetryGrant: r.retryGrant, NeedClass: r.needClass, Tenant: r.tenant, Suspect: suspect, Trial: r.trial,
 		TargetState: choice.State,
 	}
 	if choice.Node == r.options.Node {
--- a/internal/sidecar/entry/steps.go
+++ b/internal/sidecar/entry/steps.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/core/importance"
 	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/core/retryafter"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
@@ -169,6 +170,9 @@
 		return false
 	}
 	r.onFinish(r.releaseWindow)
+	if r.needClass = r.decision.NeedClass; r.needClass > 0 {
+		r.importance = importance.WithNeed(r.importance, r.needClass)
+	}
 	return true
 }
 
--- a/internal/wire/callheader.go
+++ b/internal/wire/callheader.go
@@ -13,6 +13,8 @@
 	headerGrant = "Landingmast-Grant"
 	// headerTenant carries Tenant.
 	headerTenant = "Landingmast-Tenant"
+	// headerNeedClass carries NeedClass.
+	headerNeedClass = "Landingmast-Need-Class"
 	// headerSuspect carries suspectValue for Suspect or trialValue for Trial.
 	headerSuspect = "Landingmast-Suspect"
 )
@@ -26,6 +28,9 @@
 // grantScale converts a granted fraction to its header value.
 const grantScale = 1000
 
+// MaxNeedClass is the largest NeedClass.
+const MaxNeedClass = 31
+
 // DefaultGrant is the grant assumed for senders of the previous release, which send none.
 const DefaultGrant = 0.5
 
@@ -40,6 +45,9 @@
 	if c.Tenant != "" {
 		header.Set(headerTenant, c.Tenant)
 	}
+	if c.NeedClass > 0 {
+		header.Set(headerNeedClass, strconv.Itoa(c.NeedClass))
+	}
 	if value := c.suspectHeader(); value != "" {
 		header.Set(headerSuspect, value)
 	}
@@ -56,6 +64,7 @@
 	value := header.Get(headerSuspect)
 	call.RetryGrant = parseGrant(header.Get(headerGrant))
 	call.Tenant = header.Get(headerTenant)
+	call.NeedClass = parseNeedClass(header.Get(headerNeedClass))
 	call.TargetState = DecodeTargetState(header)
 	call.Suspect, call.Trial = value == suspectValue, value == trialValue
 	return call, nil
@@ -71,6 +80,16 @@
 	return ""
 }
 
+// parseNeedClass parses a need class. Nodes of the previous release send none; a value that is malformed
+// or out of range counts as none.
+func parseNeedClass(text string) int {
+	class, err := strconv.Atoi(text)
+	if err != nil || class < 0 || class > MaxNeedClass {
+		return 0
+	}
+	return class
+}
+
 // parseGrant parses a granted fraction. A value that is missing, malformed or outside 0 to 1
 // yields DefaultGrant: accepting a larger one would let the nodes exceed the retry budget.
 func parseGrant(text string) float64 {
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -47,6 +47,9 @@
 	// Tenant is the name of the tenant that the request belongs to; empty: none. It is sent in a
 	// separate header.
 	Tenant string `avro:"-"`
+	// NeedClass orders the chains of one priority while a service that they need is scarce, from 1 for
+	// the smallest need to MaxNeedClass; 0: none is scarce. It is sent in a separate header.
+	NeedClass int `avro:"-"`
 	// Suspect is set if a target has terminated while running the request, and Trial if the
 	// sender is the only node that may send it nevertheless. Both are sent in a separate header.
 	Suspect, Trial bool `avro:"-"`
