A short queue is no overload

Cause: a price rose at any arrival rate above the capacity, also where the queue absorbed the burst within the objectives. Ruled out: a tolerance on the load itself, which leaves chains to expire at the crest of a wave (TestOverload failed with 0.15).

Change: up to a backlog of 0.1 s a target reports 0.9 at most, divided by the share of requests that it accepts.

--- a/internal/core/slots/offered.go
+++ b/internal/core/slots/offered.go
@@ -81,17 +81,33 @@
 	if g.draining {
 		return 0
 	}
-	load := slotTime / float64(offeredWindow)
-	for i := range g.queue {
-		load += g.queue[i].slotTime / float64(backlogSpan)
-	}
-	load /= float64(g.slots) * g.offered.acceptance()
+	provided := float64(g.slots) * g.offered.acceptance()
+	backlog := g.backlog() / provided
+	load := slotTime/float64(offeredWindow)/provided + backlog/float64(backlogSpan)
+	load = min(load, shortQueueLoad/g.offered.acceptance()+max(backlog-float64(toleratedBacklog), 0)/float64(backlogScale))
 	if g.rate != nil {
 		load = max(load, requests/offeredWindow.Seconds()/g.rate.Rate())
 	}
 	return min(max(load, minOfferedLoad), maxOfferedLoad)
 }
 
+// backlog returns the slot time in ns that queued requests are expected to take.
+func (g *Gate) backlog() (slotTime float64) {
+	for i := range g.queue {
+		slotTime += g.queue[i].slotTime
+	}
+	return slotTime
+}
+
+const (
+	// toleratedBacklog is the time to work off a queue up to which the load of a target that accepts all
+	// requests counts as shortQueueLoad at most, below the setpoint of core/pricing: a burst that a short
+	// queue absorbs is no overload. Beyond it, each backlogScale adds 1.
+	toleratedBacklog = 100 * time.Millisecond
+	backlogScale     = 400 * time.Millisecond
+	shortQueueLoad   = 0.9
+)
+
 // backlogSpan is the time within which a queue is to be worked off. A shorter one refuses more than is
 // needed, a longer one leaves requests to expire in the queue.
 const backlogSpan = time.Second
