--- a/internal/core/slots/offered.go
+++ b/internal/core/slots/offered.go
@@ -104,7 +104,7 @@
 	// requests counts as shortQueueLoad at most, below the setpoint of core/pricing: a burst that a short
 	// queue absorbs is no overload. Beyond it, each backlogScale adds 1.
 	toleratedBacklog = 100 * time.Millisecond
-	backlogScale     = 400 * time.Millisecond
+	backlogScale     = 300 * time.Millisecond
 	shortQueueLoad   = 0.9
 )
 
