Let the scarcest of several services decide

Cause: if several services with a price admit the same share of a route, as all do below its merit, the first one in the order of a map decided. The log named any of them, and the class of need that orders the calls of the chain changed from request to request.

Change: the service whose price exceeds the merit most decides; the share falls with the same difference. The needs of a request are recorded before the order is computed again, as before the change for calls.

Result: TestScarcestServiceDecides, which failed before.

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -130,7 +130,7 @@
 // Observe records what a request of a route took. A request that was not served may have made only
 // some of its calls, so it can raise the means but not lower them.
 func (c *Controller) Observe(now time.Duration, r Route, usages []Usage, served bool) {
-	c.ObserveCall(now, usages)
+	c.sample(now, usages)
 	known := c.routes[r.Name]
 	if known == nil {
 		known = &route{needs: map[string]*need{}}
@@ -138,17 +138,22 @@
 	}
 	known.rank, known.seenAt = r.Rank, now
 	known.observe(now, usages, served)
+	c.refresh(now)
 }
 
 // ObserveCall records the loads that a call of a running request met. Calls are not admitted by price:
 // their routes take no part in the order.
 func (c *Controller) ObserveCall(now time.Duration, usages []Usage) {
+	c.sample(now, usages)
+	c.refresh(now)
+}
+
+func (c *Controller) sample(now time.Duration, usages []Usage) {
 	for _, usage := range usages {
 		if usage.Offered > 0 {
 			c.service(usage.Service).sample(now, usage.Offered, &c.config)
 		}
 	}
-	c.refresh(now)
 }
 
 func (r *route) observe(now time.Duration, usages []Usage, served bool) {
@@ -189,7 +194,8 @@
 	return s
 }
 
-// Admit returns the probability with which to admit a request. The service that allows least decides.
+// Admit returns the probability with which to admit a request. The service whose price exceeds the merit
+// of the route most, or falls short of it least, decides.
 // Without a price above 0 the probability is 1 and the decision names no service.
 func (c *Controller) Admit(now time.Duration, r Request) Decision {
 	decision := Decision{Probability: 1, Returning: c.starting.returning(now, r.Name, r.Deadline)}
@@ -211,8 +217,9 @@
 		if decision.Returning {
 			merit += returningMerit
 		}
-		if share := c.share(price, merit); decision.Service == "" || share < decision.Probability {
-			decision.Probability, decision.Service, decision.Price, decision.Merit, decision.Offered = share, name, price, merit, s.offered
+		if decision.Service == "" || price-merit > decision.Price-decision.Merit {
+			decision.Service, decision.Price, decision.Merit, decision.Offered = name, price, merit, s.offered
+			decision.Probability = c.share(price, merit)
 			decision.RelativeNeed = 1 - needMerit/maxNeedMerit
 		}
 	}
--- a/internal/core/pricing/pricing_test.go
+++ b/internal/core/pricing/pricing_test.go
@@ -193,3 +193,24 @@
 	g.Expect(len(c.services)).To(BeNumerically("<=", kept))
 	g.Expect(len(c.routes["small"].needs)).To(BeNumerically("<=", kept))
 }
+
+// Of several services with a price, the scarcest one must decide, also if the request is admitted by all:
+// the order of its calls and the log follow the decision.
+func TestScarcestServiceDecides(t *testing.T) {
+	g := NewWithT(t)
+	c := New(DefaultConfig())
+	route := Route{Name: "urgent", Rank: 5}
+	now := time.Duration(0)
+	for ; now < time.Second; now += interval {
+		c.Observe(now, route, []Usage{
+			{Service: "files", SlotTime: 100 * time.Millisecond, Offered: 1.05},
+			{Service: "deep", SlotTime: 100 * time.Millisecond, Offered: 1.5},
+			{Service: "mail", SlotTime: 100 * time.Millisecond, Offered: 1.1},
+		}, true)
+	}
+	for range 50 { // the order of a map varies
+		decision := c.Admit(now, Request{Route: route})
+		g.Expect(decision.Probability).To(Equal(1.0))
+		g.Expect(decision.Service).To(Equal("deep"))
+	}
+}
