Prices: order across ranks is strict, long deadlines and loads of peers are bounded

A small need and a return added up to more than a priority (0.99 of returning small requests against 0.25 of a more important route at one price); one client with a deadline of an hour made all requests look returning (600 of 600 in a trial of the review); a load of 2e6 in a result would have taken seconds to fade.

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -231,21 +231,19 @@
 func (c *Controller) needMerit(now time.Duration, service string, need float64, rank int) float64 {
 	c.refresh(now)
 	largest := max(c.largest[needKey{service, rank}], need)
-	return min(math.Log(largest/need), maxNeedMerit)
+	return min(needScale*math.Log(largest/need), maxNeedMerit)
 }
 
 const (
-	// rankStep is the merit of a rank. It exceeds the width of the band in which a route is refused, so
-	// that between routes of equal needs the price can vary with its samples without reaching the next
-	// rank.
+	// rankStep is the merit of a rank. The advantages of small needs and of returning requests add up to it
+	// at most, so that neither lets a request go before those of a more important route.
 	rankStep = 2.0
-	// maxNeedMerit bounds the advantage of small needs. It is at most rankStep: a small need makes up for
-	// one rank, but does not go before it.
-	maxNeedMerit = 2.0
+	// needScale is the merit of a need of 1/e of the largest one, maxNeedMerit the most for small needs.
+	needScale    = 0.7
+	maxNeedMerit = 1.2
 	// returningMerit is added for a request that was refused before: its client has waited already, and
-	// a second refusal leaves it no time for a third attempt. It stays below rankStep, so that a returning
-	// request does not go before new ones of a more important route of equal need.
-	returningMerit = 1.0
+	// a second refusal leaves it no time for a third attempt.
+	returningMerit = 0.8
 )
 
 // share returns the admission probability at a price: 1 up to the merit, falling to MinShare within a
--- a/internal/core/pricing/returning.go
+++ b/internal/core/pricing/returning.go
@@ -21,6 +21,9 @@
 	returningFraction = 0.97
 	// deadlineExpiry is how long a longest deadline holds that no request states any more.
 	deadlineExpiry = 10 * time.Second
+	// deadlineWeight is how far each shorter deadline moves the longest one, so that a single client with a
+	// long deadline does not make all others look returning.
+	deadlineWeight = 0.1
 	// maxDeadlineRoutes bounds the routes that are tracked.
 	maxDeadlineRoutes = 4096
 )
@@ -43,5 +46,7 @@
 		known.longest, known.at = deadline, now
 		return false
 	}
-	return float64(deadline) < returningFraction*float64(known.longest)
+	returning := float64(deadline) < returningFraction*float64(known.longest)
+	known.longest -= time.Duration(deadlineWeight * float64(known.longest-deadline))
+	return returning
 }
--- a/internal/core/pricing/service.go
+++ b/internal/core/pricing/service.go
@@ -27,6 +27,7 @@
 
 // sample records a reported load and moves the price. Samples may arrive out of order.
 func (s *service) sample(now time.Duration, offered float64, config *Config) {
+	offered = min(offered, config.Setpoint+maxError)
 	elapsed := max(now-s.sampledAt, 0)
 	if !s.sampled || elapsed > config.Expiry {
 		s.price = s.decayed(now, config)
--- a/internal/logquery/logquery.go
+++ b/internal/logquery/logquery.go
@@ -139,7 +139,7 @@
 	if tenant := line.field("tenant"); tenant != "" {
 		description += ", of tenant " + tenant
 	}
-	if price := line.number("price"); price > 0 {
+	if price := line.number("price"); price > 0 && line.number("share") < 1 {
 		description += fmt.Sprintf(", %.2f of the route let in because %s is asked for %.2f of what it can do (price %.2f, merit of the route %.2f)", line.number("share"), line.field("decisive"), line.number("offered"), price, line.number("merit"))
 	} else if line.field("decisive") != "" {
 		description += fmt.Sprintf(", %.2f of the route let in because %s is at %.2f of its slots", line.number("share"), line.field("decisive"), line.number("occupancy"))
