Read and write calls between nodes in the goroutine of the call

http.Transport hands each request to a goroutine that writes it and one that reads the response, and allocates contexts, channels and a copy of the header for this. The bytes of a request are put together in a pooled buffer, without a copy of the header. Longer bodies and control messages use http.Transport as before.

The check for a closed idle connection, which the link to the target makes before each request, no longer allocates.

--- a/internal/sidecar/headers/headers.go
+++ b/internal/sidecar/headers/headers.go
@@ -92,6 +92,26 @@
 	delete(header, n.Deadline)
 }
 
+// IsCallHeader reports whether RemoveCallHeaders removes a header.
+func (n Names) IsCallHeader(name string) bool { return name == n.RequestID || name == n.Deadline }
+
+// AppendField appends a header field to an HTTP/1.1 message, one line per value. Line breaks in values
+// are replaced by spaces, as net/http does.
+func AppendField(message []byte, name string, values []string) []byte {
+	for _, value := range values {
+		message = append(append(message, name...), ": "...)
+		start := len(message)
+		message = append(message, value...)
+		for index := start; index < len(message); index++ {
+			if message[index] == '\n' || message[index] == '\r' {
+				message[index] = ' '
+			}
+		}
+		message = append(message, "\r\n"...)
+	}
+	return message
+}
+
 // RestoreRequestID adds the request id to a response that lacks it. Nodes of the previous release
 // still send it.
 func (n Names) RestoreRequestID(response *reply.Reply, call *wire.SidecarCall) {
--- a/internal/sidecar/peer/client.go
+++ b/internal/sidecar/peer/client.go
@@ -11,6 +11,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -45,23 +46,29 @@
 
 // Client sends requests, outcome queries and control messages to other nodes.
 type Client struct {
-	Transport *http.Transport
+	Transport *http.Transport // control messages and calls with long bodies
+	calls     *connections
 	names     headers.Names
 }
 
 func NewClient(dial Dialer, names headers.Names) *Client {
-	return &Client{names: names, Transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-			defer cancel()
-			return dial(ctx, network, address)
-		},
+	dialer := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+	return &Client{names: names, calls: newConnections(dialer), Transport: &http.Transport{
+		DialContext:         dialer,
 		MaxIdleConnsPerHost: maxIdlePerPeer, IdleConnTimeout: idleTimeout, DisableCompression: true,
 		ReadBufferSize: bufferSize, WriteBufferSize: bufferSize,
 	}}
 }
 
-func (c *Client) CloseIdle() { c.Transport.CloseIdleConnections() }
+// CloseIdle closes the connections that are not in use.
+func (c *Client) CloseIdle() {
+	c.Transport.CloseIdleConnections()
+	c.calls.close()
+}
 
 // opaqueBody hides the type of a request body from net/http, so that the transport never resends a
 // request on its own.
@@ -82,33 +89,51 @@
 
 // Call sends one request to the node at an address. The caller must close the reply.
 func (c *Client) Call(ctx context.Context, address string, call *wire.SidecarCall, header http.Header, body *reply.Payload) *reply.Reply {
+	added := make(http.Header, maxCallHeaders)
+	if err := call.EncodeHeaders(added); err != nil {
+		return reply.NotRun(outcome.ReasonBadMessage)
+	}
+	var response *http.Response
+	var connected bool
+	var err error
+	if body.Stream == nil && len(body.Data) <= maxDirectBody {
+		response, connected, err = c.calls.roundTrip(ctx, address, added, header, c.names, body.Data)
+	} else {
+		response, connected, err = c.sendLong(ctx, address, added, header, body)
+	}
+	if err != nil {
+		return classifyError(ctx, connected)
+	}
+	answer := readReply(ctx, response)
+	c.names.RestoreRequestID(answer, call)
+	return answer
+}
+
+// maxCallHeaders is the largest number of headers that describe a call.
+const maxCallHeaders = 5
+
+// sendLong sends a request while the response is read. connected reports whether the error came after
+// a connection was established.
+func (c *Client) sendLong(ctx context.Context, address string, added, header http.Header, body *reply.Payload) (response *http.Response, connected bool, err error) {
 	request := (&http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: CallPath}, Host: address,
 		Header: header.Clone(), ProtoMajor: 1, ProtoMinor: 1,
 	})
 	hideIdempotencyKeys(request.Header)
 	c.names.RemoveCallHeaders(request.Header)
-	if err := call.EncodeHeaders(request.Header); err != nil {
-		return reply.NotRun(outcome.ReasonBadMessage)
-	}
+	maps.Copy(request.Header, added)
 	if _, present := request.Header["User-Agent"]; !present {
 		request.Header["User-Agent"] = []string{""}
 	}
-	switch {
-	case body.Stream != nil:
+	if body.Stream != nil {
 		request.Body, request.ContentLength = opaqueBody{body.Stream}, body.Length
-	case len(body.Data) > 0:
+	} else {
 		request.Body, request.ContentLength = opaqueBody{bytes.NewReader(body.Data)}, int64(len(body.Data))
 	}
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	response, err := c.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
-	if err != nil {
-		return classifyError(ctx, connected.Load())
-	}
-	answer := readReply(ctx, response)
-	c.names.RestoreRequestID(answer, call)
-	return answer
+	var gotConn atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
+	response, err = c.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	return response, gotConn.Load(), err
 }
 
 // Post sends a control message to the node at an address and returns the body of the response.
--- a/internal/sidecar/targetlink/idle.go
+++ b/internal/sidecar/targetlink/idle.go
@@ -5,24 +5,27 @@
 	"syscall"
 )
 
-// isIdle reports whether conn is open and has no unread data. A connection that the target
-// has closed or sent unsolicited bytes on must not be reused. Connections that are not
-// sockets are assumed to be idle.
-func isIdle(conn net.Conn) bool {
+// IdleCheck returns a function that reports whether conn is open and has no unread data. A connection
+// that the other side has closed or sent unsolicited bytes on must not be reused. It returns nil if
+// conn is no socket. The function must not be called concurrently.
+func IdleCheck(conn net.Conn) func() bool {
 	socket, isSocket := conn.(syscall.Conn)
 	if !isSocket {
-		return true
+		return nil
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return func() bool { return false }
 	}
-	open := false
-	err = raw.Read(func(descriptor uintptr) bool {
-		var b [1]byte
+	var open bool
+	var b [1]byte
+	peek := func(descriptor uintptr) bool {
 		_, _, err := syscall.Recvfrom(int(descriptor), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
 		return true
-	})
-	return err == nil && open
+	}
+	return func() bool {
+		open = false
+		return raw.Read(peek) == nil && open
+	}
 }
--- a/internal/sidecar/targetlink/link.go
+++ b/internal/sidecar/targetlink/link.go
@@ -95,6 +95,7 @@
 	net.Conn
 	reader       *bufio.Reader
 	headerLimit  *headerLimitReader
+	isIdle       func() bool
 	idleDeadline time.Time
 }
 
@@ -170,7 +171,7 @@
 		if conn == nil {
 			break
 		}
-		if time.Now().Before(conn.idleDeadline) && isIdle(conn.Conn) {
+		if time.Now().Before(conn.idleDeadline) && conn.isIdle() {
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -187,7 +188,11 @@
 		l.options.OnDial()
 	}
 	limit := &headerLimitReader{source: raw, remaining: unlimited}
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(limit, bufferSize), headerLimit: limit}, nil
+	conn := &connection{Conn: raw, reader: bufio.NewReaderSize(limit, bufferSize), headerLimit: limit}
+	if conn.isIdle = IdleCheck(raw); conn.isIdle == nil {
+		conn.isIdle = func() bool { return true } // not a socket
+	}
+	return conn, nil
 }
 
 // Probe checks that the target accepts connections; the new connection is added to the pool.
