Write requests to the target from a pooled buffer

Each request allocated a buffer, strings for its first lines, a sorted list of its headers, a channel for the end of a streamed body that it did not have, and an http.Request that tells net/http whether a response has a body. The buffer is pooled now, the channel is made for streamed bodies only, and the http.Request is shared. Headers are no longer written in alphabetical order. ReadBuffered does not read again after an end of the body that came with its last bytes.

--- a/internal/sidecar/reply/reply.go
+++ b/internal/sidecar/reply/reply.go
@@ -113,11 +113,20 @@
 	if length >= 0 && length <= MaxBuffered {
 		// A single allocation of the exact size.
 		data = make([]byte, length)
-		n, err := io.ReadFull(source, data)
-		if n == 0 && err == io.EOF {
-			return nil, nil, nil // a response to HEAD announces a length without sending a body
+		n := 0
+		for n < len(data) && err == nil {
+			var count int
+			count, err = source.Read(data[n:])
+			n += count
 		}
-		if err != nil {
+		switch {
+		case n == 0 && err == io.EOF:
+			return nil, nil, nil // a response to HEAD announces a length without sending a body
+		case n < len(data) && err == io.EOF:
+			return data[:n], nil, io.ErrUnexpectedEOF
+		case err == io.EOF:
+			return data, nil, nil
+		case err != nil:
 			return data[:n], nil, err
 		}
 		// Read up to EOF so that the connection can be reused.
--- a/internal/sidecar/targetlink/link.go
+++ b/internal/sidecar/targetlink/link.go
@@ -8,7 +8,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -19,6 +18,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/landingmast/landingmast/internal/sidecar/headers"
 )
 
 // Errors returned by Do, wrapped; compare with errors.Is.
@@ -124,8 +124,8 @@
 		return nil, errors.WithType(err, ErrNotSent)
 	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	done := make(chan error, 1)
-	if err := conn.send(request, done); err != nil {
+	done, err := conn.send(request)
+	if err != nil {
 		stopCancel()
 		_ = conn.Close()
 		return nil, errors.WithType(err, ErrNoResponse)
@@ -152,7 +152,7 @@
 
 // keepAliveTimeout returns how long an idle connection may be reused.
 func keepAliveTimeout(header http.Header) time.Duration {
-	for _, parameter := range strings.Split(header.Get("Keep-Alive"), ",") {
+	for parameter := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
 		name, value, found := strings.Cut(strings.TrimSpace(parameter), "=")
 		if !found || !strings.EqualFold(name, "timeout") {
 			continue
@@ -237,34 +237,53 @@
 	l.idle = nil
 }
 
-// send writes the request. A streamed body is written in the background while the response
-// is read; its result is sent on done.
-func (c *connection) send(request *Request, done chan<- error) error {
-	var head bytes.Buffer
-	head.WriteString(request.Method + " " + request.URI + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
-	if err := request.Header.Write(&head); err != nil {
-		return err
-	}
+// buffers holds *[]byte for the requests that are written.
+var buffers = sync.Pool{New: func() any { return new([]byte) }}
+
+// maxPooledBuffer is the capacity above which a buffer is not kept.
+const maxPooledBuffer = 8 << 10
+
+// send writes the request. A streamed body is written in the background while the response is read;
+// its result is sent on the returned channel, which is nil otherwise.
+func (c *connection) send(request *Request) (done <-chan error, err error) {
+	buffer := buffers.Get().(*[]byte)
 	chunked := request.Stream != nil && request.Length < 0
+	data := appendHead((*buffer)[:0], request, chunked)
+	data = append(data, request.Body...)
+	_, err = c.Write(data)
+	if cap(data) <= maxPooledBuffer {
+		*buffer = data
+		buffers.Put(buffer)
+	}
+	if err != nil || request.Stream == nil {
+		return nil, err
+	}
+	written := make(chan error, 1)
+	go func() { written <- copyBody(c.Conn, request, chunked) }()
+	return written, nil
+}
+
+func appendHead(data []byte, request *Request, chunked bool) []byte {
+	data = append(append(data, request.Method...), ' ')
+	data = append(append(data, request.URI...), " HTTP/1.1\r\nHost: "...)
+	data = append(append(data, request.Host...), "\r\n"...)
+	for name, values := range request.Header {
+		data = headers.AppendField(data, name, values)
+	}
 	switch {
 	case chunked:
-		head.WriteString("Transfer-Encoding: chunked\r\n")
+		data = append(data, "Transfer-Encoding: chunked\r\n"...)
 	case request.Stream != nil:
-		head.WriteString("Content-Length: " + strconv.FormatInt(request.Length, 10) + "\r\n")
+		data = appendLength(data, request.Length)
 	case len(request.Body) > 0 || methodExpectsBody(request.Method):
-		head.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
+		data = appendLength(data, int64(len(request.Body)))
 	}
-	head.WriteString("\r\n")
-	head.Write(request.Body)
-	if _, err := c.Write(head.Bytes()); err != nil {
-		return err
-	}
-	if request.Stream == nil {
-		done <- nil
-		return nil
-	}
-	go func() { done <- copyBody(c.Conn, request, chunked) }()
-	return nil
+	return append(data, "\r\n"...)
+}
+
+func appendLength(data []byte, length int64) []byte {
+	data = strconv.AppendInt(append(data, "Content-Length: "...), length, 10)
+	return append(data, "\r\n"...)
 }
 
 func methodExpectsBody(method string) bool {
@@ -314,10 +333,19 @@
 	}
 }
 
+// The requests that net/http needs to tell whether a response has a body.
+var (
+	withBody    = &http.Request{Method: http.MethodGet}
+	withoutBody = &http.Request{Method: http.MethodHead}
+)
+
 // readResponse reads responses until one echoes the request id, and reports whether others
 // were discarded.
 func (l *Link) readResponse(conn *connection, request *Request) (*http.Response, bool, error) {
-	httpRequest := &http.Request{Method: request.Method}
+	httpRequest := withBody
+	if request.Method == http.MethodHead {
+		httpRequest = withoutBody
+	}
 	for stale := 0; stale <= maxStaleResponses; {
 		conn.headerLimit.remaining = maxResponseHeaderBytes
 		response, err := http.ReadResponse(conn.reader, httpRequest)
@@ -357,7 +385,7 @@
 	conn        *connection
 	source      io.Reader
 	stopCancel  func() bool
-	writeDone   <-chan error
+	writeDone   <-chan error // nil if the request body is not streamed
 	reusable    bool
 	idleTimeout time.Duration
 	eof         bool
@@ -390,6 +418,9 @@
 }
 
 func (b *responseBody) bodySent() bool {
+	if b.writeDone == nil {
+		return true
+	}
 	select {
 	case err := <-b.writeDone:
 		return err == nil
