Balancer: keep sums and references instead of walking all targets

Cause: each pick walked all reports for the mean service time and looked up the instance state (twice) and the latency sample of each target in maps. Each result copied and sorted all reports for the load of the service.

Change: the sum of the known service times is kept in integers. An endpoint refers to the state of its instance and holds samples by the index of their class. Node and zone are compared once per update, and the loss rate of a target without losses is not decayed. Reports are summed in place; they are sorted only if the median can raise the cap.

--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -65,7 +65,12 @@
 	suspected       bool
 	lossRate        float64 // moving average of the requests that the target lost or declined
 	lossUpdatedAt   time.Duration
-	latencies       map[string]*classLatency // by class
+	latencies       []classLatency // by classStats.index
+	latencyCount    int            // set latencies
+	state           *knownState    // of the instance, as in Balancer.states
+	listed          bool           // in Balancer.order
+	local           bool           // the target of the own node
+	remoteZone      bool           // in another zone
 }
 
 // Balancer balances over the targets of one service. It is not safe for concurrent use.
@@ -78,6 +83,11 @@
 	order     []*Endpoint
 	classes   map[string]*classStats
 	states    map[string]*knownState // by instance
+	// serviceTimeSum and serviceTimeCount add up the known service times of order.
+	serviceTimeSum   time.Duration
+	serviceTimeCount int
+	fresh, stale     []*Endpoint // buffers of ServiceLoad
+	occupancies      []float64   // buffer of occupancyCap
 }
 
 // New returns a Balancer without targets for the given sending node.
@@ -89,7 +99,12 @@
 func (b *Balancer) Update(targets []Target) {
 	previous := b.endpoints
 	b.endpoints = make(map[string]*Endpoint, len(targets))
+	for _, endpoint := range b.order {
+		endpoint.listed = false
+	}
+	clear(b.order)
 	b.order = b.order[:0]
+	b.serviceTimeSum, b.serviceTimeCount = 0, 0
 	for _, target := range targets {
 		endpoint := previous[target.Node]
 		if endpoint == nil {
@@ -99,6 +114,11 @@
 			endpoint.reportedAt = 0
 		}
 		endpoint.Target = target
+		endpoint.state = b.states[target.Instance]
+		endpoint.listed = true
+		endpoint.local = target.Node == b.node
+		endpoint.remoteZone = target.Zone != b.zone
+		b.addServiceTime(endpoint.report.ServiceTime)
 		b.endpoints[target.Node] = endpoint
 		b.order = append(b.order, endpoint)
 	}
@@ -158,6 +178,10 @@
 	if load.ServiceTime == 0 {
 		load.ServiceTime = e.report.ServiceTime
 	}
+	if e.listed {
+		b.removeServiceTime(e.report.ServiceTime)
+		b.addServiceTime(load.ServiceTime)
+	}
 	e.report, e.reportedAt, e.sentSinceReport = load, now, 0
 	b.ClearSuspicion(e)
 }
--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -53,7 +53,7 @@
 
 // requestProfile is the information about a request that is the same for all targets.
 type requestProfile struct {
-	class           string
+	class           int           // classStats.index; -1: unknown
 	meanServiceTime time.Duration // over the targets of the service
 	latency         float64       // ns, at a target with the mean service time
 	timeout         float64       // ns
@@ -61,9 +61,10 @@
 }
 
 func (b *Balancer) profile(need Requirement) requestProfile {
-	p := requestProfile{class: need.Class, meanServiceTime: b.meanServiceTime(), timeout: float64(need.Timeout), crossZoneCost: crossZoneCost}
+	p := requestProfile{class: -1, meanServiceTime: b.meanServiceTime(), timeout: float64(need.Timeout), crossZoneCost: crossZoneCost}
 	p.latency = float64(p.meanServiceTime)
 	if known := b.classes[need.Class]; known != nil {
+		p.class = known.index
 		if known.latency > 0 {
 			p.latency = known.latency
 		}
@@ -81,17 +82,24 @@
 // meanServiceTime returns the mean of the known service times. Targets with unknown service
 // time are assumed to have it; if they were assumed to be fast, all senders would pick them.
 func (b *Balancer) meanServiceTime() time.Duration {
-	sum, known := time.Duration(0), time.Duration(0)
-	for _, e := range b.order {
-		if e.report.ServiceTime > 0 {
-			sum += e.report.ServiceTime
-			known++
-		}
-	}
-	if known == 0 {
+	if b.serviceTimeCount == 0 {
 		return defaultServiceTime
 	}
-	return sum / known
+	return b.serviceTimeSum / time.Duration(b.serviceTimeCount)
+}
+
+func (b *Balancer) addServiceTime(known time.Duration) {
+	if known > 0 {
+		b.serviceTimeSum += known
+		b.serviceTimeCount++
+	}
+}
+
+func (b *Balancer) removeServiceTime(known time.Duration) {
+	if known > 0 {
+		b.serviceTimeSum -= known
+		b.serviceTimeCount--
+	}
 }
 
 // cost estimates the cost of sending a request to the target now.
@@ -112,9 +120,9 @@
 		cost += queueCost + queueCostPerSlot*(utilization-1)
 	}
 	switch {
-	case e.Node == b.node:
+	case e.local:
 		cost -= localBonus
-	case e.Zone != b.zone:
+	case e.remoteZone:
 		latency += float64(crossZoneLatency)
 		cost += p.crossZoneCost
 	}
@@ -139,7 +147,7 @@
 // the relative service time. The other half accounts for downstream calls, which take as long
 // from any target.
 func (e *Endpoint) expectedLatency(now time.Duration, p requestProfile) float64 {
-	if known := e.latencies[p.class]; known != nil && now-known.at < latencyTTL {
+	if known := e.latency(p.class); known != nil && now-known.at < latencyTTL {
 		return known.mean
 	}
 	return p.latency * (1 + e.relativeServiceTime(p.meanServiceTime)) / 2
@@ -147,8 +155,17 @@
 
 // classLatency is the mean latency of one class at one target.
 type classLatency struct {
-	mean float64 // ns
-	at   time.Duration
+	mean  float64 // ns
+	at    time.Duration
+	known bool // there was a sample
+}
+
+// latency returns the classLatency of a class by its index, or nil without samples.
+func (e *Endpoint) latency(class int) *classLatency {
+	if class < 0 || class >= len(e.latencies) || !e.latencies[class].known {
+		return nil
+	}
+	return &e.latencies[class]
 }
 
 const (
@@ -160,16 +177,20 @@
 )
 
 // recordLatency adds a sample to the classLatency.
-func (e *Endpoint) recordLatency(now time.Duration, class string, latency time.Duration) {
-	known := e.latencies[class]
+func (e *Endpoint) recordLatency(now time.Duration, class int, latency time.Duration) {
+	known := e.latency(class)
 	if known == nil || now-known.at >= latencyTTL {
-		if len(e.latencies) >= maxClasses {
+		if e.latencyCount >= maxClasses {
 			clear(e.latencies)
+			e.latencyCount = 0
+		}
+		if missing := class + 1 - len(e.latencies); missing > 0 {
+			e.latencies = append(e.latencies, make([]classLatency, missing)...)
 		}
-		if e.latencies == nil {
-			e.latencies = map[string]*classLatency{}
+		if !e.latencies[class].known {
+			e.latencyCount++
 		}
-		e.latencies[class] = &classLatency{mean: float64(latency), at: now}
+		e.latencies[class] = classLatency{mean: float64(latency), at: now, known: true}
 		return
 	}
 	known.mean += latencyWeight * (float64(latency) - known.mean)
@@ -195,6 +216,7 @@
 
 // classStats holds averages over the requests of one class.
 type classStats struct {
+	index         int     // of the class in Endpoint.latencies
 	latency       float64 // ns, mean over all targets; 0: unknown
 	responseBytes float64 // mean
 }
@@ -208,7 +230,7 @@
 func (b *Balancer) class(name string) *classStats {
 	stats := b.classes[name]
 	if stats == nil && len(b.classes) < maxClasses {
-		stats = &classStats{}
+		stats = &classStats{index: len(b.classes)}
 		b.classes[name] = stats
 	}
 	return stats
@@ -227,7 +249,7 @@
 		stats.responseBytes += classWeight * (float64(bytes) - stats.responseBytes)
 	}
 	if !b.config.NoSamples {
-		e.recordLatency(now, class, latency)
+		e.recordLatency(now, stats.index, latency)
 	}
 	if stats.latency == 0 {
 		stats.latency = float64(latency)
@@ -242,6 +264,9 @@
 )
 
 func (e *Endpoint) decayedLossRate(now time.Duration) float64 {
+	if e.lossRate == 0 {
+		return 0
+	}
 	return e.lossRate * math.Exp(-float64(now-e.lossUpdatedAt)/float64(lossDecay))
 }
 
--- a/internal/core/balancer/pressure.go
+++ b/internal/core/balancer/pressure.go
@@ -4,8 +4,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/landingmast/landingmast/internal/core/slots"
 )
 
 // Limits on the contribution of one target to the load of its service.
@@ -40,33 +38,44 @@
 	return ServiceLoad{Occupancy: total.used / total.slots, Wait: time.Duration(total.waited / total.slots)}, true
 }
 
-// reports returns the fresh reports and those that are stale but not expired.
-func (b *Balancer) reports(now time.Duration) (fresh, stale []slots.Load) {
+// reports returns the targets with fresh reports and those whose reports are stale but not expired.
+// The results are valid until the next call.
+func (b *Balancer) reports(now time.Duration) (fresh, stale []*Endpoint) {
+	fresh, stale = b.fresh[:0], b.stale[:0]
 	for _, e := range b.order {
 		age := now - e.reportedAt
 		switch {
 		case e.reportedAt == 0 || age >= b.config.ReportTTL || e.report.Slots == 0:
 		case age < b.config.OccupancyTTL:
-			fresh = append(fresh, e.report)
+			fresh = append(fresh, e)
 		default:
-			stale = append(stale, e.report)
+			stale = append(stale, e)
 		}
 	}
+	b.fresh, b.stale = fresh, stale
 	return fresh, stale
 }
 
 // occupancyCap returns the maximum occupancy that a report may contribute. A single target is
 // not capped, since its load is that of the service.
-func (b *Balancer) occupancyCap(reports []slots.Load) float64 {
+func (b *Balancer) occupancyCap(reported []*Endpoint) float64 {
 	if len(b.order) == 1 {
 		return math.Inf(1)
 	}
-	if len(reports) == 1 {
+	if len(reported) == 1 {
 		return maxReportOccupancy
 	}
-	occupancies := make([]float64, len(reports))
-	for i := range reports {
-		occupancies[i] = reports[i].Occupancy()
+	occupancies, low := b.occupancies[:0], 0
+	for _, e := range reported {
+		occupancy := e.report.Occupancy()
+		occupancies = append(occupancies, occupancy)
+		if occupancy <= maxReportOccupancy/outlierFactor {
+			low++
+		}
+	}
+	b.occupancies = occupancies
+	if low > (len(occupancies)-1)/2 {
+		return maxReportOccupancy // the median does not raise the cap, so sorting is not needed
 	}
 	slices.Sort(occupancies)
 	return max(maxReportOccupancy, outlierFactor*occupancies[(len(occupancies)-1)/2])
@@ -77,13 +86,13 @@
 	used, slots, waited float64
 }
 
-func sumReports(reports []slots.Load, occupancyCap float64) (s loadSum) {
-	for i := range reports {
-		count := float64(reports[i].Slots)
-		occupancy := min(reports[i].Occupancy(), occupancyCap)
+func sumReports(reported []*Endpoint, occupancyCap float64) (s loadSum) {
+	for _, e := range reported {
+		count := float64(e.report.Slots)
+		occupancy := min(e.report.Occupancy(), occupancyCap)
 		s.slots += count
 		s.used += occupancy * count
-		s.waited += max(occupancy-1, 0) * float64(reports[i].ServiceTime) * count
+		s.waited += max(occupancy-1, 0) * float64(e.report.ServiceTime) * count
 	}
 	return s
 }
--- a/internal/core/balancer/state.go
+++ b/internal/core/balancer/state.go
@@ -32,6 +32,11 @@
 		known = &knownState{stated: ratelimit.NewStated()}
 		b.forgetStates()
 		b.states[state.Instance] = known
+		for _, endpoint := range b.order {
+			if endpoint.Instance == state.Instance {
+				endpoint.state = known
+			}
+		}
 	}
 	known.leaving = known.leaving || state.Leaving
 	changed := known.stated.Observe(now, sentAt, state.RateLimit)
@@ -83,20 +88,18 @@
 
 // leaving reports whether the instance states that it accepts no new requests.
 func (b *Balancer) leaving(e *Endpoint) bool {
-	known := b.states[e.Instance]
-	return known != nil && known.leaving
+	return e.state != nil && e.state.leaving
 }
 
 // overShare reports whether the sender has used its share of the rate that the instance states.
 func (b *Balancer) overShare(now time.Duration, e *Endpoint) bool {
-	known := b.states[e.Instance]
-	return known != nil && known.share != nil && !known.share.Ready(now)
+	return e.state != nil && e.state.share != nil && !e.state.share.Ready(now)
 }
 
 // takeShare counts a request against the sender's share.
 func (b *Balancer) takeShare(now time.Duration, e *Endpoint) {
-	if known := b.states[e.Instance]; known != nil && known.share != nil {
-		known.share.Take(now)
+	if e.state != nil && e.state.share != nil {
+		e.state.share.Take(now)
 	}
 }
 
