Event log: encode lines as structs instead of maps

Cause: each line was built as a map by reflection, copied into the logger's map twice, sorted and encoded: 63 allocations. A node writes up to 220 lines of requests a second.

Change: for each event type a struct with the fields of the event and of the line, sorted by name, is made once and encoded by encoding/json. The queue of lines is reused. A value that cannot be encoded and a failed write are still reported on standard error and lose only their line.

A test fills each event type with random values 300 times and compares the lines with those of the logging library byte by byte; another covers lines after an error.

--- a/internal/sidecar/eventlog/writer.go
+++ b/internal/sidecar/eventlog/writer.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
-	"reflect"
-	"strings"
+	"os"
 	"sync"
 	"time"
-
-	"github.com/sirupsen/logrus"
 )
 
 // Class groups events that share a rate limit.
@@ -39,23 +37,20 @@
 // for concurrent use; Add never blocks on the output.
 type Log struct {
 	node   string
-	logger *logrus.Logger
 	output *lineWriter
 
 	mu       sync.Mutex
 	second   int64
 	accepted [classCount]int
 	entries  []entry
+	spare    []entry // empty; used for entries while those are written
 	omitted  map[string]int
 	wake     chan struct{}
 }
 
 // New returns the log of a node. Events are queued until Run writes them to output.
 func New(node string, output io.Writer) *Log {
-	l := &Log{node: node, logger: logrus.New(), output: newLineWriter(output), omitted: map[string]int{}, wake: make(chan struct{}, 1)}
-	l.logger.SetOutput(l.output)
-	l.logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000000Z07:00"})
-	return l
+	return &Log{node: node, output: newLineWriter(output), omitted: map[string]int{}, wake: make(chan struct{}, 1)}
 }
 
 // Allow reports whether an event of class would be accepted now, and otherwise counts it as
@@ -133,27 +128,22 @@
 func (l *Log) flush() {
 	l.mu.Lock()
 	entries := l.entries
-	l.entries = nil
+	l.entries = l.spare[:0]
+	l.spare = nil
 	l.mu.Unlock()
-	for _, e := range entries {
-		fields := Fields(e.event)
-		fields["node"] = l.node
-		l.logger.WithTime(e.at).WithFields(fields).Info(e.event.Kind())
+	for i := range entries {
+		if err := l.output.writeEvent(l.node, entries[i].at, entries[i].event); err != nil {
+			fmt.Fprintf(os.Stderr, "log line of kind %s was not written: %v\n", entries[i].event.Kind(), err)
+		}
 	}
 	_ = l.output.Flush()
-}
-
-// Fields returns the fields of an event keyed by their JSON names.
-func Fields(event Event) logrus.Fields {
-	fields := logrus.Fields{}
-	value := reflect.ValueOf(event)
-	for index := range value.NumField() {
-		name, options, _ := strings.Cut(value.Type().Field(index).Tag.Get("json"), ",")
-		field := value.Field(index)
-		if options == "omitempty" && field.IsZero() {
-			continue
-		}
-		fields[name] = field.Interface()
+	clear(entries)
+	if cap(entries) <= maxSpareEntries {
+		l.mu.Lock()
+		l.spare = entries
+		l.mu.Unlock()
 	}
-	return fields
 }
+
+// maxSpareEntries is the capacity up to which a written queue is kept for reuse.
+const maxSpareEntries = 256
