Gate: check queued requests when the earliest deadline passes

Cause: while anything was queued, a timer fired each 5 ms, and each submitted, finished or expired request copied the whole queue to look for expired ones.

Change: the gate keeps a lower bound of the deadlines in its queue and scans the queue only after it. The timer is set for that time, within 5 to 100 ms from now: 5 ms bounds the delay as before, and 100 ms the effect of a suspension, during which timers stand still. With a stated rate or in the probation the interval stays 5 ms. The timer is reused.

--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -94,6 +94,7 @@
 	slots             int
 	running           map[uint64]activeRequest
 	queue             []queuedRequest
+	earliestDeadline  time.Duration        // no request in the queue has an earlier one
 	serviceTime       meanTime             // over all requests
 	classes           map[string]*meanTime // by class
 	rate              *ratelimit.Bucket    // nil: the target states no rate
@@ -178,6 +179,9 @@
 	g.queue = append(g.queue, queuedRequest{})
 	copy(g.queue[position+1:], g.queue[position:])
 	g.queue[position] = queuedRequest{request: request, arrived: now, slotTime: slotTime}
+	if len(g.queue) == 1 || request.Deadline < g.earliestDeadline {
+		g.earliestDeadline = request.Deadline
+	}
 	decisions := g.dispatch(now, nil)
 	switch {
 	case g.tokenWait(now, len(g.queue)) > maxTokenWait:
@@ -270,10 +274,19 @@
 	return false
 }
 
-// Expire refuses requests whose deadline passed in the queue. It must be called regularly while
-// requests are queued.
+// Expire refuses requests whose deadline passed in the queue, and sends those that a token or the end
+// of the probation allows. While requests are queued, it must be called at NextExpiry.
 func (g *Gate) Expire(now time.Duration) []Decision { return g.dispatch(now, nil) }
 
+// NextExpiry returns when Expire may yield decisions next, or false if no request is queued. It is now
+// if that depends on more than deadlines.
+func (g *Gate) NextExpiry(now time.Duration) (time.Duration, bool) {
+	if g.rate != nil || now < g.probationEndsAt {
+		return now, len(g.queue) > 0
+	}
+	return g.earliestDeadline, len(g.queue) > 0
+}
+
 // Drain refuses all queued and future requests. Requests at the target continue.
 func (g *Gate) Drain(now time.Duration) []Decision {
 	g.draining = true
@@ -287,20 +300,31 @@
 
 // dispatch refuses expired requests and assigns free slots to queued ones.
 func (g *Gate) dispatch(now time.Duration, decisions []Decision) []Decision {
+	if len(g.queue) > 0 && now >= g.earliestDeadline {
+		decisions = g.refuseExpired(now, decisions)
+	}
+	for len(g.queue) > 0 && g.tryAdmit(now) {
+		next := g.queue[0]
+		g.queue = g.queue[1:]
+		g.running[next.request.ID] = activeRequest{class: next.request.Class, startedAt: now}
+		decisions = append(decisions, Decision{ID: next.request.ID, Send: true, Waited: now - next.arrived})
+	}
+	return decisions
+}
+
+// refuseExpired refuses the queued requests whose deadline has passed.
+func (g *Gate) refuseExpired(now time.Duration, decisions []Decision) []Decision {
 	kept := g.queue[:0]
 	for _, item := range g.queue {
 		if now >= item.request.Deadline {
 			decisions = append(decisions, Decision{ID: item.request.ID, Reason: ReasonExpired, Waited: now - item.arrived})
 			continue
 		}
+		if len(kept) == 0 || item.request.Deadline < g.earliestDeadline {
+			g.earliestDeadline = item.request.Deadline
+		}
 		kept = append(kept, item)
 	}
 	g.queue = kept
-	for len(g.queue) > 0 && g.tryAdmit(now) {
-		next := g.queue[0]
-		g.queue = g.queue[1:]
-		g.running[next.request.ID] = activeRequest{class: next.request.Class, startedAt: now}
-		decisions = append(decisions, Decision{ID: next.request.ID, Send: true, Waited: now - next.arrived})
-	}
 	return decisions
 }
--- a/internal/sidecar/target/bench_test.go
+++ b/internal/sidecar/target/bench_test.go
@@ -62,4 +62,3 @@
 	b.StopTimer()
 	gate.drain()
 }
-
--- a/internal/sidecar/target/state.go
+++ b/internal/sidecar/target/state.go
@@ -17,7 +17,7 @@
 	changed := g.stated.Observe(now, sentAt, rate)
 	g.hasStated = g.hasStated || changed
 	if changed || first {
-		g.apply(g.core.SetRateLimit(now, g.stated.Rate()))
+		g.apply(now, g.core.SetRateLimit(now, g.stated.Rate()))
 	}
 	return changed
 }
@@ -32,7 +32,7 @@
 		return false
 	}
 	g.hasStated = true
-	g.apply(g.core.SetRateLimit(now, rate))
+	g.apply(now, g.core.SetRateLimit(now, rate))
 	return true
 }
 
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -69,13 +69,21 @@
 	statedAt    time.Duration // arrival of the last response; 0: none yet
 	nextID      uint64
 	waiting     map[uint64]chan slots.Decision
-	timerActive bool
+	timer       *time.Timer   // calls tick; nil: not needed yet
+	timerActive bool          // the timer runs
+	tickAt      time.Duration // when it fires
 
 	Unanswered Unanswered // runs without a response
 }
 
-// expiryInterval is the interval at which a gate checks waiting requests for expiry.
-const expiryInterval = 5 * time.Millisecond
+const (
+	// minExpiryInterval is the shortest interval at which a gate checks waiting requests for expiry,
+	// and for tokens of a target that states a rate.
+	minExpiryInterval = 5 * time.Millisecond
+	// maxExpiryInterval is the longest one. Deadlines pass while the machine is suspended, but timers
+	// do not advance.
+	maxExpiryInterval = 100 * time.Millisecond
+)
 
 func newGate(now func() time.Duration, report roster.Report, link *targetlink.Link) *Gate {
 	return &Gate{
@@ -86,13 +94,7 @@
 
 // Acquire waits for a slot. The caller must call Release if the decision is to send.
 func (g *Gate) Acquire(ctx context.Context, request slots.Request) (uint64, slots.Decision) {
-	g.mu.Lock()
-	g.nextID++
-	request.ID = g.nextID
-	result := make(chan slots.Decision, 1)
-	g.waiting[request.ID] = result
-	g.apply(g.core.Submit(g.now(), request))
-	g.mu.Unlock()
+	result := g.submit(&request)
 	select {
 	case decision := <-result:
 		return request.ID, decision
@@ -101,6 +103,19 @@
 	}
 }
 
+// submit submits a request, to which it assigns an ID, and returns the channel for its decision.
+func (g *Gate) submit(request *slots.Request) chan slots.Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nextID++
+	request.ID = g.nextID
+	result := make(chan slots.Decision, 1)
+	g.waiting[request.ID] = result
+	now := g.now()
+	g.apply(now, g.core.Submit(now, *request))
+	return result
+}
+
 // withdraw removes a waiting request that was canceled. If it has been admitted meanwhile,
 // its slot is released.
 func (g *Gate) withdraw(id uint64, result chan slots.Decision) slots.Decision {
@@ -111,7 +126,8 @@
 		select {
 		case decision := <-result:
 			if decision.Send {
-				g.apply(g.core.Finish(g.now(), id, false))
+				now := g.now()
+				g.apply(now, g.core.Finish(now, id, false))
 			}
 		default:
 		}
@@ -124,13 +140,15 @@
 func (g *Gate) Release(id uint64, learn bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.apply(g.core.Finish(g.now(), id, learn))
+	now := g.now()
+	g.apply(now, g.core.Finish(now, id, learn))
 }
 
 func (g *Gate) drain() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.apply(g.core.Drain(g.now()))
+	now := g.now()
+	g.apply(now, g.core.Drain(now))
 }
 
 // Load returns the load of the target and whether it is draining.
@@ -143,28 +161,45 @@
 func (g *Gate) setSlots(count int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.apply(g.core.SetSlots(g.now(), count))
+	now := g.now()
+	g.apply(now, g.core.SetSlots(now, count))
 }
 
 // apply delivers decisions to waiting requests. mu must be held.
-func (g *Gate) apply(decisions []slots.Decision) {
+func (g *Gate) apply(now time.Duration, decisions []slots.Decision) {
 	for _, decision := range decisions {
 		if result := g.waiting[decision.ID]; result != nil {
 			result <- decision
 			delete(g.waiting, decision.ID)
 		}
 	}
-	if len(g.waiting) > 0 && !g.timerActive {
-		g.timerActive = true
-		time.AfterFunc(expiryInterval, g.tick)
+	g.scheduleTick(now)
+}
+
+// scheduleTick sets the timer for the next expiry of a waiting request. mu must be held.
+func (g *Gate) scheduleTick(now time.Duration) {
+	due, needed := g.core.NextExpiry(now)
+	if !needed {
+		return // if the timer runs, it fires once more
+	}
+	interval := min(max(due-now, minExpiryInterval), maxExpiryInterval)
+	if g.timerActive && now+interval >= g.tickAt {
+		return
+	}
+	g.timerActive, g.tickAt = true, now+interval
+	if g.timer == nil {
+		g.timer = time.AfterFunc(interval, g.tick)
+		return
 	}
+	g.timer.Reset(interval)
 }
 
 func (g *Gate) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.timerActive = false
-	g.apply(g.core.Expire(g.now()))
+	now := g.now()
+	g.apply(now, g.core.Expire(now))
 }
 
 // Current returns the gate of the current target, or nil if there is none.
