Gate: no channel for requests that are decided at once

Cause: each request allocated a channel and an entry in a map, though most find a free slot.

Change: only queued requests get them. A request whose context has ended by then is never sent; before, it was sent in half of the cases.

--- a/internal/sidecar/target/expiry_test.go
+++ b/internal/sidecar/target/expiry_test.go
@@ -100,3 +100,19 @@
 		g.Expect(waited[0]).To(BeNumerically("<=", time.Second+maxExpiryInterval))
 	})
 }
+
+// Guards against sending a request whose client has disconnected, and against losing its slot.
+func TestCanceledRequestTakesNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate := newClockedGate(1)
+		canceled, cancel := context.WithCancel(t.Context())
+		cancel()
+		for range 20 {
+			_, decision := gate.Acquire(canceled, slots.Request{Deadline: time.Hour})
+			g.Expect(decision.Send).To(BeFalse())
+		}
+		_, decision := gate.Acquire(t.Context(), slots.Request{Deadline: time.Hour})
+		g.Expect(decision.Send).To(BeTrue())
+	})
+}
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -94,7 +95,14 @@
 
 // Acquire waits for a slot. The caller must call Release if the decision is to send.
 func (g *Gate) Acquire(ctx context.Context, request slots.Request) (uint64, slots.Decision) {
-	result := g.submit(&request)
+	decision, result := g.submit(&request)
+	switch {
+	case result == nil && decision.Send && ctx.Err() != nil:
+		g.Release(request.ID, false)
+		return request.ID, slots.Decision{ID: request.ID, Reason: slots.ReasonExpired}
+	case result == nil:
+		return request.ID, decision
+	}
 	select {
 	case decision := <-result:
 		return request.ID, decision
@@ -103,17 +111,24 @@
 	}
 }
 
-// submit submits a request, to which it assigns an ID, and returns the channel for its decision.
-func (g *Gate) submit(request *slots.Request) chan slots.Decision {
+// submit submits a request, to which it assigns an ID. It returns the decision or, if the request is
+// queued, the channel that the decision will be sent to.
+func (g *Gate) submit(request *slots.Request) (decision slots.Decision, result chan slots.Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.nextID++
 	request.ID = g.nextID
-	result := make(chan slots.Decision, 1)
-	g.waiting[request.ID] = result
 	now := g.now()
-	g.apply(now, g.core.Submit(now, *request))
-	return result
+	decisions := g.core.Submit(now, *request)
+	index := slices.IndexFunc(decisions, func(d slots.Decision) bool { return d.ID == request.ID })
+	if index >= 0 {
+		decision = decisions[index]
+	} else {
+		result = make(chan slots.Decision, 1)
+		g.waiting[request.ID] = result
+	}
+	g.apply(now, decisions)
+	return decision, result
 }
 
 // withdraw removes a waiting request that was canceled. If it has been admitted meanwhile,
