Membership: keep the digests of the records of other nodes

Cause: each message of an exchange copied and hashed the records of all nodes; a node builds about four messages a second, also at rest.

Change: the digests of the other nodes' records are kept until one of them changes. Only the local record is hashed each time.

--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -31,6 +31,7 @@
 
 	mutex       sync.Mutex
 	records     map[string]*wire.NodeRecord // other nodes by name
+	digestCache *buckets                    // of records; nil after a change
 	tombstones  map[string]*wire.NodeRecord // last known records of removed nodes, by name
 	sequence    int64                       // of the local record; incremented with each change
 	started     int64                       // wall clock at process start, in ms; orders incarnations
@@ -90,6 +91,7 @@
 	newer := isNewer(record, m.records[record.Node])
 	if newer {
 		m.records[record.Node] = record
+		m.digestCache = nil
 	}
 	m.mutex.Unlock()
 	if newer {
@@ -175,6 +177,7 @@
 	if m.records[record.Node] == record {
 		m.tombstones[record.Node] = record
 		delete(m.records, record.Node)
+		m.digestCache = nil
 	}
 	m.mutex.Unlock()
 	m.Apply()
@@ -191,6 +194,7 @@
 	newer := isNewer(record, m.records[record.Node])
 	if newer {
 		m.records[record.Node] = record
+		m.digestCache = nil
 		delete(m.tombstones, record.Node)
 	}
 	m.mutex.Unlock()
@@ -229,6 +233,7 @@
 		changed := *record
 		changed.Incarnation = incarnation
 		m.records[node] = &changed
+		m.digestCache = nil
 	}
 }
 
@@ -301,11 +306,20 @@
 
 // digests returns the bucket digests of all records.
 func (m *Members) digests() *buckets {
-	b := &buckets{}
-	for _, r := range m.Records() {
-		b.add(&r)
+	local := m.LocalRecord()
+	m.mutex.Lock()
+	if m.digestCache == nil {
+		m.digestCache = &buckets{}
+		for name, record := range m.records {
+			if name != local.Node {
+				m.digestCache.add(record)
+			}
+		}
 	}
-	return b
+	b := *m.digestCache
+	m.mutex.Unlock()
+	b.add(local)
+	return &b
 }
 
 // recordsInBuckets returns the records of all nodes, including this node, in the wanted buckets.
