Admission: decode needs into buffers that are kept

Cause: each result and each end of a client request allocated up to three lists, which the controllers only read while they are called.

Change: the lists are built in buffers of the Control, under its lock.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -26,6 +26,8 @@
 	mutex  sync.Mutex
 	core   *overload.Controller
 	prices *pricing.Controller
+	needs  []overload.Need // buffer of decodeNeeds
+	usages []pricing.Usage // buffer of decodeUsages
 }
 
 // Configuration is the routing configuration in force.
@@ -136,7 +138,7 @@
 		c.core.Discard(now, done.Route.Name)
 		return
 	}
-	c.core.End(now, done.Route.Name, overload.Completion{Needs: decodeNeeds(done.Needs), PrioritySteps: steps, LatencyBudget: done.LatencyBudget, Latency: done.Latency, Overloaded: done.NoCapacity})
+	c.core.End(now, done.Route.Name, overload.Completion{Needs: c.decodeNeeds(done.Needs), PrioritySteps: steps, LatencyBudget: done.LatencyBudget, Latency: done.Latency, Overloaded: done.NoCapacity})
 }
 
 // priorityAboveLowest returns the number of priority levels between the route and the lowest
@@ -168,12 +170,12 @@
 // request was served, which means that its needs are complete.
 func (c *Control) RecordNeeds(route *intent.Route, needs []wire.Need, served bool) {
 	now := c.now()
-	decoded := decodeNeeds(needs)
 	rank := c.priorityAboveLowest(route)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	decoded := c.decodeNeeds(needs)
 	if !c.pricesDisabled {
-		c.prices.Observe(now, pricing.Route{Name: route.Name, Rank: rank}, decodeUsages(needs), served)
+		c.prices.Observe(now, pricing.Route{Name: route.Name, Rank: rank}, c.decodeUsages(needs), served)
 	}
 	for _, need := range decoded {
 		c.core.Observe(now, need.Service, need.Occupancy)
@@ -181,22 +183,28 @@
 	c.core.ObserveCalls(now, route.Name, decoded, served)
 }
 
-// decodeNeeds converts needs from their wire representation.
-func decodeNeeds(needs []wire.Need) []overload.Need {
-	decoded := make([]overload.Need, 0, len(needs))
-	for _, need := range needs {
+// decodeNeeds converts needs from their wire representation. The result is valid until the next call.
+// mutex must be held.
+func (c *Control) decodeNeeds(needs []wire.Need) []overload.Need {
+	decoded := c.needs[:0]
+	for i := range needs {
+		need := &needs[i]
 		decoded = append(decoded, overload.Need{Service: need.Service, Calls: need.Calls, Occupancy: float64(need.Occupancy) / wire.OccupancyScale, Wait: need.Wait})
 	}
+	c.needs = decoded
 	return decoded
 }
 
-// decodeUsages returns the slot time that needs took, for those whose targets report their load.
-func decodeUsages(needs []wire.Need) []pricing.Usage {
-	usages := make([]pricing.Usage, 0, len(needs))
-	for _, need := range needs {
+// decodeUsages returns the slot time that needs took, for those whose targets report their load. The
+// result is valid until the next call. mutex must be held.
+func (c *Control) decodeUsages(needs []wire.Need) []pricing.Usage {
+	usages := c.usages[:0]
+	for i := range needs {
+		need := &needs[i]
 		if need.Offered > 0 {
 			usages = append(usages, pricing.Usage{Service: need.Service, SlotTime: need.SlotTime, Offered: need.Offered})
 		}
 	}
+	c.usages = usages
 	return usages
 }
