Quotas: shards without limits check the configuration at the same time

Cause: while no tenant has a limit, each of the four shards woke the process twice a second at times of its own.

Change: without limits the shards wait for the same multiples of the interval.

--- a/internal/sidecar/quotas/requests.go
+++ b/internal/sidecar/quotas/requests.go
@@ -18,7 +18,8 @@
 func (l *Limiter) Run(ctx context.Context, shard int) {
 	failures := 0
 	for ctx.Err() == nil {
-		if l.options.anyTenantLimited() {
+		limited := l.options.anyTenantLimited()
+		if limited {
 			if l.requestTokens(ctx, shard) {
 				failures = 0
 			} else {
@@ -35,7 +36,12 @@
 			wait.Sleep(ctx, retryDelay)
 			continue
 		}
-		timer := time.NewTimer(requestInterval)
+		interval := requestInterval
+		if !limited {
+			// The shards check the configuration at the same time, so that the process wakes up once.
+			interval -= l.options.Now() % requestInterval
+		}
+		timer := time.NewTimer(interval)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
