--- a/internal/core/pricing/pricing_test.go
+++ b/internal/core/pricing/pricing_test.go
@@ -135,7 +135,7 @@
 	g.Expect(fresh.Returning).To(BeFalse())
 	g.Expect(returning.Returning).To(BeTrue())
 	g.Expect(fresh.Probability).To(BeNumerically("<", 0.6))
-	g.Expect(returning.Probability-fresh.Probability).To(BeNumerically(">", 0.4))
+	g.Expect(returning.Probability - fresh.Probability).To(BeNumerically(">", 0.4))
 	g.Expect(returning.Merit).To(BeNumerically("<", admit(urgent, 5*time.Second).Merit))
 	g.Expect(admit(large, 4990*time.Millisecond).Returning).To(BeFalse(), "rounding")
 	g.Expect(admit(large, 0).Returning).To(BeFalse(), "no deadline stated")
