--- a/internal/core/slots/offered.go
+++ b/internal/core/slots/offered.go
@@ -15,33 +15,8 @@
 	slotTime float64 // ns of slot time requested within offeredWindow
 	requests float64 // within offeredWindow
 	at       time.Duration
-	// responses and declined count what became of requests that were sent to the target, within
-	// acceptanceWindow.
-	responses, declined float64
-	respondedAt         time.Duration
 }
 
-// acceptanceWindow is the time constant of the share of requests that the target accepts.
-const acceptanceWindow = 500 * time.Millisecond
-
-// countResponse counts a request that the target ran, or declined although the gate had a slot for it.
-func (o *offeredLoad) countResponse(now time.Duration, declined bool) {
-	decay := math.Exp(-float64(now-o.respondedAt) / float64(acceptanceWindow))
-	o.responses, o.declined, o.respondedAt = o.responses*decay+1, o.declined*decay, now
-	if declined {
-		o.declined++
-	}
-}
-
-// acceptance returns the share of requests that the target accepts. One response stands for acceptance
-// from the start, so that the first declined request after a pause does not count for all.
-func (o *offeredLoad) acceptance() float64 {
-	return max(1-o.declined/(o.responses+1), minAcceptance)
-}
-
-// minAcceptance bounds the load that a target reports which declines everything.
-const minAcceptance = 0.1
-
 // add counts a request that is expected to occupy a slot for slotTime (ns).
 func (o *offeredLoad) add(now time.Duration, slotTime float64) {
 	decay := o.decay(now)
@@ -81,10 +56,10 @@
 	if g.draining {
 		return 0
 	}
-	provided := float64(g.slots) * g.offered.acceptance()
+	provided := float64(g.slots)
 	backlog := g.backlog() / provided
 	load := slotTime/float64(offeredWindow)/provided + backlog/float64(backlogSpan)
-	load = min(load, shortQueueLoad/g.offered.acceptance()+max(backlog-float64(toleratedBacklog), 0)/float64(backlogScale))
+	load = min(load, shortQueueLoad+max(backlog-float64(toleratedBacklog), 0)/float64(backlogScale))
 	if g.rate != nil {
 		load = max(load, requests/offeredWindow.Seconds()/g.rate.Rate())
 	}
@@ -100,9 +75,8 @@
 }
 
 const (
-	// toleratedBacklog is the time to work off a queue up to which the load of a target that accepts all
-	// requests counts as shortQueueLoad at most, below the setpoint of core/pricing: a burst that a short
-	// queue absorbs is no overload. Beyond it, each backlogScale adds 1.
+	// toleratedBacklog is the time to work off a queue up to which the load counts as shortQueueLoad at
+	// most, below the setpoint of core/pricing: a burst that a short queue absorbs is no overload. Beyond it, each backlogScale adds 1.
 	toleratedBacklog = 100 * time.Millisecond
 	backlogScale     = 300 * time.Millisecond
 	shortQueueLoad   = 0.9
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -250,12 +250,6 @@
 	return g.dispatch(now, nil)
 }
 
-// CountResponse records whether the target ran a request that was sent to it, or declined it. A target
-// that declines provides less than its slots: without this, it would report room that no chain finds.
-func (g *Gate) CountResponse(now time.Duration, declined bool) {
-	g.offered.countResponse(now, declined)
-}
-
 // maxClasses limits the number of tracked classes.
 const maxClasses = 64
 
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -239,9 +239,6 @@
 	response.SlotTime = i.options.Now() - sentAt
 	i.Running.remove(call.RequestID, running)
 	answered := response.Outcome == outcome.Answered
-	if response.Arrived {
-		gate.CountResponse(response.Reason.Declined())
-	}
 	if response.Stream == nil {
 		gate.Release(id, answered)
 		if response.Outcome == outcome.Answered {
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -159,13 +159,6 @@
 	g.apply(now, g.core.Finish(now, id, learn))
 }
 
-// CountResponse records whether the target ran a request that was sent to it, or declined it.
-func (g *Gate) CountResponse(declined bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.core.CountResponse(g.now(), declined)
-}
-
 func (g *Gate) drain() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
