--- a/internal/sidecar/hop_bench_test.go
+++ b/internal/sidecar/hop_bench_test.go
@@ -35,12 +35,7 @@
 			}
 			defer client.Close()
 			reader := bufio.NewReader(client)
-			for attempts := 0; call(b, client, reader, kind, "warmup") != http.StatusOK; attempts++ {
-				if attempts > 100 {
-					b.Fatal("the hop does not serve requests")
-				}
-				time.Sleep(50 * time.Millisecond)
-			}
+			awaitServed(b, client, reader, kind)
 			b.ReportAllocs()
 			user, system := cpuTime()
 			b.ResetTimer()
@@ -60,8 +55,15 @@
 // BenchmarkParallelHop is BenchmarkHop with 8 clients at a time.
 func BenchmarkParallelHop(b *testing.B) {
 	outbound := startHop(b, deployment.Safe)
+	first, err := net.Dial("tcp", outbound)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer first.Close()
+	awaitServed(b, first, bufio.NewReader(first), deployment.Safe)
 	b.SetParallelism(8)
 	b.ReportAllocs()
+	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		client, err := net.Dial("tcp", outbound)
 		if err != nil {
@@ -76,6 +78,51 @@
 	})
 }
 
+// evictedBytes exceeds the caches of a core.
+const evictedBytes = 16 << 20
+
+// BenchmarkColdHop is BenchmarkHop with caches that other work has filled before each call, as on a
+// machine with many processes. The time of filling them is not counted.
+func BenchmarkColdHop(b *testing.B) {
+	for _, kind := range []string{deployment.Safe, deployment.Unsafe} {
+		b.Run(kind, func(b *testing.B) {
+			outbound := startHop(b, kind)
+			client, err := net.Dial("tcp", outbound)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer client.Close()
+			reader := bufio.NewReader(client)
+			awaitServed(b, client, reader, kind)
+			other := make([]byte, evictedBytes)
+			var total time.Duration
+			b.ResetTimer()
+			for index := range b.N {
+				for at := 0; at < len(other); at += 64 {
+					other[at]++
+				}
+				started := time.Now()
+				if status := call(b, client, reader, kind, strconv.Itoa(index)); status != http.StatusOK {
+					b.Fatalf("status %d", status)
+				}
+				total += time.Since(started)
+			}
+			b.ReportMetric(float64(total.Microseconds())/float64(b.N), "us/call")
+		})
+	}
+}
+
+// awaitServed sends requests until one is served.
+func awaitServed(b *testing.B, conn net.Conn, reader *bufio.Reader, kind string) {
+	b.Helper()
+	for attempts := 0; call(b, conn, reader, kind, "warmup") != http.StatusOK; attempts++ {
+		if attempts > 100 {
+			b.Fatal("the hop does not serve requests")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 func cpuTime() (user, system time.Duration) {
 	var usage syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
