Encode messages in headers with pooled buffers

The binary and the base64 form of each message in a header were allocated and dropped. Both buffers are pooled now.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -9,6 +9,8 @@
 import (
 	"encoding/base64"
 	"encoding/binary"
+	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hamba/avro/v2"
@@ -48,14 +50,16 @@
 }
 
 // Encode returns the message in Avro binary encoding, preceded by the schema fingerprint.
-func (c *Codec[Message]) Encode(message *Message) ([]byte, error) {
+func (c *Codec[Message]) Encode(message *Message) ([]byte, error) { return c.appendTo(nil, message) }
+
+// appendTo appends the encoded message to data.
+func (c *Codec[Message]) appendTo(data []byte, message *Message) ([]byte, error) {
 	body, err := avro.Marshal(c.schema, message)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal, "report this", "message cannot be written")
 	}
-	data := make([]byte, fingerprintBytes, fingerprintBytes+len(body))
-	binary.BigEndian.PutUint64(data, c.fingerprint)
-	return append(data, body...), nil
+	data = slices.Grow(data, fingerprintBytes+len(body))
+	return append(binary.BigEndian.AppendUint64(data, c.fingerprint), body...), nil
 }
 
 // Decode decodes a message. Malformed input yields an error of kind BadInput, never a panic.
@@ -82,20 +86,44 @@
 // decoder limits the memory that a malicious length field can make the decoder allocate.
 var decoder = avro.Config{MaxByteSliceSize: 4 << 20, MaxSliceAllocSize: 1 << 20}.Freeze()
 
+// scratch holds the buffers of one message in a header.
+type scratch struct {
+	data []byte // binary encoding
+	text []byte // base64 encoding
+}
+
+// scratches holds *scratch. A message in a header is limited to MaxHeader, and so are the buffers
+// unless a larger one is sent.
+var scratches = sync.Pool{New: func() any { return new(scratch) }}
+
+func (s *scratch) release() {
+	if cap(s.text) <= 2*MaxHeader {
+		scratches.Put(s)
+	}
+}
+
 // EncodeHeader encodes a message as a header value.
 func (c *Codec[Message]) EncodeHeader(message *Message) (string, error) {
-	data, err := c.Encode(message)
+	s := scratches.Get().(*scratch)
+	defer s.release()
+	data, err := c.appendTo(s.data[:0], message)
 	if err != nil {
 		return "", err
 	}
-	return base64.RawURLEncoding.EncodeToString(data), nil
+	s.data = data
+	s.text = base64.RawURLEncoding.AppendEncode(s.text[:0], data)
+	return string(s.text), nil
 }
 
 // DecodeHeader decodes a message from a header value.
 func (c *Codec[Message]) DecodeHeader(value string) (*Message, error) {
-	data, err := base64.RawURLEncoding.DecodeString(value)
+	s := scratches.Get().(*scratch)
+	defer s.release()
+	s.text = append(s.text[:0], value...)
+	data, err := base64.RawURLEncoding.AppendDecode(s.data[:0], s.text)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.BadInput, "send messages of the node protocol only", "header cannot be read")
 	}
+	s.data = data
 	return c.Decode(data)
 }
