End calls to unresponsive nodes without a context of their own

Each attempt of a repeatable request had a context that was cancelled if its node stopped responding: five allocations in addition to those of the request's timeout. An Abort closes the connection of the attempt, or ends its dial, instead. Outcomes are as before.

--- a/internal/sidecar/entry/send.go
+++ b/internal/sidecar/entry/send.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/juju/errors"
 	"github.com/landingmast/landingmast/internal/core/balancer"
 	"github.com/landingmast/landingmast/internal/core/importance"
 	"github.com/landingmast/landingmast/internal/core/outcome"
@@ -157,16 +156,13 @@
 // sendRepeatable sends a repeatable request to another node and abandons it when the node becomes
 // unresponsive.
 func (r *request) sendRepeatable(ctx context.Context, choice *services.Choice, call *wire.SidecarCall) *reply.Reply {
-	ctx, abandon := context.WithCancelCause(ctx)
-	watch := r.options.Liveness.Watch(choice.Node, choice.Address, abandon)
-	response := r.options.PeerClient.Call(ctx, choice.Address, call, r.header, r.body)
+	var abort peer.Abort
+	watch := r.options.Liveness.Watch(choice.Node, choice.Address, &abort)
+	response := r.options.PeerClient.Call(ctx, choice.Address, call, r.header, r.body, &abort)
 	watch.End(response.Incarnation != "")
-	if response.Outcome == outcome.Unknown && errors.Is(context.Cause(ctx), peer.ErrUnresponsive) {
+	if response.Outcome == outcome.Unknown && abort.Aborted() {
 		response.Reason = outcome.ReasonSilent
 	}
-	if response.Stream == nil {
-		abandon(nil)
-	}
 	return response
 }
 
@@ -177,7 +173,7 @@
 	call.Incarnation = r.options.Members.Incarnation(choice.Node)
 	watch := r.options.Liveness.Watch(choice.Node, choice.Address, nil)
 	defer func() { watch.End(false) }()
-	response := r.options.PeerClient.Call(ctx, choice.Address, call, r.header, r.body)
+	response := r.options.PeerClient.Call(ctx, choice.Address, call, r.header, r.body, nil)
 	for range maxSettleQueries {
 		if response.Outcome != outcome.Unknown || response.Reason != outcome.ReasonLost || call.Incarnation == "" || ctx.Err() != nil {
 			break
--- a/internal/sidecar/peer/client.go
+++ b/internal/sidecar/peer/client.go
@@ -87,22 +87,37 @@
 	}
 }
 
-// Call sends one request to the node at an address. The caller must close the reply.
-func (c *Client) Call(ctx context.Context, address string, call *wire.SidecarCall, header http.Header, body *reply.Payload) *reply.Reply {
+// Call sends one request to the node at an address. abort, which may be nil, ends the call, and a body
+// that is still being read. The caller must close the reply.
+func (c *Client) Call(ctx context.Context, address string, call *wire.SidecarCall, header http.Header, body *reply.Payload, abort *Abort) *reply.Reply {
 	added := make(http.Header, maxCallHeaders)
 	if err := call.EncodeHeaders(added); err != nil {
 		return reply.NotRun(outcome.ReasonBadMessage)
 	}
-	var response *http.Response
-	var connected bool
-	var err error
-	if body.Stream == nil && len(body.Data) <= maxDirectBody {
-		response, connected, err = c.calls.roundTrip(ctx, address, added, header, c.names, body.Data)
-	} else {
-		response, connected, err = c.sendLong(ctx, address, added, header, body)
+	if body.Stream != nil || len(body.Data) > maxDirectBody {
+		return c.callLong(ctx, address, call, added, header, body, abort)
+	}
+	response, connected, err := c.calls.roundTrip(ctx, address, added, header, c.names, body.Data, abort)
+	return c.finish(ctx, call, response, connected, err, abort)
+}
+
+// callLong is Call for a body that is too long to be written before the response is read.
+func (c *Client) callLong(ctx context.Context, address string, call *wire.SidecarCall, added, header http.Header, body *reply.Payload, abort *Abort) *reply.Reply {
+	ctx, cancel := context.WithCancel(ctx)
+	abort.attach(cancel)
+	response, connected, err := c.sendLong(ctx, address, added, header, body)
+	answer := c.finish(ctx, call, response, connected, err, abort)
+	if answer.Stream == nil {
+		abort.detach()
+		cancel()
 	}
+	return answer
+}
+
+// finish returns the reply to a call from its response, or from the error of its round trip.
+func (c *Client) finish(ctx context.Context, call *wire.SidecarCall, response *http.Response, connected bool, err error, abort *Abort) *reply.Reply {
 	if err != nil {
-		return classifyError(ctx, connected)
+		return classifyError(ctx, connected, abort.Aborted())
 	}
 	answer := readReply(ctx, response)
 	c.names.RestoreRequestID(answer, call)
@@ -189,9 +204,9 @@
 }
 
 // classifyError returns the reply to a failed round trip. Nothing was sent without a connection.
-func classifyError(ctx context.Context, connected bool) *reply.Reply {
+func classifyError(ctx context.Context, connected, aborted bool) *reply.Reply {
 	switch {
-	case !connected && ctx.Err() != nil:
+	case !connected && (aborted || ctx.Err() != nil):
 		return reply.NotRun(reply.CancelReason(ctx))
 	case !connected:
 		return reply.NotRun(outcome.ReasonUnreachable)
--- a/internal/sidecar/peer/connections.go
+++ b/internal/sidecar/peer/connections.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/landingmast/landingmast/internal/failure"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
 	"github.com/landingmast/landingmast/internal/sidecar/targetlink"
@@ -36,6 +37,7 @@
 	head      int64 // bytes that may still be read of a response's head
 	reused    bool
 	idleSince time.Time
+	shut      func() // closes the connection
 }
 
 const (
@@ -62,7 +64,7 @@
 }
 
 // acquire returns an idle connection to an address, or a new one.
-func (p *connections) acquire(ctx context.Context, address string) (*connection, error) {
+func (p *connections) acquire(ctx context.Context, address string, abort *Abort) (*connection, error) {
 	for {
 		conn := p.takeIdle(address)
 		if conn == nil {
@@ -74,11 +76,11 @@
 		}
 		_ = conn.Close()
 	}
-	raw, err := p.dial(ctx, "tcp", address)
+	raw, err := p.dialAbortable(ctx, address, abort)
 	if err != nil {
 		return nil, err
 	}
-	conn := &connection{Conn: raw, pool: p, address: address, head: unlimited}
+	conn := &connection{Conn: raw, pool: p, address: address, head: unlimited, shut: func() { _ = raw.Close() }}
 	conn.reader = bufio.NewReaderSize(conn, bufferSize)
 	if conn.isIdle = targetlink.IdleCheck(raw); conn.isIdle == nil {
 		conn.isIdle = conn.probe
@@ -86,6 +88,15 @@
 	return conn, nil
 }
 
+// dialAbortable opens a connection unless the call is aborted.
+func (p *connections) dialAbortable(ctx context.Context, address string, abort *Abort) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	abort.attach(cancel)
+	defer abort.detach()
+	return p.dial(ctx, "tcp", address)
+}
+
 // probeTime is how long probe waits for the end of a connection.
 const probeTime = 10 * time.Microsecond
 
@@ -175,6 +186,9 @@
 	}
 }
 
+// errAborted is the error of a call that was aborted before anything was sent.
+const errAborted = errors.ConstError("call was aborted (remedy: none; another node is tried)")
+
 // bodyMethod is the request that net/http needs to tell whether a response has a body.
 var bodyMethod = &http.Request{Method: http.MethodPost}
 
@@ -187,7 +201,7 @@
 // roundTrip sends a request with a short body to an address. connected reports whether the error came
 // after a connection was established, so that the request may have been sent. The caller must close
 // the body of the response.
-func (p *connections) roundTrip(ctx context.Context, address string, added, forwarded http.Header, names headers.Names, body []byte) (response *http.Response, connected bool, err error) {
+func (p *connections) roundTrip(ctx context.Context, address string, added, forwarded http.Header, names headers.Names, body []byte, abort *Abort) (response *http.Response, connected bool, err error) {
 	buffer := buffers.Get().(*[]byte)
 	data := append((*buffer)[:0], "POST "+CallPath+" HTTP/1.1\r\nHost: "...)
 	data = append(append(data, address...), "\r\n"...)
@@ -209,22 +223,25 @@
 		}
 	}()
 	for {
-		conn, err := p.acquire(ctx, address)
+		conn, err := p.acquire(ctx, address, abort)
 		if err != nil {
 			return nil, false, err
 		}
-		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		if !abort.attach(conn.shut) {
+			return nil, false, errAborted
+		}
+		stop := context.AfterFunc(ctx, conn.shut)
 		written, err := conn.Write(data)
 		if err == nil {
 			response, err = conn.readResponse()
 		}
 		if err == nil {
-			response.Body = &responseBody{ReadCloser: response.Body, conn: conn, stop: stop, reusable: !response.Close && isDelimited(response)}
+			response.Body = &responseBody{ReadCloser: response.Body, conn: conn, stop: stop, abort: abort, reusable: !response.Close && isDelimited(response)}
 			return response, true, nil
 		}
 		stop()
 		_ = conn.Close()
-		if written > 0 || !conn.reused || ctx.Err() != nil {
+		if aborted := !abort.detach(); written > 0 || !conn.reused || aborted || ctx.Err() != nil {
 			return nil, true, err
 		}
 	}
@@ -252,6 +269,7 @@
 	io.ReadCloser
 	conn     *connection
 	stop     func() bool
+	abort    *Abort
 	reusable bool
 	eof      bool
 }
@@ -272,7 +290,8 @@
 		return nil
 	}
 	b.conn = nil
-	if b.stop() && b.eof && b.reusable && conn.reader.Buffered() == 0 {
+	stopped, detached := b.stop(), b.abort.detach()
+	if stopped && detached && b.eof && b.reusable && conn.reader.Buffered() == 0 {
 		conn.pool.release(conn)
 		return nil
 	}
--- a/internal/sidecar/peer/connections_test.go
+++ b/internal/sidecar/peer/connections_test.go
@@ -47,7 +47,7 @@
 }
 
 func (p *testPeer) call(ctx context.Context, header http.Header, body []byte) *reply.Reply {
-	return p.client.Call(ctx, p.Listener.Addr().String(), &wire.SidecarCall{RequestID: "a"}, header, &reply.Payload{Data: body})
+	return p.client.Call(ctx, p.Listener.Addr().String(), &wire.SidecarCall{RequestID: "a"}, header, &reply.Payload{Data: body}, nil)
 }
 
 // Guards against changes of a request or of a response on the way, with short and long bodies.
@@ -170,7 +170,7 @@
 	calls.closeExpired()
 	g.Expect(calls.idle).To(BeEmpty())
 	g.Expect(calls.sweep).To(BeNil())
-	conn, err := calls.acquire(t.Context(), p.Listener.Addr().String())
+	conn, err := calls.acquire(t.Context(), p.Listener.Addr().String(), nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	calls.close()
 	calls.release(conn) // returned after the shutdown
@@ -182,10 +182,42 @@
 	g := NewWithT(t)
 	near, far := net.Pipe()
 	calls := newConnections(func(context.Context, string, string) (net.Conn, error) { return near, nil })
-	conn, err := calls.acquire(t.Context(), "x")
+	conn, err := calls.acquire(t.Context(), "x", nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(conn.isIdle()).To(BeTrue())
 	g.Expect(conn.isIdle()).To(BeTrue())
 	_ = far.Close()
 	g.Expect(conn.isIdle()).To(BeFalse())
 }
+
+// Guards against waiting for a node that was found unresponsive, and against closing a connection that
+// a later call uses.
+func TestAbortEndsOnlyItsCall(t *testing.T) {
+	for _, size := range []int{0, maxDirectBody + 1} {
+		g := NewWithT(t)
+		blocked := make(chan struct{}, 1)
+		p := newTestPeer(t, func(_ http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("X-Block") != "" {
+				_, _ = io.Copy(io.Discard, r.Body)
+				blocked <- struct{}{}
+				<-r.Context().Done()
+			}
+		})
+		call := func(header http.Header, abort *Abort) *reply.Reply {
+			return p.client.Call(t.Context(), p.Listener.Addr().String(), &wire.SidecarCall{}, header, &reply.Payload{Data: make([]byte, size)}, abort)
+		}
+		var done, running, early Abort
+		g.Expect(call(http.Header{}, &done).Outcome).To(Equal(outcome.Answered))
+		done.Do()
+		g.Expect(call(http.Header{}, nil).Outcome).To(Equal(outcome.Answered))
+		g.Expect(p.connections.Load()).To(Equal(int64(1)))
+		go func() {
+			<-blocked
+			running.Do()
+		}()
+		g.Expect(call(http.Header{"X-Block": {"1"}}, &running).Outcome).To(Equal(outcome.Unknown))
+		early.Do()
+		g.Expect(call(http.Header{}, &early).Outcome).To(Equal(outcome.NotRun))
+		g.Expect(p.calls.Load()).To(Equal(int64(3)))
+	}
+}
--- a/internal/sidecar/peer/liveness.go
+++ b/internal/sidecar/peer/liveness.go
@@ -22,8 +22,8 @@
 // PingPath is answered as soon as the node's process is running.
 const PingPath = "/ping"
 
-// ErrUnresponsive is the cancellation cause of attempts at a node that stopped responding.
-const ErrUnresponsive = errors.ConstError("node is unresponsive")
+// errUnresponsive stands for the failed pings that made a node unresponsive.
+const errUnresponsive = errors.ConstError("node is unresponsive")
 
 // Liveness detects unresponsive nodes among those with requests in flight. A request without a
 // response proves nothing, since it may take long, so the node is pinged; a failed ping marks it as
@@ -57,7 +57,7 @@
 	liveness *Liveness
 	node     string
 	address  string
-	cancel   context.CancelCauseFunc // nil if the request must not be abandoned
+	abort    *Abort // nil if the request must not be abandoned
 	timer    *time.Timer
 }
 
@@ -86,7 +86,7 @@
 }
 
 func (l *Liveness) pingUntilRecovered(node, address string) {
-	var err error = ErrUnresponsive
+	var err error = errUnresponsive
 	for tries := 0; err != nil && tries < maxRecoveryPings; tries++ {
 		select {
 		case <-l.closed:
@@ -115,10 +115,10 @@
 	return l.ping(ctx, address)
 }
 
-// Watch starts observing a request; End must be called when it finishes. cancel is called if the
+// Watch starts observing a request; End must be called when it finishes. abort ends the request if the
 // node becomes unresponsive; it is nil for a request that cannot be sent elsewhere.
-func (l *Liveness) Watch(node, address string, cancel context.CancelCauseFunc) *watch {
-	w := &watch{liveness: l, node: node, address: address, cancel: cancel}
+func (l *Liveness) Watch(node, address string, abort *Abort) *watch {
+	w := &watch{liveness: l, node: node, address: address, abort: abort}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.peer(node).watches[w] = true
@@ -198,8 +198,8 @@
 	l.events.Unresponsive(node)
 	l.StartRecovery(node, address)
 	for _, w := range watches {
-		if w.cancel != nil {
-			w.cancel(ErrUnresponsive)
+		if w.abort != nil {
+			w.abort.Do()
 		}
 	}
 }
