Read pipelined requests ahead (internal/pipeline)

What callers saw: a request behind another one on its connection was read only after the first was answered, and a client that disconnected meanwhile was not noticed.

Cause: net/http reads one byte while a handler runs. With a byte of the next request it stops reading, so it sees neither that request nor the end of the connection.

Change: a listener whose connections split the stream. The pending read of net/http reads ahead; complete GET and HEAD requests without a body are served by the same server on virtual connections, and their responses are written in order. Limits: 16 requests and 64 KB per connection, 1,024 and 4 MB per node. servers.Close waits for responses in line before Shutdown, since net/http then adds "Connection: close" to each response. Not used by the node yet.

--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -16,19 +16,36 @@
 	listener net.Listener
 	mu       sync.Mutex
 	newConns map[net.Conn]time.Time // opening time of connections without a first response
+	next     func(net.Conn, http.ConnState)
 }
 
-// New returns a Server for a listener. It replaces the ConnState hook of server.
+// New returns a Server for a listener. It adds to the ConnState hook of server.
 func New(listener net.Listener, server *http.Server) *Server {
-	s := &Server{Server: server, listener: listener, newConns: map[net.Conn]time.Time{}}
+	s := &Server{Server: server, listener: listener, newConns: map[net.Conn]time.Time{}, next: server.ConnState}
 	server.ConnState = s.trackState
 	return s
 }
 
+// backlog is implemented by listeners that hand out requests read ahead of earlier responses.
+type backlog interface {
+	// Pending reports whether a response to such a request is outstanding.
+	Pending() bool
+}
+
+// awaitsResponses reports whether responses to requests read ahead are outstanding. After Shutdown,
+// net/http would add "Connection: close" to each, which cuts the ones behind it.
+func (s *Server) awaitsResponses() bool {
+	pipelined, ok := s.listener.(backlog)
+	return ok && pipelined.Pending()
+}
+
 // Run accepts connections until the listener is closed.
 func (s *Server) Run() error { return s.Serve(s.listener) }
 
 func (s *Server) trackState(conn net.Conn, state http.ConnState) {
+	if s.next != nil {
+		s.next(conn, state)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -76,7 +93,8 @@
 
 // Close shuts down the servers concurrently. It closes the listeners, waits for the first requests
 // on connections that were opened shortly before, since net/http drops requests that it reads
-// after Shutdown, and then waits for the requests in flight. Connections that are still open are
+// after Shutdown, and for the responses to pipelined requests, and then waits for the requests in
+// flight. Connections that are still open are
 // cut once inFlight has been zero for flushTimeout, or when ctx is done. inFlight returns the
 // number of requests whose handlers have not returned.
 func Close(ctx context.Context, servers []*Server, inFlight func() int64) {
@@ -132,7 +150,7 @@
 func anyAwaitsFirstRequest(servers []*Server) bool {
 	now := time.Now()
 	for _, server := range servers {
-		if server.awaitsFirstRequest(now) {
+		if server.awaitsFirstRequest(now) || server.awaitsResponses() {
 			return true
 		}
 	}
