Use read-ahead on the listener for clients

What callers saw: 6 requests of 20 ms sent at once on one connection took 100 ms, since each was read after the response to the one before.

Change: listen.outbound reads ahead (internal/pipeline). During a shutdown a response carries "Connection: close" only if no request behind it was read: closeAfter asks pipeline.MayClose with the context of the request. policy.off: pipelining. Metrics: pipelined_requests_total, pipelines_at_limit.

Also: a request that was buffered when its client disconnected is dropped, also if the running one ends well; writers that wait for room in the buffer of responses continue when there is some; the reader that a deadline wakes no longer meets a held lock.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -81,14 +81,14 @@
 			return 0, net.ErrClosed
 		case len(p) == 0:
 			return 0, nil
+		case c.readErr != nil: // what the client sent before counts as unread
+			return 0, c.readErr
 		case c.phase == handling, len(c.line) > 0:
 			if n, err := c.readAhead(p); err != nil || n > 0 {
 				return n, err
 			}
 		case len(c.input) > 0:
 			return c.takeInput(p), nil
-		case c.readErr != nil:
-			return 0, c.readErr
 		default:
 			return c.readCurrent(p)
 		}
@@ -196,10 +196,7 @@
 // readAhead reads data into the input while earlier requests are unanswered. It returns 0 and no error
 // when the caller has to check the state again.
 func (c *conn) readAhead(p []byte) (int, error) {
-	switch {
-	case c.readErr != nil:
-		return 0, c.readErr
-	case past(c.deadline):
+	if past(c.deadline) {
 		return 0, os.ErrDeadlineExceeded
 	}
 	c.admit()
@@ -317,6 +314,9 @@
 		r := c.line[0]
 		if len(r.output) > 0 {
 			data := r.takeOutput()
+			for _, behind := range c.line[1:] {
+				behind.changed.Broadcast() // their writers may wait for room
+			}
 			c.mu.Unlock()
 			_, err := c.Conn.Write(data)
 			c.mu.Lock()
@@ -420,15 +420,19 @@
 // empty.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
+	c.deadline, c.idleLimit = t, 0
+	c.changed.Broadcast()
+	if c.busy || len(c.line) == 0 {
+		// The line does not move. The reader that this wakes needs mu.
+		c.mu.Unlock()
+		return c.Conn.SetReadDeadline(t)
+	}
 	defer c.mu.Unlock()
-	c.idleLimit = 0
-	if !c.busy && len(c.line) > 0 && !t.IsZero() && !past(t) {
+	if !t.IsZero() && !past(t) {
 		c.idleLimit = time.Until(t)
-		t = time.Time{}
+		c.deadline = time.Time{}
 	}
-	c.deadline = t
-	c.changed.Broadcast()
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(c.deadline)
 }
 
 // SetDeadline implements net.Conn.
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -211,3 +212,42 @@
 	c.listener.writes.Add(1)
 	return c.Conn.Write(p)
 }
+
+// BenchmarkKeepAlive measures a request of a client that sends one at a time.
+func BenchmarkKeepAlive(b *testing.B) {
+	for _, pipelined := range []bool{false, true} {
+		b.Run(map[bool]string{false: "direct", true: "pipeline"}[pipelined], func(b *testing.B) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			address := listener.Addr().String()
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "body") })}
+			var ahead func() int64
+			if pipelined {
+				wrapped := New(listener, server, Options{})
+				listener, ahead = wrapped, wrapped.Total
+			}
+			go func() { _ = server.Serve(listener) }()
+			defer server.Close()
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = io.WriteString(conn, get("/"))
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+			}
+			if ahead != nil {
+				b.ReportMetric(float64(ahead())/float64(b.N), "ahead/op")
+			}
+		})
+	}
+}
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -50,6 +50,9 @@
 	RateLimit, RateLimitAge func() float64
 	// StoreAge is the time since the last response of the store in seconds.
 	StoreAge func() float64
+	// PipelinedRequests is the number of requests read ahead since the start, PipelinesAtLimit that of
+	// connections whose further requests wait because of a limit.
+	PipelinedRequests, PipelinesAtLimit func() float64
 	// EachPrice calls f for each service with a congestion price, with its offered load.
 	EachPrice func(f func(service string, price, offered float64))
 }
@@ -105,9 +108,13 @@
 		{"waiting", "Requests that wait for a slot.", gauges.Waiting},
 		{"in_flight", "Requests that the node is serving.", gauges.InFlight},
 		{"store_age_seconds", "Time since the store last answered.", gauges.StoreAge},
+		{"pipelines_at_limit", "Connections of clients whose requests ahead, or their answers, wait because of a limit.", gauges.PipelinesAtLimit},
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: gauge.name, Help: gauge.help}, gauge.read))
 	}
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: "pipelined_requests_total", Help: "Requests that were handled before an earlier one on their connection was answered.",
+	}, gauges.PipelinedRequests))
 	m.registry.MustRegister(&priceCollector{each: gauges.EachPrice})
 	return m
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -18,6 +18,7 @@
 	"github.com/landingmast/landingmast/internal/clock"
 	"github.com/landingmast/landingmast/internal/core/retrybudget"
 	"github.com/landingmast/landingmast/internal/failure"
+	"github.com/landingmast/landingmast/internal/pipeline"
 	"github.com/landingmast/landingmast/internal/servers"
 	"github.com/landingmast/landingmast/internal/sidecar/admission"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
@@ -98,6 +99,7 @@
 	storeHealth     *storehealth.Health
 	servers         []*servers.Server
 	listeners       []net.Listener
+	pipelines       *pipeline.Listener // accepts connections of clients; nil if nothing is read ahead
 	background      sync.WaitGroup
 }
 
@@ -156,6 +158,7 @@
 	prices = settings.Prices
 
 	targetState = settings.TargetState
+	pipelining  = settings.Pipelining
 )
 
 // policyOn reports whether a mechanism is enabled.
@@ -234,9 +237,14 @@
 			return failure.Wrap(err, failure.BadInput, "use a free address of this machine", "settings: %s: %s", l.key, l.address)
 		}
 		n.listeners = append(n.listeners, listener)
-		n.servers = append(n.servers, servers.New(listener, &http.Server{
+		server := &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.serverLog(),
-		}))
+		}
+		if l.key == "listen.outbound" && n.policyOn(pipelining) {
+			n.pipelines = pipeline.New(listener, server, pipeline.Options{Stopping: n.shutdown.stopping.Load})
+			listener = n.pipelines
+		}
+		n.servers = append(n.servers, servers.New(listener, server))
 	}
 	return nil
 }
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -24,7 +24,19 @@
 		HeldBack:     func() float64 { return float64(n.heldBack.Count()) },
 		InFlight:     func() float64 { return float64(n.inFlight.Load()) },
 		StoreAge:     func() float64 { return n.storeHealth.Age().Seconds() },
-		EachPrice:    func(f func(service string, price, offered float64)) { n.admission.EachPrice(f) },
+		PipelinedRequests: func() float64 {
+			if n.pipelines == nil {
+				return 0
+			}
+			return float64(n.pipelines.Total())
+		},
+		PipelinesAtLimit: func() float64 {
+			if n.pipelines == nil {
+				return 0
+			}
+			return float64(n.pipelines.Limited())
+		},
+		EachPrice: func(f func(service string, price, offered float64)) { n.admission.EachPrice(f) },
 	}
 }
 
--- a/internal/sidecar/options.go
+++ b/internal/sidecar/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/landingmast/landingmast/internal/core/roster"
 	"github.com/landingmast/landingmast/internal/duplex"
+	"github.com/landingmast/landingmast/internal/pipeline"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
 	"github.com/landingmast/landingmast/internal/sidecar/entry"
 	"github.com/landingmast/landingmast/internal/sidecar/follower"
@@ -169,7 +170,7 @@
 		Ingress: n.ingress, Quarantine: n.heldBack, Quotas: n.quotas, Services: n.services, Admission: n.admission, Liveness: n.liveness,
 		PeerClient: n.peers, Members: n.membership, States: n.states, SyncWith: n.exchanger.SyncInBackground, PolicyOn: n.policyOn, Metrics: n.metrics, Events: n.events,
 		Begin: func(w http.ResponseWriter, r *http.Request) (*duplex.Writer, *http.Request, func(), bool) {
-			return n.beginRequest(w, r, n.shutdown.stopping.Load, &n.shutdown.rejectClients)
+			return n.beginRequest(w, r, func() bool { return n.shutdown.stopping.Load() && pipeline.MayClose(r.Context()) }, &n.shutdown.rejectClients)
 		},
 		CountClient: n.countClient,
 	}
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -40,9 +40,11 @@
 	HoldBack Mechanism = "hold_back"
 	// TargetState follows what targets state in their responses: a rate limit, or that they leave.
 	TargetState Mechanism = "target_state"
+	// Pipelining handles requests that clients send before an earlier one is answered.
+	Pipelining Mechanism = "pipelining"
 )
 
-var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState}
+var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining}
 
 // Enabled reports whether m is enabled.
 func (p Policy) Enabled(m Mechanism) bool { return !slices.Contains(p.Off, m) }
--- a/internal/testbed/deployment/deployment.go
+++ b/internal/testbed/deployment/deployment.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/sidecar/settings"
 	"github.com/landingmast/landingmast/internal/testbed/target"
 )
 
@@ -54,6 +55,8 @@
 	// IgnoresState selects machines whose nodes do not follow what targets state, like those of an
 	// earlier release, by index and service; nil: none.
 	IgnoresState func(index int, service string) bool
+	// PolicyOff lists mechanisms that are disabled at all nodes.
+	PolicyOff []settings.Mechanism
 }
 
 // Service describes the targets of a service.
--- a/internal/testbed/machine.go
+++ b/internal/testbed/machine.go
@@ -49,6 +49,7 @@
 		Store:  settings.Store{Address: m.mesh.env.StoreAddress, ReadsPerSecond: float64(m.mesh.Plan.ReadsPerSecond)},
 	}
 	chosen.Keys.FailClosed = true
+	chosen.Policy.Off = append(chosen.Policy.Off, m.mesh.Plan.PolicyOff...)
 	if m.ignoresState {
 		chosen.Policy.Off = append(chosen.Policy.Off, settings.TargetState)
 	}
