Test the end of a client behind a handler that goes on, and slow shutdowns

Three of seven mutants of the read-ahead were not found by the tests: requests in line that are not cancelled when the client disconnects, buffered requests that are served after it, and a Shutdown that does not wait for responses in line. Each is found now.

--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -33,9 +33,9 @@
 	contexts map[string]context.Context
 }
 
-// newServer starts a server. Its handler responds to /wait... once release is called for the path, to
-// /size/N with N bytes, to /broken with half a response, and to all others after a random time. The
-// body of a response is the path, and the request body.
+// newServer starts a server. Its handler responds to /wait... and /stubborn once release is called for
+// the path, to /size/N with N bytes, to /broken with half a response, and to all others after a random
+// time. The body of a response is the path, and the request body.
 func newServer(t *testing.T) *testServer {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
@@ -71,6 +71,8 @@
 		case <-r.Context().Done():
 			panic(http.ErrAbortHandler)
 		}
+	case r.URL.Path == "/stubborn": // does not notice that its client has left
+		<-s.gate(r.URL.Path)
 	case strings.HasPrefix(r.URL.Path, "/size/"):
 		n, _ := strconv.Atoi(r.URL.Path[len("/size/"):])
 		text = strings.Repeat("x", n)
@@ -376,6 +378,26 @@
 	}
 }
 
+// Guards against requests that wait behind one whose handler goes on after the client has
+// disconnected: those that run must be cancelled, and the others must never run.
+func TestClientCloseBehindStubbornHandler(t *testing.T) {
+	for ahead := range int64(3) {
+		t.Run(fmt.Sprintf("%d requests ahead", ahead), func(t *testing.T) {
+			s := newServer(t)
+			c := s.dial(t)
+			c.send(get("/stubborn") + strings.Repeat(get("/wait1"), int(ahead)) + post("/p", "body"))
+			c.g.Eventually(s.started.Load, "5s", "1ms").Should(Equal(1 + ahead))
+			time.Sleep(10 * time.Millisecond) // until the rest is buffered
+			_ = c.Close()
+			c.g.Eventually(s.cancelled, "100ms", "1ms").Should(BeTrue())
+			c.g.Eventually(s.ended.Load, "5s", "1ms").Should(Equal(ahead))
+			s.release("/stubborn")
+			s.idle(c.g)
+			c.g.Consistently(s.started.Load, "50ms", "5ms").Should(Equal(1 + ahead))
+		})
+	}
+}
+
 // Guards against requests that run, or responses that are sent, after the end of the connection was
 // announced.
 func TestClosingResponseCancelsThoseBehind(t *testing.T) {
--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -23,16 +23,18 @@
 		name, stream string
 		started      int64 // before the shutdown
 		bodies       []string
-		announced    bool // whether the last response is begun after the start of the shutdown
+		announced    bool          // whether the last response is begun after the start of the shutdown
+		delay        time.Duration // before the first response
 	}{
-		{"one request", get("/wait"), 1, []string{"/wait"}, true},
-		{"requests ahead", get("/wait") + get("/wait1") + get("/wait2"), 3, []string{"/wait", "/wait1", "/wait2"}, true},
-		{"half a request buffered", get("/wait") + get("/wait1") + "GET /", 2, []string{"/wait", "/wait1"}, true},
-		{"request with a body buffered", get("/wait") + get("/wait1") + post("/p", "body"), 2, []string{"/wait", "/wait1"}, true},
-		{"request with a body behind one", get("/wait") + post("/p", "body"), 1, []string{"/wait"}, true},
-		{"response buffered", get("/wait") + get("/quick"), 2, []string{"/wait", "/quick"}, false},
-		{"last response buffered in part", get("/wait") + get("/size/200000"), 2, []string{"/wait", strings.Repeat("x", 200000)}, false},
-		{"idle", get("/quick"), 1, []string{"/quick"}, false},
+		{"one request", get("/wait"), 1, []string{"/wait"}, true, 0},
+		{"requests ahead", get("/wait") + get("/wait1") + get("/wait2"), 3, []string{"/wait", "/wait1", "/wait2"}, true, 0},
+		{"requests ahead for long", get("/wait") + get("/wait1") + get("/wait2"), 3, []string{"/wait", "/wait1", "/wait2"}, true, 500 * time.Millisecond},
+		{"half a request buffered", get("/wait") + get("/wait1") + "GET /", 2, []string{"/wait", "/wait1"}, true, 0},
+		{"request with a body buffered", get("/wait") + get("/wait1") + post("/p", "body"), 2, []string{"/wait", "/wait1"}, true, 0},
+		{"request with a body behind one", get("/wait") + post("/p", "body"), 1, []string{"/wait"}, true, 0},
+		{"response buffered", get("/wait") + get("/quick"), 2, []string{"/wait", "/quick"}, false, 0},
+		{"last response buffered in part", get("/wait") + get("/size/200000"), 2, []string{"/wait", strings.Repeat("x", 200000)}, false, 0},
+		{"idle", get("/quick"), 1, []string{"/quick"}, false, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -55,6 +57,7 @@
 			if tc.announced {
 				c.send(get("/late")) // not read
 			}
+			time.Sleep(tc.delay)
 			for _, path := range []string{"/wait2", "/wait1", "/wait"} {
 				s.release(path)
 				time.Sleep(5 * time.Millisecond)
