--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -101,6 +101,13 @@
 	return !ok || member.mayClose()
 }
 
+// ReadAhead reports whether the request with this context was read before the response to an earlier
+// one on its connection was complete.
+func ReadAhead(ctx context.Context) bool {
+	_, ahead := ctx.Value(contextKey{}).(*request)
+	return ahead
+}
+
 // Accept implements net.Listener. Connections with TLS are not wrapped, since net/http has to
 // recognize them.
 func (l *Listener) Accept() (net.Conn, error) {
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -247,6 +247,11 @@
 		c.expect(body)
 	}
 	s.idle(g)
+	s.mu.Lock()
+	for path, ahead := range map[string]bool{"/wait": false, "/a": true, "/b": true, "/c": false} {
+		g.Expect(ReadAhead(s.contexts[path])).To(Equal(ahead), path)
+	}
+	s.mu.Unlock()
 	c.send(get("/again")) // the connection stays usable
 	c.expect("/again")
 }
--- a/internal/pipeline/split_test.go
+++ b/internal/pipeline/split_test.go
@@ -38,8 +38,8 @@
 	get("/a") + "GET /b HTTP/1.1\r\nHost: x\r\nA: \rb\r\n\r\n" + get("/c"),
 }
 
-// Guards against a stream that is split in another way than net/http reads it: a part of a body that
-// is handled as a request could be forged by a client of another client's proxy.
+// Guards against a stream that is split in another way than net/http reads it: where a proxy sends
+// requests of several clients on a connection, one client could insert requests of another one.
 func FuzzSplit(f *testing.F) {
 	for _, seed := range seeds {
 		for _, size := range []byte{1, 7, 255} {
