Read ahead behind chunked bodies too

Cause: after a request with a chunked body the connection was passed through unsplit for good, so that further requests waited for each other.

Change: the end of a chunked body is found where it has the plain form (no chunk extensions, no trailers); any other form is passed through as before.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -38,7 +38,10 @@
 	phase phase
 	busy  bool   // the current request was read in part and is not answered
 	head  []byte // the head of the current request, if it arrived in parts
-	body  int64  // bytes of the current request's body that are not read
+	body  int64  // bytes of the current request's body that are not read, unless it is chunked
+
+	chunked  bool     // the body is chunked
+	chunking chunking // how far a chunked body was read
 
 	input   []byte // read from the connection but not passed to the server
 	scanned int    // bytes of input that are known to hold no end of a head
@@ -97,9 +100,6 @@
 
 // readCurrent reads data of the current request directly into p.
 func (c *conn) readCurrent(p []byte) (int, error) {
-	if c.phase == readingBody {
-		p = p[:min(int64(len(p)), c.body)]
-	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -115,11 +115,7 @@
 
 // takeInput moves buffered data of the current request to p.
 func (c *conn) takeInput(p []byte) int {
-	n := min(len(p), len(c.input))
-	if c.phase == readingBody {
-		n = int(min(int64(n), c.body))
-	}
-	n = c.advance(c.input[:n])
+	n := c.advance(c.input[:min(len(p), len(c.input))])
 	copy(p, c.input[:n])
 	c.discard(n)
 	return n
@@ -133,11 +129,28 @@
 		c.busy = true
 		return c.advanceHead(data)
 	case readingBody:
-		if c.body -= int64(len(data)); c.body == 0 {
+		return c.advanceBody(data)
+	}
+	return len(data)
+}
+
+func (c *conn) advanceBody(data []byte) int {
+	if c.chunked {
+		n, ended, ok := c.chunking.advance(data)
+		if !ok {
+			c.passThrough()
+			return len(data)
+		}
+		if ended {
 			c.phase = handling
 		}
+		return n
 	}
-	return len(data)
+	n := int(min(int64(len(data)), c.body))
+	if c.body -= int64(n); c.body == 0 {
+		c.phase = handling
+	}
+	return n
 }
 
 func (c *conn) advanceHead(data []byte) int {
@@ -165,14 +178,9 @@
 		return len(data)
 	}
 	c.ending = c.ending || parsed.closes
-	length := len(data)
-	if rest := int64(len(text) - end); parsed.body <= rest {
-		c.phase = handling
-		length = end - before + int(parsed.body)
-	} else {
-		c.phase, c.body = readingBody, parsed.body-rest
-	}
-	return length
+	c.phase, c.body, c.chunked, c.chunking = readingBody, parsed.body, parsed.chunked, chunking{}
+	length := end - before
+	return length + c.advanceBody(data[length:])
 }
 
 // passThrough gives up splitting the connection into requests. No request is in line then.
--- a/internal/pipeline/head.go
+++ b/internal/pipeline/head.go
@@ -6,7 +6,8 @@
 type head struct {
 	repeatable bool  // GET or HEAD without a body, an expectation or an upgrade: may be read ahead
 	closes     bool  // the client asks to close the connection after the response
-	body       int64 // length of the body
+	body       int64 // length of the body, unless it is chunked
+	chunked    bool
 }
 
 var endOfHead = []byte("\r\n\r\n")
@@ -14,7 +15,7 @@
 // parseHead parses a complete request head, including its final empty line. It is stricter than
 // net/http: ok is false for heads that net/http may read in another way than this function, or whose
 // end or body length it cannot tell. These include line ends without CR, continuation lines, transfer
-// codings, upgrades, versions other than 1.1 and requests without a Host.
+// codings other than chunked, upgrades, versions other than 1.1 and requests without a Host.
 func parseHead(data []byte) (h head, ok bool) {
 	line, rest, _ := bytes.Cut(data, crlf)
 	method, line, _ := bytes.Cut(line, space)
@@ -44,7 +45,12 @@
 			}
 		case bytes.EqualFold(name, host):
 			hosts++
-		case bytes.EqualFold(name, transferEncoding), bytes.EqualFold(name, upgrade):
+		case bytes.EqualFold(name, transferEncoding):
+			if h.chunked || !bytes.EqualFold(value, chunkedCoding) {
+				return head{}, false
+			}
+			h.chunked = true
+		case bytes.EqualFold(name, upgrade):
 			return head{}, false
 		case bytes.EqualFold(name, expect):
 			expects = true
@@ -53,8 +59,8 @@
 		}
 	}
 	isRead := string(method) == "GET" || string(method) == "HEAD"
-	h.repeatable = isRead && h.body == 0 && !expects
-	return h, hosts == 1 && len(rest) == 0
+	h.repeatable = isRead && h.body == 0 && !h.chunked && !expects
+	return h, hosts == 1 && len(rest) == 0 && (!h.chunked || lengths == 0)
 }
 
 var (
@@ -64,6 +70,7 @@
 	host             = []byte("Host")
 	contentLength    = []byte("Content-Length")
 	transferEncoding = []byte("Transfer-Encoding")
+	chunkedCoding    = []byte("chunked")
 	upgrade          = []byte("Upgrade")
 	expect           = []byte("Expect")
 	connection       = []byte("Connection")
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -193,12 +193,9 @@
 					stream.WriteString(post(path, body))
 					path += body
 				case 1:
-					if i > 60 { // nothing is read ahead afterwards
-						stream.WriteString(chunked(path, "body"))
-						path += "body"
-						break
-					}
-					stream.WriteString(get(path))
+					body := strings.Repeat("c", 1+rand.IntN(6000))
+					stream.WriteString(chunked(path, body))
+					path += body
 				case 2:
 					size := rand.IntN(40000)
 					stream.WriteString(get("/size/" + strconv.Itoa(size)))
@@ -280,13 +277,13 @@
 // at every position.
 func TestBytesSplitAnywhere(t *testing.T) {
 	s := newServer(t)
-	stream := get("/quick") + post("/quick", "body") + get("/quick") + get("/quick") + "HEAD /quick HTTP/1.1\r\nHost: x\r\n\r\n" + get("/quick")
+	stream := get("/quick") + post("/quick", "body") + get("/quick") + chunked("/quick", "body") + get("/quick") + "HEAD /quick HTTP/1.1\r\nHost: x\r\n\r\n" + get("/quick")
 	for i := 1; i < len(stream); i++ {
 		c := s.dial(t)
 		c.send(stream[:i])
 		time.Sleep(200 * time.Microsecond)
 		c.send(stream[i:])
-		for _, body := range []string{"/quick", "/quickbody", "/quick", "/quick"} {
+		for _, body := range []string{"/quick", "/quickbody", "/quick", "/quickbody", "/quick"} {
 			c.expect(body)
 		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodHead})
@@ -366,6 +363,7 @@
 			c.expect("/wait")
 		}},
 		{"after a body", post("/a", "body") + get("/wait") + get("/wait1"), 3, func(_ *testServer, c *testClient) { c.expect("/abody") }},
+		{"after a chunked body", chunked("/a", "body") + get("/wait") + get("/wait1"), 3, func(_ *testServer, c *testClient) { c.expect("/abody") }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := newServer(t)
