A pipelined request that may run once waits for its turn; stories of refusals by price

What callers saw: nothing yet, found in review. A GET on a route that may run only once was handled as soon as it was read. If an earlier response then closes the connection, the client takes it for unread and sends it again, so that it would run twice. It now waits until the responses before it are complete (TestAwaitTurn fails without the wait).

--- a/internal/logquery/logquery.go
+++ b/internal/logquery/logquery.go
@@ -139,9 +139,11 @@
 	if tenant := line.field("tenant"); tenant != "" {
 		description += ", of tenant " + tenant
 	}
-	if price := line.number("price"); price > 0 && line.number("share") < 1 {
-		description += fmt.Sprintf(", %.2f of the route let in because %s is asked for %.2f of what it can do (price %.2f, merit of the route %.2f)", line.number("share"), line.field("decisive"), line.number("offered"), price, line.number("merit"))
-	} else if line.field("decisive") != "" {
+	switch price := line.number("price"); {
+	case price > 0 && line.number("share") >= 1: // admitted
+	case price > 0:
+		description += fmt.Sprintf(", %.2f of the route let in because %s is at %.2f of its slots and asked for %.2f of what it can do (price %.2f, merit of the route %.2f)", line.number("share"), line.field("decisive"), line.number("occupancy"), line.number("offered"), price, line.number("merit"))
+	case line.field("decisive") != "":
 		description += fmt.Sprintf(", %.2f of the route let in because %s is at %.2f of its slots", line.number("share"), line.field("decisive"), line.number("occupancy"))
 	}
 	if fits := line.number("fits"); fits > 0 {
--- a/internal/logquery/lost_test.go
+++ b/internal/logquery/lost_test.go
@@ -81,3 +81,29 @@
 	g.Expect(rows).To(HaveLen(2))
 	g.Expect(rows[1]).To(ContainSubstring("refused    1 failed    1 late    0"))
 }
+
+// The story of a request that was refused by price must give the numbers that decided, and that of an
+// admitted one must not claim that the price kept others out.
+func TestStoryOfARefusalByPrice(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		share float64
+		want  string
+	}{
+		{"refused", 0.25, "0.25 of the route let in because deep is at 1.10 of its slots and asked for 1.30 of what it can do (price 2.50, merit of the route 0.70)"},
+		{"admitted", 1, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			line := newLine("request", "10:00:00", map[string]any{
+				"request": "a", "route": "r", "service": "front", "status": 503.0, "reason": "overload", "decisive": "deep",
+				"share": tc.share, "occupancy": 1.1, "offered": 1.3, "price": 2.5, "merit": 0.7,
+			})
+			if tc.want == "" {
+				g.Expect(describeRequest(line)).NotTo(ContainSubstring("let in"))
+				return
+			}
+			g.Expect(describeRequest(line)).To(ContainSubstring(tc.want))
+		})
+	}
+}
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -108,6 +108,16 @@
 	return ahead
 }
 
+// AwaitTurn waits until the responses before the one to the request with this context are complete. A
+// request that must not run twice waits for it: if one of them closes the connection, the client takes
+// the request for unread and sends it again. It returns an error if the request was cancelled.
+func AwaitTurn(ctx context.Context) error {
+	if r, ahead := ctx.Value(contextKey{}).(*request); ahead {
+		return r.awaitTurn(ctx)
+	}
+	return nil
+}
+
 // Accept implements net.Listener. Connections with TLS are not wrapped, since net/http has to
 // recognize them.
 func (l *Listener) Accept() (net.Conn, error) {
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -28,6 +28,7 @@
 	stopping atomic.Bool
 	started  atomic.Int64
 	ended    atomic.Int64
+	once     atomic.Int64 // requests to /once that were executed
 	mu       sync.Mutex
 	gates    map[string]chan struct{} // closed to let a request of that path respond
 	contexts map[string]context.Context
@@ -80,6 +81,11 @@
 		w.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(w, "half")
 		panic(http.ErrAbortHandler)
+	case strings.HasPrefix(r.URL.Path, "/once"):
+		if AwaitTurn(r.Context()) != nil {
+			panic(http.ErrAbortHandler)
+		}
+		s.once.Add(1)
 	case r.URL.Path == "/quick":
 	default:
 		time.Sleep(rand.N(5 * time.Millisecond))
@@ -469,3 +475,42 @@
 	}
 	s.idle(g)
 }
+
+// A request that must not run twice may not be executed ahead of its turn: if an earlier response closes
+// the connection, the client sends it again.
+func TestAwaitTurn(t *testing.T) {
+	t.Run("in turn", func(t *testing.T) {
+		s := newServer(t)
+		c := s.dial(t)
+		c.send(get("/wait") + get("/once") + get("/a"))
+		c.g.Eventually(s.started.Load, "5s", "1ms").Should(Equal(int64(3)))
+		c.g.Consistently(s.once.Load, "30ms", "5ms").Should(BeZero())
+		s.release("/wait")
+		for _, body := range []string{"/wait", "/once", "/a"} {
+			c.expect(body)
+		}
+		c.g.Expect(s.once.Load()).To(Equal(int64(1)))
+		s.idle(c.g)
+	})
+	t.Run("behind a response that closes", func(t *testing.T) {
+		s := newServer(t)
+		c := s.dial(t)
+		c.send(get("/wait") + get("/broken") + get("/once"))
+		c.g.Eventually(s.started.Load, "5s", "1ms").Should(BeNumerically(">=", int64(2)))
+		s.release("/wait")
+		_, _ = io.ReadAll(c.reader)
+		c.g.Eventually(s.cancelled, "1s", "1ms").Should(BeTrue())
+		c.g.Expect(s.once.Load()).To(BeZero())
+		s.idle(c.g)
+	})
+	t.Run("client leaves", func(t *testing.T) {
+		s := newServer(t)
+		c := s.dial(t)
+		c.send(get("/wait") + get("/once"))
+		c.g.Eventually(s.started.Load, "5s", "1ms").Should(Equal(int64(2)))
+		_ = c.Close()
+		c.g.Eventually(s.cancelled, "1s", "1ms").Should(BeTrue())
+		s.idle(c.g)
+		c.g.Expect(s.once.Load()).To(BeZero())
+	})
+}
--- a/internal/pipeline/request.go
+++ b/internal/pipeline/request.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"context"
 	"io"
 	"net"
 	"os"
@@ -51,6 +52,29 @@
 	}
 }
 
+// awaitTurn waits until the response is due.
+func (r *request) awaitTurn(ctx context.Context) error {
+	defer context.AfterFunc(ctx, r.wake)()
+	r.conn.mu.Lock()
+	defer r.conn.mu.Unlock()
+	for !r.due {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if r.cancelled {
+			return context.Canceled
+		}
+		r.changed.Wait()
+	}
+	return nil
+}
+
+func (r *request) wake() {
+	r.conn.mu.Lock()
+	defer r.conn.mu.Unlock()
+	r.changed.Broadcast()
+}
+
 // Write implements net.Conn. It blocks while the response is not due and the buffer is full.
 func (r *request) Write(p []byte) (int, error) {
 	c := r.conn
--- a/internal/sidecar/entry/steps.go
+++ b/internal/sidecar/entry/steps.go
@@ -9,6 +9,7 @@
 	"github.com/landingmast/landingmast/internal/core/importance"
 	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/core/retryafter"
+	readahead "github.com/landingmast/landingmast/internal/pipeline"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
 )
@@ -22,6 +23,8 @@
 //	checkReady      while stopping or without configuration    503 stopping, no_configuration
 //	checkID         a request without an id                    400 bad_message
 //	matchRoute      a request that matches no route            404 no_route
+//	awaitTurn       a request that may run once, was read    503 cancelled
+//	                ahead and lost its connection
 //	identifyTenant  an unknown key, a key that cannot be       401 unknown_key, 503
 //	                verified, a call whose parent is gone      stale_configuration, parent_gone
 //	checkSize       a head or body over the configured limits  413 body_too_large, 431 head_too_large
@@ -33,6 +36,7 @@
 	(*request).checkReady,
 	(*request).checkID,
 	(*request).matchRoute,
+	(*request).awaitTurn,
 	(*request).identifyTenant,
 	(*request).checkSize,
 	(*request).readBody,
@@ -88,6 +92,16 @@
 	return true
 }
 
+// awaitTurn holds a request that may run only once until the responses before it on its connection are
+// complete: the client sends it again if one of them closes the connection.
+func (r *request) awaitTurn() bool {
+	if r.route.Kind.Repeatable() || readahead.AwaitTurn(r.incoming.Context()) == nil {
+		return true
+	}
+	r.reject(http.StatusServiceUnavailable, outcome.ReasonCancelled, noRetryAfter)
+	return false
+}
+
 // checkSize rejects a request that exceeds the configured limits, and limits a body of unknown
 // length while it is read.
 func (r *request) checkSize() bool {
