Keep long responses of at-most-once requests whole

The context of a run at most once ended as soon as its response began. The connection to the target was then closed, so that every response over 64 KB of such a request broke off.

The context now ends when the response is closed. A response whose sender lost its connection is closed as well: it kept its slot of the target.

--- a/internal/sidecar/arrival/once.go
+++ b/internal/sidecar/arrival/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -98,8 +99,12 @@
 }
 
 func (o *onceHandler) run(ctx context.Context, call *wire.SidecarCall, header http.Header, body *reply.Payload, run *onceRun) {
-	defer run.cancel()
 	response := o.ingress.admit(ctx, call, header, body, func() bool { return o.claimSend(call.Key) })
+	if response.Stream != nil {
+		response.Stream = &cancellingStream{response.Stream, run.cancel}
+	} else {
+		run.cancel()
+	}
 	o.mutex.Lock()
 	now := o.ingress.options.Now()
 	o.ledger.End(now, call.Key)
@@ -110,6 +115,19 @@
 	time.AfterFunc(replyTTL, func() { o.forget(call.Key) })
 }
 
+// cancellingStream cancels the context of a run when its response is closed; before that the
+// connection to the target would break.
+type cancellingStream struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (s *cancellingStream) Close() error {
+	defer s.cancel()
+	return s.ReadCloser.Close()
+}
+
 func (o *onceHandler) forget(key string) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -140,6 +158,9 @@
 	go func() {
 		<-run.done
 		timer.Stop()
+		if run.reply.Stream != nil {
+			_ = run.reply.Stream.Close() // nobody reads it, and it holds a slot
+		}
 	}()
 }
 
--- a/internal/sidecar/hop_bench_test.go
+++ b/internal/sidecar/hop_bench_test.go
@@ -28,7 +28,7 @@
 func BenchmarkHop(b *testing.B) {
 	for _, kind := range []string{deployment.Safe, deployment.Unsafe} {
 		b.Run(kind, func(b *testing.B) {
-			outbound := startHop(b, kind)
+			outbound := startHop(b, kind, shortBody)
 			client, err := net.Dial("tcp", outbound)
 			if err != nil {
 				b.Fatal(err)
@@ -54,7 +54,7 @@
 
 // BenchmarkParallelHop is BenchmarkHop with 8 clients at a time.
 func BenchmarkParallelHop(b *testing.B) {
-	outbound := startHop(b, deployment.Safe)
+	outbound := startHop(b, deployment.Safe, shortBody)
 	first, err := net.Dial("tcp", outbound)
 	if err != nil {
 		b.Fatal(err)
@@ -86,7 +86,7 @@
 func BenchmarkColdHop(b *testing.B) {
 	for _, kind := range []string{deployment.Safe, deployment.Unsafe} {
 		b.Run(kind, func(b *testing.B) {
-			outbound := startHop(b, kind)
+			outbound := startHop(b, kind, shortBody)
 			client, err := net.Dial("tcp", outbound)
 			if err != nil {
 				b.Fatal(err)
@@ -113,7 +113,7 @@
 }
 
 // awaitServed sends requests until one is served.
-func awaitServed(b *testing.B, conn net.Conn, reader *bufio.Reader, kind string) {
+func awaitServed(b testing.TB, conn net.Conn, reader *bufio.Reader, kind string) {
 	b.Helper()
 	for attempts := 0; call(b, conn, reader, kind, "warmup") != http.StatusOK; attempts++ {
 		if attempts > 100 {
@@ -130,7 +130,7 @@
 }
 
 // call sends a request and returns the status of the response.
-func call(b *testing.B, conn net.Conn, reader *bufio.Reader, kind, id string) int {
+func call(b testing.TB, conn net.Conn, reader *bufio.Reader, kind, id string) int {
 	b.Helper()
 	_, err := io.WriteString(conn, "GET /"+kind+"/item/42?lang=en HTTP/1.1\r\nHost: "+deployment.Host+"\r\nX-Request-Id: "+id+"\r\nX-Deadline-Ms: 2000\r\nAccept: application/json\r\nUser-Agent: client/1.0\r\nX-Trace-Id: 0123456789abcdef\r\n\r\n")
 	if err != nil {
@@ -161,7 +161,7 @@
 
 // startHop starts a store, a target and two nodes, and returns the address to which clients of the
 // node without the target send requests.
-func startHop(b *testing.B, kind string) (outbound string) {
+func startHop(b testing.TB, kind string, bodyBytes int) (outbound string) {
 	listeners := map[string]net.Listener{}
 	listen := func() string {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -179,7 +179,8 @@
 	storage.Write(platform.ConfigurationKey, plan.Configuration(2))
 	storeAddress := listen()
 	server := &http.Server{Handler: storage}
-	go func() { _ = server.Serve(listeners[storeAddress]) }()
+	storeListener := listeners[storeAddress]
+	go func() { _ = server.Serve(storeListener) }()
 	b.Cleanup(func() { _ = server.Close() })
 	clk, err := clock.NewSystem()
 	if err != nil {
@@ -187,8 +188,9 @@
 	}
 	for _, service := range []string{"front", "back"} {
 		target := listen()
-		go serveTarget(listeners[target])
-		b.Cleanup(func() { _ = listeners[target].Close() })
+		targetListener := listeners[target]
+		go serveTarget(targetListener, bodyBytes)
+		b.Cleanup(func() { _ = targetListener.Close() })
 		chosen := &settings.Settings{
 			Node: "node-" + service, Zone: "a", FirstStart: true, Target: settings.Target{Service: service, Address: target},
 			Listen: settings.Listen{Outbound: listen(), Inbound: listen(), Ready: listen(), Control: listen()},
@@ -204,7 +206,7 @@
 	return outbound
 }
 
-func startNode(b *testing.B, chosen *settings.Settings, listeners map[string]net.Listener, clk clock.Source) {
+func startNode(b testing.TB, chosen *settings.Settings, listeners map[string]net.Listener, clk clock.Source) {
 	client := platform.NewStore(chosen.Store.Address, (&net.Dialer{}).DialContext)
 	var targets *sidecar.Targets
 	node, err := sidecar.New(chosen, sidecar.Options{
@@ -235,8 +237,12 @@
 	}
 }
 
-// serveTarget answers every request with a short body and echoes the request id.
-func serveTarget(listener net.Listener) {
+// shortBody is the size of the response bodies in benchmarks.
+const shortBody = 16
+
+// serveTarget answers every request with a body of the given size and echoes the request id.
+func serveTarget(listener net.Listener, bodyBytes int) {
+	body := bytes.Repeat([]byte("x"), bodyBytes)
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -261,8 +267,10 @@
 						id = append(id[:0], value...)
 					}
 				}
-				response = append(response[:0], "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Response-Signature: 8d5a\r\nX-Instance-Id: target-1\r\nX-Server-Load: 3,0,50\r\nDate: Thu, 01 Jan 2026 00:00:00 GMT\r\nContent-Length: 16\r\nX-Request-Id: "...)
-				response = append(append(response, id...), "\r\n\r\n{\"item\":42,\"ok\"}"...)
+				response = append(response[:0], "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Response-Signature: 8d5a\r\nX-Instance-Id: target-1\r\nX-Server-Load: 3,0,50\r\nDate: Thu, 01 Jan 2026 00:00:00 GMT\r\nX-Request-Id: "...)
+				response = append(append(response, id...), "\r\nContent-Length: "...)
+				response = append(strconv.AppendInt(response, int64(bodyBytes), 10), "\r\n\r\n"...)
+				response = append(response, body...)
 				if _, err := conn.Write(response); err != nil {
 					return
 				}
