--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -46,7 +46,7 @@
 	Rank func(instance string) (rank, senders int)
 }
 
-// DefaultConfig returns the default configuration.
+// DefaultConfig returns the values measured in docs/design/rounds-of-policy.md.
 func DefaultConfig() Config {
 	return Config{
 		Noise: 0.1, ReportTTL: 2 * time.Second, OccupancyTTL: 300 * time.Millisecond,
--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -20,7 +20,8 @@
 // the request causes to others, and the cost of cross-zone traffic.
 const (
 	// crossZoneCost is the cost of another zone for a small response. crossZoneCostPerKB is
-	// added per kilobyte, up to maxCrossZoneCost.
+	// added per kilobyte, up to maxCrossZoneCost. Where traffic between zones is paid for, a kilobyte
+	// was valued at 0.025 of a response, and the headers of a call take 0.8 KB.
 	crossZoneCost      = 0.02
 	crossZoneCostPerKB = 0.02
 	maxCrossZoneCost   = 0.3
@@ -33,7 +34,8 @@
 	busyThreshold = 0.5
 	busyCost      = 0.03
 	// queueCost is the cost of sending to a target with a queue while others may have free
-	// slots. queueCostPerSlot is added per queued request and slot.
+	// slots. queueCostPerSlot is added per queued request and slot: with queues everywhere, the
+	// difference between them is worth little more than the wait.
 	queueCost        = 0.1
 	queueCostPerSlot = 0.05
 	// coldFactor scales the expected latency of a target that is warming up.
@@ -206,7 +208,8 @@
 }
 
 // latenessCost estimates the probability of exceeding the timeout, given the expected latency as
-// a share of it. It keeps rising above 1 so that the faster target wins when all are too slow.
+// a share of it. Latencies spread: of requests that take half of the timeout on average, one in sixteen
+// is late. It keeps rising above 1 so that the faster target wins when all are too slow.
 func latenessCost(share float64) float64 {
 	if share > 1 {
 		return 1 + 4*(share-1)
--- a/internal/core/crashes/ledger.go
+++ b/internal/core/crashes/ledger.go
@@ -34,6 +34,7 @@
 }
 
 // DefaultConfig holds a request back after three crashes, or six if its cause is ambiguous. The
+// limit of six lets a harmful request reach at most three more targets after the first three. The
 // 4096 entries, about 0.6 MB, hold 42 crashes of targets with 96 slots each.
 func DefaultConfig() Config {
 	return Config{CrashThreshold: 3, AmbiguousThreshold: 4, CertainThreshold: 6, MaxEntries: 4096}
--- a/internal/core/importance/importance.go
+++ b/internal/core/importance/importance.go
@@ -5,7 +5,8 @@
 //
 // The route's priority precedes the tenant's; otherwise urgent routes can be served less often
 // than less urgent routes of the same service (docs/design/shifted.md). Short timeouts go first
-// because requests with long timeouts can wait. The package keeps no state.
+// because requests with long timeouts can wait: one with 250 ms behind calls of chains with more than a
+// second would be late for nothing gained. The package keeps no state.
 package importance
 
 import (
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -24,7 +24,7 @@
 	Smoothing time.Duration
 }
 
-// DefaultConfig returns the default configuration.
+// DefaultConfig returns the values measured in docs/design/rounds-of-policy.md.
 func DefaultConfig() Config {
 	return Config{WaitShare: 0.3, WaitShareStep: 0.15, MaxWaitShare: 0.6, Window: DefaultWindow(), Smoothing: 250 * time.Millisecond}
 }
--- a/internal/core/overload/window.go
+++ b/internal/core/overload/window.go
@@ -28,7 +28,7 @@
 	MinGrowth float64
 }
 
-// DefaultWindow returns the default window configuration.
+// DefaultWindow returns the values measured in docs/design/rounds-of-policy.md.
 func DefaultWindow() WindowConfig {
 	return WindowConfig{Initial: 8, Min: 0.3, Headroom: 2, HeadroomFactor: 1.5, PeakDecay: 5 * time.Second, EnforceAt: 0.5, EnforceFor: 2 * time.Second, GrowthGain: 0.5, ShrinkGain: 0.5, MinGrowth: 0.25}
 }
--- a/internal/core/quota/account.go
+++ b/internal/core/quota/account.go
@@ -170,12 +170,13 @@
 // Sizing of shares.
 const (
 	// A node is leased a rate of at most maxDemandFraction of its demand, since what refills a
-	// full bucket is lost to other nodes. Half of the demand is used almost completely and
+	// full bucket is lost to other nodes. With a tenant's clients spread thinly over 71 nodes and rates
+	// for the whole demand, 0.56 of the requests of 12 s were refused. Half of the demand is used almost completely and
 	// keeps the node running while the keeper is unavailable.
 	maxDemandFraction = 0.5
 	// minRateFraction of the limit may be leased in total even if demand is close to the limit.
 	minRateFraction = 0.1
-	// unusedRateFraction of a leased rate is assumed to go unused; leases are sized so that this
+	// unusedRateFraction of a leased rate is assumed to go unused, an estimate; leases are sized so that this
 	// loss fits into the headroom above the demand.
 	unusedRateFraction = 0.65
 	// maxDepthFraction of the depth may be leased; the rest stays in the pool.
--- a/internal/sidecar/quotas/limiter.go
+++ b/internal/sidecar/quotas/limiter.go
@@ -23,7 +23,9 @@
 	retryDelay         = 100 * time.Millisecond // after further failures in a row
 	// batchDelayPerNode is multiplied by the number of other nodes, and clamped to minBatchDelay
 	// and maxBatchDelay, to get the time for which waiters are collected into one request. This
-	// keeps the request rate at a keeper independent of the number of nodes.
+	// keeps the request rate at a keeper independent of the number of nodes. With 0.15 ms, 32 nodes
+	// and 40 tenants at their limits, these messages took 4.3 s of CPU time and the requests
+	// themselves 2.4 s.
 	batchDelayPerNode = 250 * time.Microsecond
 	minBatchDelay     = 4 * time.Millisecond
 	maxBatchDelay     = 250 * time.Millisecond
--- a/internal/sidecar/revalidation/revalidation.go
+++ b/internal/sidecar/revalidation/revalidation.go
@@ -35,7 +35,7 @@
 )
 
 // Intervals and timeouts. While the zone's follower is connected to the store, evidence is at
-// most confirmInterval + pollInterval old. The difference between that and keys.revoke is how
+// most confirmInterval + pollInterval = 1.4 s old. The difference between that and keys.revoke is how
 // long an outage of the store can last before requests with keys are refused; at the default
 // of 5 s it must be at least 3 s.
 const (
@@ -46,7 +46,8 @@
 	// crossZoneAge is the age of the evidence above which a node also polls other zones.
 	crossZoneAge = 1800 * time.Millisecond
 	// directReadAge is the age of the evidence above which a node that is not a follower reads
-	// the store itself. Reads are rare, to limit the load on the store.
+	// the store itself, half of the default bound. It would be too many reads if all nodes did so all
+	// the time.
 	directReadAge = 2500 * time.Millisecond
 	// directReadInterval is the minimum time between direct reads of a node.
 	directReadInterval = 900 * time.Millisecond
@@ -277,7 +278,8 @@
 }
 
 // ReadStored installs the configuration from the store and uses the read as evidence, so that a
-// node that has just started need not poll first. sentAt is when the call began.
+// node that has just started need not poll first: after a power loss of all 71 nodes, requests with
+// keys were refused for 0.3 s more before it counted. sentAt is when the call began.
 func (r *Revalidator) ReadStored(ctx context.Context, sentAt time.Duration) bool {
 	item, _, err := r.options.Store.Get(ctx, r.options.ConfigurationKey)
 	r.options.StoreHealth.Record("read", err)
