Test of costs without pipelining: independent of load and earlier tests

Cause: under load (20 on 12 processors) TestNoCostWithoutPipelining failed in some of 40 runs: goroutines of earlier tests that were ending counted in the baseline, and a request that arrives before the server has ended the read of the previous one adds a read, with and without the listener.

Change: only goroutines of servers and listeners are counted, and the least of four measurements is compared, for equality as before.

--- a/internal/pipeline/stop_test.go
+++ b/internal/pipeline/stop_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -144,32 +145,40 @@
 // must make the same calls on the network connection, and run as many goroutines, as one without.
 func TestNoCostWithoutPipelining(t *testing.T) {
 	g := NewWithT(t)
-	direct, directGoroutines := measure(t, false)
-	wrapped, wrappedGoroutines := measure(t, true)
-	g.Expect(wrapped).To(Equal(direct))
-	g.Expect(wrappedGoroutines).To(Equal(directGoroutines))
+	g.Expect(leastCalls(t, true)).To(Equal(leastCalls(t, false)))
 }
 
-type calls struct{ reads, writes int64 }
+// leastCalls returns the least of several measurements. On a loaded machine a request may arrive before
+// the server has stopped the read of the previous one, which adds reads with and without a Listener.
+func leastCalls(t *testing.T, pipelined bool) calls {
+	least := measure(t, pipelined)
+	for range 3 {
+		other := measure(t, pipelined)
+		least = calls{min(least.reads, other.reads), min(least.writes, other.writes), min(least.goroutines, other.goroutines)}
+	}
+	return least
+}
 
-// measure returns the calls on a connection that serves requests one at a time, and the number of
-// goroutines while a request is handled.
-func measure(t *testing.T, pipelined bool) (calls, int) {
+// calls are those on a connection that serves requests one at a time, and the goroutines while a
+// request is handled.
+type calls struct{ reads, writes, goroutines int64 }
+
+func measure(t *testing.T, pipelined bool) calls {
 	g := NewWithT(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	counter := &countingListener{Listener: inner}
 	var listener net.Listener = counter
-	goroutines := 0
+	var goroutines atomic.Int64
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(w, r.Body)
 		time.Sleep(5 * time.Millisecond) // until the server's read of the next request is pending
-		goroutines = runtime.NumGoroutine()
+		goroutines.Store(serverGoroutines())
 	})}
 	if pipelined {
 		listener = New(counter, server, Options{})
 	}
-	before := runtime.NumGoroutine()
+	g.Eventually(serverGoroutines, "5s", "1ms").Should(BeZero()) // those of earlier tests have ended
 	go func() { _ = server.Serve(listener) }()
 	defer server.Close()
 	c := (&testServer{address: inner.Addr().String()}).dial(t)
@@ -182,10 +191,24 @@
 		time.Sleep(2 * time.Millisecond)
 	}
 	_ = c.Close()
-	result := calls{counter.reads.Load(), counter.writes.Load()}
-	_ = server.Close()
-	g.Eventually(runtime.NumGoroutine, "2s", "1ms").Should(BeNumerically("<=", before))
-	return result, goroutines - before
+	g.Eventually(func() int64 { return goroutinesIn("net/http.(*conn)") }, "5s", "1ms").Should(BeZero())
+	return calls{counter.reads.Load(), counter.writes.Load(), goroutines.Load()}
+}
+
+// serverGoroutines returns the number of goroutines of HTTP servers and of listeners.
+func serverGoroutines() int64 { return goroutinesIn("net/http.(*", "internal/pipeline.(*") }
+
+// goroutinesIn returns the number of goroutines whose stack contains one of the names.
+func goroutinesIn(names ...string) int64 {
+	stacks := make([]byte, 1<<20)
+	stacks = stacks[:runtime.Stack(stacks, true)]
+	count := int64(0)
+	for stack := range strings.SplitSeq(string(stacks), "\n\n") {
+		if slices.ContainsFunc(names, func(name string) bool { return strings.Contains(stack, name) }) {
+			count++
+		}
+	}
+	return count
 }
 
 type countingListener struct {
