Place requests by the current speed of targets

Cause: targets state in a fourth figure of X-Server-Load how long work takes there now; nodes read only heartbeats and their own averages, which follow a change within seconds. A node that was restarted beside such a target did not find it on its health path either, since identify accepted three figures only. At full load, targets of speed 0.6, 1 and 1.4 also ended their work 133, 233 and 312 ms after the sending: the cost counts queued requests, not their time.

Change: the gate divides class times by the mean of the figures at begin and end of a request, and reports time and offered load as expected now. Where a target of the service states a pace, the balancer prefers the target that finishes first; reports lose weight with their age. Without a figure the cost is as before. policy.off: pace. Gauge target_pace, field pace in run lines.

--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -41,6 +41,8 @@
 	// NoSamples, NoZones and NoLosses disable a mechanism: latency samples per class, the
 	// cross-zone cost, and the cost of lost responses and declined requests.
 	NoSamples, NoZones, NoLosses bool
+	// NoPace ignores the paces that load reports state.
+	NoPace bool
 	// Rank returns the place of the node among all nodes that send to an instance, which each of
 	// them computes alike, and their number. nil: the node is the only one.
 	Rank func(instance string) (rank, senders int)
@@ -109,6 +111,7 @@
 func (b *Balancer) Pick(now time.Duration, need Requirement, excluded map[string]bool, allowAvoided bool) (best *Endpoint) {
 	var cost float64
 	profile := b.profile(need)
+	profile.paced = b.pacedMeans(now, profile)
 	for _, endpoint := range b.order {
 		if !b.usable(now, endpoint, excluded) || now < endpoint.avoidUntil || need.Allowed != nil && !need.Allowed[endpoint.Node] {
 			continue
@@ -155,8 +158,11 @@
 
 // Report records a load report of the endpoint's gate.
 func (b *Balancer) Report(now time.Duration, e *Endpoint, load slots.Load) {
+	if b.config.NoPace {
+		load.Pace = 0
+	}
 	if load.ServiceTime == 0 {
-		load.ServiceTime = e.report.ServiceTime
+		e.keepServiceTime(&load)
 	}
 	e.report, e.reportedAt, e.sentSinceReport = load, now, 0
 	b.ClearSuspicion(e)
--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -58,15 +58,20 @@
 	latency         float64       // ns, at a target with the mean service time
 	timeout         float64       // ns
 	crossZoneCost   float64
+	paced           pacedMeans
+	paceShare       float64 // part of the latency that depends on the pace of the target
 }
 
 func (b *Balancer) profile(need Requirement) requestProfile {
-	p := requestProfile{class: need.Class, meanServiceTime: b.meanServiceTime(), timeout: float64(need.Timeout), crossZoneCost: crossZoneCost}
+	p := requestProfile{class: need.Class, meanServiceTime: b.meanServiceTime(), timeout: float64(need.Timeout), crossZoneCost: crossZoneCost, paceShare: 1}
 	p.latency = float64(p.meanServiceTime)
 	if known := b.classes[need.Class]; known != nil {
 		if known.latency > 0 {
 			p.latency = known.latency
 		}
+		if known.paceShare > 0 {
+			p.paceShare = known.paceShare
+		}
 		p.crossZoneCost = min(crossZoneCost+crossZoneCostPerKB*known.responseBytes/1000, maxCrossZoneCost)
 	}
 	if p.timeout <= 0 {
@@ -84,7 +89,7 @@
 	sum, known := time.Duration(0), time.Duration(0)
 	for _, e := range b.order {
 		if e.report.ServiceTime > 0 {
-			sum += e.report.ServiceTime
+			sum += e.usualServiceTime()
 			known++
 		}
 	}
@@ -96,6 +101,9 @@
 
 // cost estimates the cost of sending a request to the target now.
 func (b *Balancer) cost(now time.Duration, e *Endpoint, p requestProfile) float64 {
+	if p.paced.known {
+		return b.pacedCost(now, e, p)
+	}
 	utilization := b.utilization(now, e)
 	latency := e.expectedLatency(now, p) * (1 + (saturationFactor-1)*min(utilization, 1)) * (1 + b.config.Noise*b.random.Float64())
 	if now < e.ColdUntil {
@@ -137,12 +145,13 @@
 // expectedLatency returns the expected latency in ns at the target: the recent latency of the
 // request's class there or, without samples, the mean latency of the class scaled by half of
 // the relative service time. The other half accounts for downstream calls, which take as long
-// from any target.
+// from any target. Both are at the usual pace of the target, and scaled by its pace now.
 func (e *Endpoint) expectedLatency(now time.Duration, p requestProfile) float64 {
+	factor := paceFactor(e.pace(now), p.paceShare)
 	if known := e.latencies[p.class]; known != nil && now-known.at < latencyTTL {
-		return known.mean
+		return known.mean * factor
 	}
-	return p.latency * (1 + e.relativeServiceTime(p.meanServiceTime)) / 2
+	return p.latency * factor * (1 + e.relativeServiceTime(p.meanServiceTime)) / 2
 }
 
 // classLatency is the mean latency of one class at one target.
@@ -176,12 +185,12 @@
 	known.at = now
 }
 
-// relativeServiceTime returns the target's service time relative to the mean.
+// relativeServiceTime returns the target's service time at its usual pace relative to the mean.
 func (e *Endpoint) relativeServiceTime(mean time.Duration) float64 {
 	if e.report.ServiceTime <= 0 || mean <= 0 {
 		return 1
 	}
-	return float64(e.report.ServiceTime) / float64(mean)
+	return float64(e.usualServiceTime()) / float64(mean)
 }
 
 // latenessCost estimates the probability of exceeding the timeout, given the expected latency as
@@ -196,6 +205,7 @@
 // classStats holds averages over the requests of one class.
 type classStats struct {
 	latency       float64 // ns, mean over all targets; 0: unknown
+	paceShare     float64 // mean part that depends on the pace of the target; 0: unknown
 	responseBytes float64 // mean
 }
 
@@ -216,7 +226,8 @@
 
 // Answered records a complete response to a request of a class. A negative size is unknown.
 // latency excludes queueing at the target and downstream: the current queueing time is known
-// from load reports, and downstream it does not depend on the target.
+// from load reports, and downstream it does not depend on the target. It is at the usual pace of the
+// target, see AtUsualPace.
 func (b *Balancer) Answered(now time.Duration, e *Endpoint, class string, bytes int64, latency time.Duration) {
 	e.recordLoss(now, 0)
 	stats := b.class(class)
--- a/internal/core/slots/offered.go
+++ b/internal/core/slots/offered.go
@@ -31,14 +31,16 @@
 
 // OfferedLoad returns the slot time per second that arriving requests ask for, refused ones included,
 // and that queued requests need to be served within backlogSpan, relative to what the target provides:
-// above 1 it is asked for more than it can do. Without the queue, a backlog would persist once arrivals
+// above 1 it is asked for more than it can do. Requests count with the time that they take now, since
+// a target that is slow at this moment provides less. Without the queue, a backlog would persist once arrivals
 // match the capacity. For a target that states a rate, the load is at least the rate of requests
 // relative to that rate.
 func (g *Gate) OfferedLoad(now time.Duration) float64 {
 	decay := g.offered.decay(now)
 	load := g.offered.slotTime * decay / float64(offeredWindow)
+	factor := g.pace.Now(now)
 	for i := range g.queue {
-		load += g.queue[i].slotTime / float64(backlogSpan)
+		load += g.queue[i].slotTime * factor / float64(backlogSpan)
 	}
 	load /= float64(g.slots)
 	if g.rate != nil {
@@ -55,7 +57,8 @@
 // maxOfferedLoad bounds the load that one target reports.
 const maxOfferedLoad = 8.0
 
-// expectedSlotTime returns the time in ns that a request of a class is expected to occupy a slot.
+// expectedSlotTime returns the time in ns that a request of a class is expected to occupy a slot at the
+// usual pace of the target.
 func (g *Gate) expectedSlotTime(class string) float64 {
 	if classTime := g.classes[class]; classTime != nil && classTime.reliable() {
 		return classTime.mean
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -10,6 +10,7 @@
 	"sort"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/core/pace"
 	"github.com/landingmast/landingmast/internal/core/ratelimit"
 )
 
@@ -48,8 +49,10 @@
 	Slots   int
 	Running int
 	Waiting int
-	// ServiceTime is the mean service time of a request; 0: not enough samples.
+	// ServiceTime is the mean service time of a request, as expected now; 0: not enough samples.
 	ServiceTime time.Duration
+	// Pace is the factor of package pace that ServiceTime contains; 0: none is known.
+	Pace float64
 	// Offered is the offered load of the target, see Gate.OfferedLoad; 0: unknown.
 	Offered float64
 }
@@ -66,9 +69,10 @@
 type activeRequest struct {
 	class     string
 	startedAt time.Duration
+	pace      float64 // when the request was sent
 }
 
-// meanTime is a moving average of service times.
+// meanTime is a moving average of service times at the usual pace of the target.
 type meanTime struct {
 	mean  float64 // ns
 	count int
@@ -86,7 +90,7 @@
 type queuedRequest struct {
 	request  Request
 	arrived  time.Duration
-	slotTime float64 // ns; expected
+	slotTime float64 // ns; expected at the usual pace
 }
 
 // Gate is the gate of one target. It is not safe for concurrent use.
@@ -98,6 +102,7 @@
 	classes           map[string]*meanTime // by class
 	rate              *ratelimit.Bucket    // nil: the target states no rate
 	offered           offeredLoad
+	pace              pace.Latest
 	probationEndsAt   time.Duration // until then few requests are admitted at the same time
 	draining          bool
 	skipDeadlineCheck bool
@@ -137,11 +142,17 @@
 	return g.dispatch(now, nil)
 }
 
+// ObservePace records how long work takes at the target now, as a factor of package pace.
+func (g *Gate) ObservePace(now time.Duration, factor float64) { g.pace.Observe(now, factor) }
+
+// Pace returns the factor in force, or 0 if none is known.
+func (g *Gate) Pace(now time.Duration) float64 { return g.pace.Known(now) }
+
 // Load returns the current load.
 func (g *Gate) Load(now time.Duration) Load {
-	load := Load{Slots: g.slots, Running: len(g.running), Waiting: len(g.queue), Offered: g.OfferedLoad(now)}
+	load := Load{Slots: g.slots, Running: len(g.running), Waiting: len(g.queue), Offered: g.OfferedLoad(now), Pace: g.pace.Known(now)}
 	if g.serviceTime.reliable() {
-		load.ServiceTime = time.Duration(g.serviceTime.mean)
+		load.ServiceTime = time.Duration(g.serviceTime.mean * g.pace.Now(now))
 	}
 	if g.rate != nil {
 		load.Slots, load.Running = g.rateLimitedLoad(now)
@@ -158,17 +169,17 @@
 		return []Decision{{ID: request.ID, Reason: ReasonDraining}}
 	}
 	slotTime := g.expectedSlotTime(request.Class)
-	g.offered.add(now, slotTime)
-	request.Deadline -= g.minTimeLeft(request.Class)
+	g.offered.add(now, slotTime*g.pace.Now(now))
+	request.Deadline -= g.minTimeLeft(now, request.Class)
 	if now >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonExpired}}
 	}
 	if len(g.queue) == 0 && g.tryAdmit(now) {
-		g.running[request.ID] = activeRequest{class: request.Class, startedAt: now}
+		g.running[request.ID] = activeRequest{class: request.Class, startedAt: now, pace: g.pace.Now(now)}
 		return []Decision{{ID: request.ID, Send: true}}
 	}
 	position := g.queuePosition(request)
-	wait := max(g.expectedWait(position), g.tokenWait(now, position+1))
+	wait := max(g.expectedWait(now, position), g.tokenWait(now, position+1))
 	if now+wait >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonTooLong}}
 	}
@@ -200,8 +211,8 @@
 	return sort.Search(len(g.queue), func(i int) bool { return g.queue[i].request.Importance > request.Importance })
 }
 
-func (g *Gate) expectedWait(position int) time.Duration {
-	return time.Duration(g.serviceTime.mean * float64(position+1) / float64(g.slots))
+func (g *Gate) expectedWait(now time.Duration, position int) time.Duration {
+	return time.Duration(g.serviceTime.mean * g.pace.Now(now) * float64(position+1) / float64(g.slots))
 }
 
 const (
@@ -212,30 +223,34 @@
 	minOverallFraction = 0.5
 )
 
-// minTimeLeft returns the time that a request of a class must have left to be dispatched.
-func (g *Gate) minTimeLeft(class string) time.Duration {
+// minTimeLeft returns the time that a request of a class must have left to be dispatched. A target
+// that is slow now may be fast again before the request ends, and the time of downstream calls does
+// not depend on it, so that its pace only shortens this time.
+func (g *Gate) minTimeLeft(now time.Duration, class string) time.Duration {
 	if g.skipDeadlineCheck {
 		return 0
 	}
+	factor := min(g.pace.Now(now), pace.Usual)
 	if classTime := g.classes[class]; classTime != nil && classTime.reliable() {
-		return time.Duration(minClassFraction * classTime.mean)
+		return time.Duration(minClassFraction * classTime.mean * factor)
 	}
 	if g.serviceTime.reliable() && class == "" {
-		return time.Duration(minOverallFraction * g.serviceTime.mean)
+		return time.Duration(minOverallFraction * g.serviceTime.mean * factor)
 	}
 	return 0
 }
 
 // Finish releases the slot of a request. answered reports a complete response, whose service
 // time is a valid sample. The time of an aborted request is a lower bound and counts only if it
-// exceeds the mean; otherwise a target too slow for all deadlines would never appear slow.
+// exceeds the mean; otherwise a target too slow for all deadlines would never appear slow. Samples are
+// at the usual pace of the target.
 func (g *Gate) Finish(now time.Duration, id uint64, answered bool) []Decision {
 	request, present := g.running[id]
 	if !present {
 		return nil
 	}
 	delete(g.running, id)
-	elapsed := float64(now - request.startedAt)
+	elapsed := float64(now-request.startedAt) / pace.During(request.pace, g.pace.Now(now))
 	if answered || elapsed > g.serviceTime.mean {
 		g.serviceTime.add(elapsed)
 	}
@@ -299,7 +314,7 @@
 	for len(g.queue) > 0 && g.tryAdmit(now) {
 		next := g.queue[0]
 		g.queue = g.queue[1:]
-		g.running[next.request.ID] = activeRequest{class: next.request.Class, startedAt: now}
+		g.running[next.request.ID] = activeRequest{class: next.request.Class, startedAt: now, pace: g.pace.Now(now)}
 		decisions = append(decisions, Decision{ID: next.request.ID, Send: true, Waited: now - next.arrived})
 	}
 	return decisions
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -116,6 +116,9 @@
 	if usage := reply.EncodeUsage(response); usage != "" {
 		header.Set(wire.HeaderSidecarUsage, usage)
 	}
+	if paces := reply.EncodePace(response); paces != "" {
+		header.Set(wire.HeaderSidecarPace, paces)
+	}
 	SuppressDefaultHeaders(header)
 	if response.Stream == nil {
 		header.Set("Content-Length", strconv.Itoa(len(response.Body)))
@@ -233,9 +236,10 @@
 	call := req.Call
 	running := &Running{ID: call.RequestID, Context: ctx, Importance: call.Importance, IsRetry: call.IsRetry, Tenant: call.Tenant, RetryGrant: call.RetryGrant, needs: map[string]wire.Need{}}
 	i.Running.add(call.RequestID, running)
-	sentAt := i.options.Now()
+	sentAt, paceBefore := i.options.Now(), gate.Pace()
 	response := i.sendToTarget(ctx, gate, req, header)
 	response.SlotTime = i.options.Now() - sentAt
+	response.RunPace = runPace(paceBefore, gate.Pace())
 	i.Running.remove(call.RequestID, running)
 	answered := response.Outcome == outcome.Answered
 	if response.Stream == nil {
@@ -307,5 +311,6 @@
 		Request: req.Call.RequestID, From: req.Call.From, Service: req.Call.Service, Instance: req.instance, Outcome: string(response.Outcome),
 		Reason: string(response.Reason), Status: response.Status, Importance: req.Call.Importance, WaitMS: eventlog.Milliseconds(waited), TookMS: eventlog.Milliseconds(elapsed),
 		RemainingMS: float64(req.Call.Remaining) / 1000, Running: response.Load.Running, Waiting: response.Load.Waiting, Slots: response.Load.Slots, Retry: req.Call.IsRetry,
+		Pace: response.RunPace,
 	}, weight)
 }
--- a/internal/sidecar/arrival/options.go
+++ b/internal/sidecar/arrival/options.go
@@ -41,6 +41,8 @@
 	// Enabled reports whether the node follows what targets state.
 	Enabled() bool
 	Read(instance, service string, status int, header http.Header) (state outcome.TargetState, rateValid bool)
+	// Pace returns the factor of package pace that a response states, or false if it states none.
+	Pace(status int, header http.Header) (factor float64, valid bool)
 }
 
 // Quarantine decides whether requests that may crash the target are sent, and collects the evidence.
--- a/internal/sidecar/arrival/state.go
+++ b/internal/sidecar/arrival/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/outcome"
+	"github.com/landingmast/landingmast/internal/core/pace"
 	"github.com/landingmast/landingmast/internal/core/ratelimit"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/sidecar/reply"
@@ -34,6 +35,9 @@
 // observeState applies what the target states in a response to a request that was sent at sentAt. It
 // runs before the response is passed on, so that the gate knows at least what any sender knows.
 func (i *Ingress) observeState(gate *target.Gate, answer *targetlink.Response, sentAt time.Duration) {
+	if factor, valid := i.options.States.Pace(answer.Status, answer.Header); valid {
+		gate.ObservePace(factor)
+	}
 	state, rateValid := i.options.States.Read(gate.Instance, gate.Service, answer.Status, answer.Header)
 	if rateValid && gate.ObserveRate(sentAt, state.RateLimit) {
 		i.recordRateLimit(gate, sourceResponse)
@@ -43,6 +47,18 @@
 	}
 }
 
+// runPace returns the pace of the target while a request ran, given those known when it was sent and
+// when its response arrived; 0 means unknown.
+func runPace(begin, end float64) float64 {
+	switch {
+	case end <= 0:
+		return begin
+	case begin <= 0:
+		return end
+	}
+	return pace.During(begin, end)
+}
+
 // adoptState applies what a sender knows of the target, which a node that was restarted does not.
 func (i *Ingress) adoptState(gate *target.Gate, known *outcome.TargetState) {
 	if known != nil && i.options.States.Enabled() && known.Instance == gate.Instance && gate.AdoptRate(known.RateLimit) {
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -65,6 +65,7 @@
 	Running     int     `json:"running" doc:"requests running at the target on completion"`
 	Waiting     int     `json:"waiting" doc:"requests waiting for a slot on completion"`
 	Slots       int     `json:"slots" doc:"available slots of the target"`
+	Pace        float64 `json:"pace,omitempty" doc:"time that work took at the target while the request ran, as the target states it, relative to the usual; missing: not stated"`
 	Retry       bool    `json:"repeat,omitempty" doc:"whether it, or a request upstream in the call chain, is a retry"`
 }
 
--- a/internal/sidecar/identify.go
+++ b/internal/sidecar/identify.go
@@ -38,14 +38,23 @@
 	}
 	defer response.Body.Close()
 	report := roster.Report{Instance: response.Header.Get(n.options.Headers.Instance), Service: service, Address: n.settings().Target.Address}
-	if parts := strings.Split(response.Header.Get(n.options.Headers.Load), ","); len(parts) == 3 {
-		report.Slots, _ = strconv.Atoi(strings.TrimSpace(parts[2]))
-	}
+	report.Slots = statedSlots(response.Header.Get(n.options.Headers.Load))
 	state, _ := n.states.Read(report.Instance, service, response.Status, response.Header)
 	report.Draining = response.Status != http.StatusOK || state.Leaving
 	return report, report.Instance != ""
 }
 
+// statedSlots returns the slots in a list of figures that a target states, in which they are the third,
+// or 0. Targets that state their pace have a fourth figure.
+func statedSlots(list string) int {
+	parts := strings.Split(list, ",")
+	if len(parts) < 3 {
+		return 0
+	}
+	count, _ := strconv.Atoi(strings.TrimSpace(parts[2]))
+	return count
+}
+
 // Timing of target discovery at startup.
 const (
 	discoveryDelay    = 150 * time.Millisecond // leaves time for a heartbeat
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -48,6 +48,8 @@
 	// RateLimit is the rate that the target states, in requests per second; -1: none. RateLimitAge is
 	// the time since its last response in seconds, while it states one; -1: it states none.
 	RateLimit, RateLimitAge func() float64
+	// Pace is the time that work takes at the target now, relative to the usual; -1: it states none.
+	Pace func() float64
 	// StoreAge is the time since the last response of the store in seconds.
 	StoreAge func() float64
 	// EachPrice calls f for each service with a congestion price, with its offered load.
@@ -101,6 +103,7 @@
 		{"slots", "Usable slots of the target; 0: no target.", gauges.Slots},
 		{"target_rate_limit", "Requests a second that the target states as its limit; -1: none.", gauges.RateLimit},
 		{"target_rate_limit_age_seconds", "Time since the target's last answer while it states a limit; -1: none.", gauges.RateLimitAge},
+		{"target_pace", "Time that work takes at the target now, as it states, relative to the usual; -1: not stated of late.", gauges.Pace},
 		{"running", "Requests at the target.", gauges.Running},
 		{"waiting", "Requests that wait for a slot.", gauges.Waiting},
 		{"in_flight", "Requests that the node is serving.", gauges.InFlight},
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -21,6 +21,7 @@
 		Waiting:      func() float64 { return float64(n.gateLoad().Waiting) },
 		RateLimit:    func() float64 { rate, _ := n.targetRateLimit(); return rate },
 		RateLimitAge: func() float64 { _, age := n.targetRateLimit(); return age },
+		Pace:         n.targetPace,
 		HeldBack:     func() float64 { return float64(n.heldBack.Count()) },
 		InFlight:     func() float64 { return float64(n.inFlight.Load()) },
 		StoreAge:     func() float64 { return n.storeHealth.Age().Seconds() },
@@ -92,6 +93,17 @@
 	return rate, since.Seconds()
 }
 
+// noPace is the value of the metric of the pace if the target states none.
+const noPace = -1
+
+// targetPace returns the time that work takes at the target now, relative to the usual.
+func (n *Node) targetPace() float64 {
+	if factor := n.gateLoad().Pace; factor > 0 {
+		return factor
+	}
+	return noPace
+}
+
 // gateLoad returns the load of the local target.
 func (n *Node) gateLoad() slots.Load {
 	if gate := n.target.Current(); gate != nil {
--- a/internal/sidecar/options.go
+++ b/internal/sidecar/options.go
@@ -149,7 +149,8 @@
 func (n *Node) stateOptions() targetstate.Options {
 	return targetstate.Options{
 		Now: n.now, Enabled: func() bool { return n.policyOn(settings.TargetState) }, Headers: n.options.Headers,
-		Events: n.events, Invalid: n.metrics.InvalidStates,
+		PaceEnabled: func() bool { return n.policyOn(settings.Pace) },
+		Events:      n.events, Invalid: n.metrics.InvalidStates,
 	}
 }
 
--- a/internal/sidecar/peer/client.go
+++ b/internal/sidecar/peer/client.go
@@ -187,6 +187,7 @@
 	answer := reply.FromResult(result)
 	answer.SetWaits(response.Header.Get(wire.HeaderSidecarWaits))
 	answer.SetUsage(response.Header.Get(wire.HeaderSidecarUsage))
+	answer.SetPace(response.Header.Get(wire.HeaderSidecarPace))
 	answer.TargetState = wire.DecodeTargetState(response.Header)
 	data, rest, err := reply.ReadBuffered(response.Body, response.ContentLength)
 	if err != nil {
--- a/internal/sidecar/reply/reply.go
+++ b/internal/sidecar/reply/reply.go
@@ -34,6 +34,8 @@
 	Needs       []wire.Need   // demand on downstream services
 	Waited      time.Duration // time spent waiting for a slot of the target
 	SlotTime    time.Duration // time that the request occupied a slot of the target
+	// RunPace is the factor of package pace while the request ran; 0: unknown.
+	RunPace float64
 	// TargetState is the state that the node of the target keeps to; nil: the target states nothing, or
 	// the node is of a release that does not read it.
 	TargetState *outcome.TargetState
--- a/internal/sidecar/services/services.go
+++ b/internal/sidecar/services/services.go
@@ -93,6 +93,7 @@
 	config.NoSamples = !s.policy.Enabled(settings.Samples)
 	config.NoZones = !s.policy.Enabled(settings.Zones)
 	config.NoLosses = !s.policy.Enabled(settings.Losses)
+	config.NoPace = !s.policy.Enabled(settings.Pace)
 	return config
 }
 
@@ -159,7 +160,8 @@
 	case response.Reason.Declined():
 		s.balancer.Declined(now, c.endpoint)
 	case response.Outcome == outcome.Answered:
-		s.balancer.Answered(now, c.endpoint, c.class, response.Bytes(), response.ServiceTime(now-c.sentAt))
+		latency := s.balancer.AtUsualPace(c.class, response.ServiceTime(now-c.sentAt), response.RunPace, len(response.Needs) > 0)
+		s.balancer.Answered(now, c.endpoint, c.class, response.Bytes(), latency)
 	}
 	switch {
 	case response.Reason.NodeUnreachable():
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -40,9 +40,11 @@
 	HoldBack Mechanism = "hold_back"
 	// TargetState follows what targets state in their responses: a rate limit, or that they leave.
 	TargetState Mechanism = "target_state"
+	// Pace places requests by how long work takes at each target now, as the targets state it.
+	Pace Mechanism = "pace"
 )
 
-var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState}
+var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pace}
 
 // Enabled reports whether m is enabled.
 func (p Policy) Enabled(m Mechanism) bool { return !slices.Contains(p.Off, m) }
--- a/internal/sidecar/target/state.go
+++ b/internal/sidecar/target/state.go
@@ -36,6 +36,20 @@
 	return true
 }
 
+// ObservePace applies how long work takes at the target now, as a factor of package pace.
+func (g *Gate) ObservePace(factor float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.ObservePace(g.now(), factor)
+}
+
+// Pace returns the factor in force, or 0 if none is known.
+func (g *Gate) Pace() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Pace(g.now())
+}
+
 // State returns what the target states, or nil if it has stated nothing. A lifted limit is told, too:
 // a response that still states it may be passed on later, and its sender must not take the node for
 // one that keeps no limits.
--- a/internal/sidecar/targetstate/targetstate.go
+++ b/internal/sidecar/targetstate/targetstate.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/outcome"
+	"github.com/landingmast/landingmast/internal/core/pace"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
 )
@@ -26,9 +27,11 @@
 type Options struct {
 	Now     func() time.Duration
 	Enabled func() bool // whether statements are followed
-	Headers headers.Names
-	Events  Events
-	Invalid Counter
+	// PaceEnabled reports whether the pace that targets state is used.
+	PaceEnabled func() bool
+	Headers     headers.Names
+	Events      Events
+	Invalid     Counter
 }
 
 // Reader reads the state of targets from the headers of their responses.
@@ -66,6 +69,15 @@
 	return state, false
 }
 
+// Pace returns the factor of package pace that a target states in the header of a response, or false
+// if it states none that can be used.
+func (r *Reader) Pace(status int, header http.Header) (factor float64, valid bool) {
+	if status == http.StatusMisdirectedRequest || !r.options.PaceEnabled() {
+		return pace.Usual, false
+	}
+	return pace.Parse(header.Get(r.options.Headers.Load))
+}
+
 const (
 	// logInterval is the time between two lines about invalid statements of one instance.
 	logInterval = time.Minute
--- a/internal/sidecar/targetstate/targetstate_test.go
+++ b/internal/sidecar/targetstate/targetstate_test.go
@@ -23,8 +23,8 @@
 func newReader(now *time.Duration, enabled bool) (*Reader, *recorder) {
 	records := &recorder{}
 	return New(Options{
-		Now: func() time.Duration { return *now }, Enabled: func() bool { return enabled },
-		Headers: headers.Names{RateLimit: "Rate", Leaving: "Leaving"}, Events: records, Invalid: records,
+		Now: func() time.Duration { return *now }, Enabled: func() bool { return enabled }, PaceEnabled: func() bool { return enabled },
+		Headers: headers.Names{RateLimit: "Rate", Leaving: "Leaving", Load: "Load"}, Events: records, Invalid: records,
 	}), records
 }
 
@@ -71,3 +71,35 @@
 	g.Expect(records.lines).To(HaveLen(3))
 	g.Expect(records.invalid).To(Equal(7))
 }
+
+// A pace must be read from every response of the target itself, and only if the switch allows it.
+func TestReadPace(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		enabled bool
+		status  int
+		list    string
+		factor  float64
+		valid   bool
+	}{
+		{"stated", true, http.StatusOK, "1,0,50,140", 1.4, true},
+		{"in an error", true, http.StatusServiceUnavailable, "1,0,50,140", 1.4, true},
+		{"three figures", true, http.StatusOK, "1,0,50", 1, false},
+		{"no header", true, http.StatusOK, "", 1, false},
+		{"another instance", true, http.StatusMisdirectedRequest, "1,0,50,140", 1, false},
+		{"switched off", false, http.StatusOK, "1,0,50,140", 1, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Duration(0)
+			reader, _ := newReader(&now, tc.enabled)
+			header := http.Header{}
+			if tc.list != "" {
+				header.Set("Load", tc.list)
+			}
+			factor, valid := reader.Pace(tc.status, header)
+			g.Expect(factor).To(Equal(tc.factor))
+			g.Expect(valid).To(Equal(tc.valid))
+		})
+	}
+}
--- a/internal/testbed/target/serve.go
+++ b/internal/testbed/target/serve.go
@@ -64,7 +64,7 @@
 		t.requests++
 	}
 	t.mu.Unlock()
-	load := fmt.Sprintf("X-Instance-Id: %s\r\nX-Server-Load: %d,0,%d\r\n", instance, running, t.Slots) + stateHeader(t.statement())
+	load := t.loadHeader(instance, running) + stateHeader(t.statement())
 	switch {
 	case r.URL.Path == healthPath:
 		status := http.StatusOK
@@ -80,12 +80,11 @@
 		t.Judge.Declined(judge.Endpoint{Service: t.Service, IP: hostIP(t.Address), Instance: instance}, r)
 		return writeResponse(conn, http.StatusServiceUnavailable, id, "X-Not-Executed: 1\r\n"+stateHeader(t.statement()), nil)
 	}
-	load = fmt.Sprintf("X-Instance-Id: %s\r\nX-Server-Load: %d,0,%d\r\n", instance, running, t.Slots)
-	return t.run(conn, reader, r, body, faults, load)
+	return t.run(conn, reader, r, body, faults, running)
 }
 
 // run executes a request and reports whether the connection stays open.
-func (t *Target) run(conn net.Conn, reader *bufio.Reader, r *http.Request, body []byte, faults Faults, load string) bool {
+func (t *Target) run(conn net.Conn, reader *bufio.Reader, r *http.Request, body []byte, faults Faults, running int) bool {
 	id := r.Header.Get("X-Request-Id")
 	instance := t.Instance()
 	started := t.Judge.RunStarted(judge.Endpoint{Service: t.Service, IP: hostIP(t.Address), Instance: instance}, r, body)
@@ -118,7 +117,7 @@
 	signature := judge.Signature(id, status, content)
 	statement := t.statement()
 	t.Judge.Answered(started, status, signature, statement)
-	load += stateHeader(statement)
+	load := t.loadHeader(instance, running) + stateHeader(statement)
 	switch {
 	case rand.Float64() < faults.DropResponse:
 		return false
@@ -138,6 +137,22 @@
 	return open
 }
 
+// loadHeader returns the headers with the instance and its load, with its pace at this moment if it
+// states one.
+func (t *Target) loadHeader(instance string, running int) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	figures := fmt.Sprintf("%d,0,%d", running, t.Slots)
+	if t.statesPace {
+		percent := 100.0
+		if t.faults.Slow > 0 {
+			percent *= t.faults.Slow
+		}
+		figures += fmt.Sprintf(",%.0f", percent)
+	}
+	return fmt.Sprintf("X-Instance-Id: %s\r\nX-Server-Load: %s\r\n", instance, figures)
+}
+
 // statement returns what the target states in a response now.
 func (t *Target) statement() judge.Statement {
 	t.mu.Lock()
--- a/internal/testbed/target/target.go
+++ b/internal/testbed/target/target.go
@@ -72,6 +72,7 @@
 	limited    bool    // states rateLimit in responses
 	rateLimit  float64 // requests per second
 	leaving    bool    // stated in responses although heartbeats report ready
+	statesPace bool    // states its pace as the fourth figure of its load
 	draining   bool
 	stopped    bool // not listening
 	conns      map[net.Conn]bool
@@ -93,7 +94,7 @@
 	t.instance = "i-" + strconv.FormatUint(rand.Uint64(), 36)
 	t.listener, t.done, t.conns = listener, make(chan struct{}), map[net.Conn]bool{}
 	t.running, t.sequence, t.draining, t.stopped = 0, 0, false, false
-	t.limited, t.leaving, t.requests = false, false, 0
+	t.limited, t.leaving, t.statesPace, t.requests = false, false, false, 0
 	t.httpClient = &http.Client{Transport: &http.Transport{DialContext: t.Dial, MaxIdleConnsPerHost: 64}}
 	t.mu.Unlock()
 	t.reportListening(true)
@@ -138,6 +139,14 @@
 	t.limited = false
 }
 
+// StatePace states in all responses from now on how long work takes, in percent of the usual, as set
+// by Faults.Slow.
+func (t *Target) StatePace() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.statesPace = true
+}
+
 // Requests returns the number of requests that the instance was sent, without health checks.
 func (t *Target) Requests() int {
 	t.mu.Lock()
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -16,6 +16,9 @@
 	HeaderSidecarPong   = "Landingmast-Sidecar-Pong"
 	HeaderSidecarWaits  = "Landingmast-Sidecar-Waits"
 	HeaderSidecarUsage  = "Landingmast-Sidecar-Usage"
+	// HeaderSidecarPace carries two figures in percent, separated by a comma: how long work takes at the
+	// target now, which the reported service time contains, and while the request ran; 0: unknown.
+	HeaderSidecarPace = "Landingmast-Sidecar-Pace"
 )
 
 // CallSeparator separates the request ID from the suffix that identifies a downstream call made
