Leave downstream calls out of the pace of a request

Cause: the pace of a target scaled all of the time of a request, also what it spent in calls to other services. A service whose requests mostly wait for calls would have reported an offered load of up to 2.5 times the true one while its targets were slow, and so have got a price although it had room.

Change: results carry the slot time of calls already; the rest of a request's time is the part that depends on the pace, at gates (offered load, expected wait, class times) and at senders (latency samples). The reported service time still contains the whole figure, so that senders can take it out.

TestOfferedLoadLeavesOutDownstreamCalls: 1.2 times the load at pace 2 where 20 of 100 ms are the target's own.

--- a/internal/core/balancer/cost.go
+++ b/internal/core/balancer/cost.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/landingmast/landingmast/internal/core/pace"
 )
 
 // Requirement constrains the choice of a target for a request.
@@ -147,7 +149,7 @@
 // the relative service time. The other half accounts for downstream calls, which take as long
 // from any target. Both are at the usual pace of the target, and scaled by its pace now.
 func (e *Endpoint) expectedLatency(now time.Duration, p requestProfile) float64 {
-	factor := paceFactor(e.pace(now), p.paceShare)
+	factor := pace.Scale(e.pace(now), p.paceShare)
 	if known := e.latencies[p.class]; known != nil && now-known.at < latencyTTL {
 		return known.mean * factor
 	}
--- a/internal/core/balancer/fullload_test.go
+++ b/internal/core/balancer/fullload_test.go
@@ -142,7 +142,7 @@
 			b.Done(endpoint)
 			b.Report(now, endpoint, load)
 			if served {
-				b.Answered(now, endpoint, class, 500, b.AtUsualPace(class, now-sentAt-waited, runPace, false))
+				b.Answered(now, endpoint, class, 500, b.AtUsualPace(class, now-sentAt-waited, runPace, 1))
 			}
 			if sentAt < s.from {
 				return
--- a/internal/core/balancer/pace.go
+++ b/internal/core/balancer/pace.go
@@ -9,10 +9,6 @@
 	"github.com/landingmast/landingmast/internal/core/slots"
 )
 
-// callsPaceShare is the share of the latency of a request with downstream calls that depends on the
-// pace of its target. The calls take as long from any target.
-const callsPaceShare = 0.5
-
 // Constants of the cost where targets state their pace. They were chosen together in the simulation of
 // fullload_test.go: at 0.7 of the capacity and with 15 in 100 targets slow, 0.80 and 0.84 of the requests
 // were in time with the cost for targets that state no pace, and 0.96 and 0.98 with this one. Half and
@@ -87,7 +83,7 @@
 // relativeTimeNow returns the time that the request takes at the target now, relative to the mean
 // service time.
 func (e *Endpoint) relativeTimeNow(now time.Duration, p requestProfile) float64 {
-	return paceFactor(e.pace(now), p.paceShare) * e.relativeServiceTime(p.meanServiceTime)
+	return pace.Scale(e.pace(now), p.paceShare) * e.relativeServiceTime(p.meanServiceTime)
 }
 
 // pacedCost estimates the cost of sending a request to the target now, for a service whose targets
@@ -139,23 +135,17 @@
 	}
 }
 
-// paceFactor scales a latency of which a share depends on the pace.
-func paceFactor(factor, share float64) float64 { return 1 + share*(factor-pace.Usual) }
-
 // AtUsualPace returns the latency that a response would have had at the usual pace of its target.
-// factor is the pace while the request ran, 0 if unknown, and calls whether it made downstream calls.
-func (b *Balancer) AtUsualPace(class string, latency time.Duration, factor float64, calls bool) time.Duration {
+// factor is the pace while the request ran, 0 if unknown, and share the part of the latency that depends
+// on it.
+func (b *Balancer) AtUsualPace(class string, latency time.Duration, factor, share float64) time.Duration {
 	stats := b.class(class)
 	if factor <= 0 || b.config.NoPace || stats == nil {
 		return latency
 	}
-	share := 1.0
-	if calls {
-		share = callsPaceShare
-	}
 	if stats.paceShare == 0 {
 		stats.paceShare = share
 	}
 	stats.paceShare += classWeight * (share - stats.paceShare)
-	return time.Duration(float64(latency) / paceFactor(factor, share))
+	return time.Duration(float64(latency) / pace.Scale(factor, share))
 }
--- a/internal/core/balancer/pace_test.go
+++ b/internal/core/balancer/pace_test.go
@@ -84,7 +84,7 @@
 			case 0:
 				b.Report(now, e, slots.Load{Slots: 10, Running: random.IntN(11), Waiting: random.IntN(20), ServiceTime: time.Duration(random.IntN(3)) * span})
 			case 1:
-				b.Answered(now, e, "c", int64(random.IntN(9000)), b.AtUsualPace("c", span, 0, random.IntN(2) == 0))
+				b.Answered(now, e, "c", int64(random.IntN(9000)), b.AtUsualPace("c", span, 0, random.Float64()))
 			case 2:
 				b.Sent(now, e)
 			default:
@@ -136,21 +136,21 @@
 	for _, tc := range []struct {
 		name   string
 		factor float64
-		calls  bool
+		share  float64
 		want   time.Duration
 	}{
-		{"unknown pace", 0, false, 100 * time.Millisecond},
-		{"usual pace", 1, false, 100 * time.Millisecond},
-		{"slow", 2.5, false, 40 * time.Millisecond},
-		{"fast", 0.5, false, 200 * time.Millisecond},
-		{"slow, with downstream calls", 3, true, 50 * time.Millisecond},
+		{"unknown pace", 0, 1, 100 * time.Millisecond},
+		{"usual pace", 1, 1, 100 * time.Millisecond},
+		{"slow", 2.5, 1, 40 * time.Millisecond},
+		{"fast", 0.5, 1, 200 * time.Millisecond},
+		{"slow, with downstream calls", 3, 0.5, 50 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
 			b := newTwoZoneBalancer()
-			g.Expect(b.AtUsualPace("c", 100*time.Millisecond, tc.factor, tc.calls)).To(Equal(tc.want))
+			g.Expect(b.AtUsualPace("c", 100*time.Millisecond, tc.factor, tc.share)).To(Equal(tc.want))
 			b.config.NoPace = true
-			g.Expect(b.AtUsualPace("c", 100*time.Millisecond, tc.factor, tc.calls)).To(Equal(100 * time.Millisecond))
+			g.Expect(b.AtUsualPace("c", 100*time.Millisecond, tc.factor, tc.share)).To(Equal(100 * time.Millisecond))
 		})
 	}
 }
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -84,3 +84,7 @@
 
 // During returns the factor for a request that ran while the factor changed from begin to end.
 func During(begin, end float64) float64 { return (begin + end) / 2 }
+
+// Scale returns the factor for a span of which a share depends on the pace of the target. Downstream
+// calls take as long from any target.
+func Scale(factor, share float64) float64 { return Usual + share*(factor-Usual) }
--- a/internal/core/pace/pace_test.go
+++ b/internal/core/pace/pace_test.go
@@ -63,3 +63,14 @@
 		}
 	})
 }
+
+// Spans must be unchanged at the usual pace, exactly, and where no part of them depends on the target.
+func TestScale(t *testing.T) {
+	g := NewWithT(t)
+	for _, share := range []float64{0, 0.1, 1. / 3, 1} {
+		g.Expect(Scale(Usual, share)).To(Equal(1.0))
+	}
+	g.Expect(Scale(2.5, 0)).To(Equal(1.0))
+	g.Expect(Scale(2.5, 1)).To(Equal(2.5))
+	g.Expect(Scale(0.5, 0.5)).To(Equal(0.75))
+}
--- a/internal/core/slots/offered.go
+++ b/internal/core/slots/offered.go
@@ -40,7 +40,7 @@
 	load := g.offered.slotTime * decay / float64(offeredWindow)
 	factor := g.pace.Now(now)
 	for i := range g.queue {
-		load += g.queue[i].slotTime * factor / float64(backlogSpan)
+		load += g.queue[i].expected.at(factor) / float64(backlogSpan)
 	}
 	load /= float64(g.slots)
 	if g.rate != nil {
@@ -57,11 +57,10 @@
 // maxOfferedLoad bounds the load that one target reports.
 const maxOfferedLoad = 8.0
 
-// expectedSlotTime returns the time in ns that a request of a class is expected to occupy a slot at the
-// usual pace of the target.
-func (g *Gate) expectedSlotTime(class string) float64 {
+// expectedSlotTime returns the time that a request of a class is expected to occupy a slot.
+func (g *Gate) expectedSlotTime(class string) *meanTime {
 	if classTime := g.classes[class]; classTime != nil && classTime.reliable() {
-		return classTime.mean
+		return classTime
 	}
-	return g.serviceTime.mean
+	return &g.serviceTime
 }
--- a/internal/core/slots/pace_test.go
+++ b/internal/core/slots/pace_test.go
@@ -66,6 +66,31 @@
 	g.Expect(offered(2)).To(BeNumerically("~", 2*offered(1), 0.01))
 }
 
+// The time of downstream calls does not depend on the pace: a service whose requests mostly wait for calls
+// would seem overloaded when its targets are slow for a moment.
+func TestOfferedLoadLeavesOutDownstreamCalls(t *testing.T) {
+	g := NewWithT(t)
+	offered := func(factor float64) float64 {
+		gate, now := New(10), time.Duration(0)
+		for id := range uint64(50) { // 80 of 100 ms in calls
+			gate.ObservePace(now, 2)
+			gate.Submit(now, Request{ID: id, Deadline: now + time.Minute, Class: "c"})
+			now += 120 * time.Millisecond
+			gate.ObservePace(now, 2)
+			gate.SetPaceShare(id, 0.2)
+			gate.Finish(now, id, true)
+		}
+		now += 10 * time.Second
+		gate.ObservePace(now, factor)
+		for id := range uint64(20) {
+			gate.Submit(now, Request{ID: 1000 + id, Deadline: now + time.Minute, Class: "c"})
+		}
+		g.Expect(gate.classes["c"].mean).To(BeNumerically("~", 100*time.Millisecond, time.Millisecond))
+		return gate.OfferedLoad(now)
+	}
+	g.Expect(offered(2)).To(BeNumerically("~", 1.2*offered(1), 0.01))
+}
+
 // A target that is slow now may be fast again soon: requests that fit at the usual pace must not be
 // refused.
 func TestSlowPaceRefusesNoMoreForTheirDeadline(t *testing.T) {
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -70,27 +70,37 @@
 	class     string
 	startedAt time.Duration
 	pace      float64 // when the request was sent
+	paceShare float64 // part of its time that depends on the pace
 }
 
 // meanTime is a moving average of service times at the usual pace of the target.
 type meanTime struct {
-	mean  float64 // ns
-	count int
+	mean      float64 // ns
+	paceShare float64 // mean part that depends on the pace
+	count     int
 }
 
-// add adds a sample in ns.
-func (m *meanTime) add(sample float64) {
+// newMeanTime returns an average that starts at mean (ns).
+func newMeanTime(mean float64) meanTime { return meanTime{mean: mean, paceShare: 1} }
+
+// add adds a sample in ns, of which a share depends on the pace.
+func (m *meanTime) add(sample, paceShare float64) {
 	m.count++
-	m.mean += max(serviceTimeWeight, 1/float64(m.count)) * (sample - m.mean)
+	weight := max(serviceTimeWeight, 1/float64(m.count))
+	m.mean += weight * (sample - m.mean)
+	m.paceShare += weight * (paceShare - m.paceShare)
 }
 
+// at returns the time in ns that is expected at a pace.
+func (m *meanTime) at(factor float64) float64 { return m.mean * pace.Scale(factor, m.paceShare) }
+
 // reliable reports whether there are enough samples to use the mean.
 func (m *meanTime) reliable() bool { return m.count >= minSamples }
 
 type queuedRequest struct {
 	request  Request
 	arrived  time.Duration
-	slotTime float64 // ns; expected at the usual pace
+	expected meanTime // of its class
 }
 
 // Gate is the gate of one target. It is not safe for concurrent use.
@@ -130,7 +140,7 @@
 
 // New returns a gate for a target with the given number of slots.
 func New(slots int) *Gate {
-	return &Gate{slots: usableSlots(slots), running: map[uint64]activeRequest{}, serviceTime: meanTime{mean: float64(initialServiceTime)}, classes: map[string]*meanTime{}}
+	return &Gate{slots: usableSlots(slots), running: map[uint64]activeRequest{}, serviceTime: newMeanTime(float64(initialServiceTime)), classes: map[string]*meanTime{}}
 }
 
 // SkipDeadlineCheck disables the check that a request has enough time left to finish.
@@ -148,6 +158,15 @@
 // Pace returns the factor in force, or 0 if none is known.
 func (g *Gate) Pace(now time.Duration) float64 { return g.pace.Known(now) }
 
+// SetPaceShare records which part of the time of a request that was sent depends on the pace of the
+// target; the rest is that of downstream calls. Without it, all of the time does.
+func (g *Gate) SetPaceShare(id uint64, share float64) {
+	if request, present := g.running[id]; present {
+		request.paceShare = share
+		g.running[id] = request
+	}
+}
+
 // Load returns the current load.
 func (g *Gate) Load(now time.Duration) Load {
 	load := Load{Slots: g.slots, Running: len(g.running), Waiting: len(g.queue), Offered: g.OfferedLoad(now), Pace: g.pace.Known(now)}
@@ -168,14 +187,14 @@
 	if g.draining {
 		return []Decision{{ID: request.ID, Reason: ReasonDraining}}
 	}
-	slotTime := g.expectedSlotTime(request.Class)
-	g.offered.add(now, slotTime*g.pace.Now(now))
+	expected := g.expectedSlotTime(request.Class)
+	g.offered.add(now, expected.at(g.pace.Now(now)))
 	request.Deadline -= g.minTimeLeft(now, request.Class)
 	if now >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonExpired}}
 	}
 	if len(g.queue) == 0 && g.tryAdmit(now) {
-		g.running[request.ID] = activeRequest{class: request.Class, startedAt: now, pace: g.pace.Now(now)}
+		g.running[request.ID] = activeRequest{class: request.Class, startedAt: now, pace: g.pace.Now(now), paceShare: 1}
 		return []Decision{{ID: request.ID, Send: true}}
 	}
 	position := g.queuePosition(request)
@@ -188,7 +207,7 @@
 	}
 	g.queue = append(g.queue, queuedRequest{})
 	copy(g.queue[position+1:], g.queue[position:])
-	g.queue[position] = queuedRequest{request: request, arrived: now, slotTime: slotTime}
+	g.queue[position] = queuedRequest{request: request, arrived: now, expected: *expected}
 	decisions := g.dispatch(now, nil)
 	switch {
 	case g.tokenWait(now, len(g.queue)) > maxTokenWait:
@@ -212,7 +231,7 @@
 }
 
 func (g *Gate) expectedWait(now time.Duration, position int) time.Duration {
-	return time.Duration(g.serviceTime.mean * g.pace.Now(now) * float64(position+1) / float64(g.slots))
+	return time.Duration(g.serviceTime.at(g.pace.Now(now)) * float64(position+1) / float64(g.slots))
 }
 
 const (
@@ -224,18 +243,17 @@
 )
 
 // minTimeLeft returns the time that a request of a class must have left to be dispatched. A target
-// that is slow now may be fast again before the request ends, and the time of downstream calls does
-// not depend on it, so that its pace only shortens this time.
+// that is slow now may be fast again before the request ends, so that its pace only shortens this time.
 func (g *Gate) minTimeLeft(now time.Duration, class string) time.Duration {
 	if g.skipDeadlineCheck {
 		return 0
 	}
 	factor := min(g.pace.Now(now), pace.Usual)
 	if classTime := g.classes[class]; classTime != nil && classTime.reliable() {
-		return time.Duration(minClassFraction * classTime.mean * factor)
+		return time.Duration(minClassFraction * classTime.at(factor))
 	}
 	if g.serviceTime.reliable() && class == "" {
-		return time.Duration(minOverallFraction * g.serviceTime.mean * factor)
+		return time.Duration(minOverallFraction * g.serviceTime.at(factor))
 	}
 	return 0
 }
@@ -250,12 +268,12 @@
 		return nil
 	}
 	delete(g.running, id)
-	elapsed := float64(now-request.startedAt) / pace.During(request.pace, g.pace.Now(now))
+	elapsed := float64(now-request.startedAt) / pace.Scale(pace.During(request.pace, g.pace.Now(now)), request.paceShare)
 	if answered || elapsed > g.serviceTime.mean {
-		g.serviceTime.add(elapsed)
+		g.serviceTime.add(elapsed, request.paceShare)
 	}
 	if class := g.class(request.class); class != nil && (answered || class.reliable() && elapsed > class.mean) {
-		class.add(elapsed)
+		class.add(elapsed, request.paceShare)
 	}
 	return g.dispatch(now, nil)
 }
@@ -268,7 +286,8 @@
 func (g *Gate) class(name string) *meanTime {
 	classTime := g.classes[name]
 	if classTime == nil && name != "" && len(g.classes) < maxClasses {
-		classTime = &meanTime{}
+		added := newMeanTime(0)
+		classTime = &added
 		g.classes[name] = classTime
 	}
 	return classTime
@@ -314,7 +333,7 @@
 	for len(g.queue) > 0 && g.tryAdmit(now) {
 		next := g.queue[0]
 		g.queue = g.queue[1:]
-		g.running[next.request.ID] = activeRequest{class: next.request.Class, startedAt: now, pace: g.pace.Now(now)}
+		g.running[next.request.ID] = activeRequest{class: next.request.Class, startedAt: now, pace: g.pace.Now(now), paceShare: 1}
 		decisions = append(decisions, Decision{ID: next.request.ID, Send: true, Waited: now - next.arrived})
 	}
 	return decisions
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -241,6 +241,10 @@
 	response.SlotTime = i.options.Now() - sentAt
 	response.RunPace = runPace(paceBefore, gate.Pace())
 	i.Running.remove(call.RequestID, running)
+	response.Needs = running.collectNeeds()
+	if response.RunPace > 0 {
+		gate.SetPaceShare(id, response.PaceShare(response.SlotTime))
+	}
 	answered := response.Outcome == outcome.Answered
 	if response.Stream == nil {
 		gate.Release(id, answered)
@@ -253,7 +257,6 @@
 			i.recordStreamEnd(ctx, gate, req, err)
 		}}
 	}
-	response.Needs = running.collectNeeds()
 	return response
 }
 
--- a/internal/sidecar/services/services.go
+++ b/internal/sidecar/services/services.go
@@ -160,7 +160,8 @@
 	case response.Reason.Declined():
 		s.balancer.Declined(now, c.endpoint)
 	case response.Outcome == outcome.Answered:
-		latency := s.balancer.AtUsualPace(c.class, response.ServiceTime(now-c.sentAt), response.RunPace, len(response.Needs) > 0)
+		latency := response.ServiceTime(now - c.sentAt)
+		latency = s.balancer.AtUsualPace(c.class, latency, response.RunPace, response.PaceShare(latency))
 		s.balancer.Answered(now, c.endpoint, c.class, response.Bytes(), latency)
 	}
 	switch {
--- a/internal/sidecar/target/state.go
+++ b/internal/sidecar/target/state.go
@@ -43,6 +43,13 @@
 	g.core.ObservePace(g.now(), factor)
 }
 
+// SetPaceShare records which part of the time of an admitted request depends on the pace of the target.
+func (g *Gate) SetPaceShare(id uint64, share float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.SetPaceShare(id, share)
+}
+
 // Pace returns the factor in force, or 0 if none is known.
 func (g *Gate) Pace() float64 {
 	g.mu.Lock()
