--- a/internal/core/balancer/cache_test.go
+++ b/internal/core/balancer/cache_test.go
@@ -17,7 +17,7 @@
 	sum, known := time.Duration(0), time.Duration(0)
 	for _, e := range b.order {
 		if e.report.ServiceTime > 0 {
-			sum += e.report.ServiceTime
+			sum += e.usualServiceTime()
 			known++
 		}
 	}
@@ -27,6 +27,16 @@
 	return sum / known
 }
 
+// walkedPaceCount counts the targets whose last report states a pace.
+func walkedPaceCount(b *Balancer) (count int) {
+	for _, e := range b.order {
+		if e.report.Pace > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // sortedServiceLoad computes the load of the service from a sorted copy of all reports.
 func sortedServiceLoad(b *Balancer, now time.Duration) (ServiceLoad, bool) {
 	var fresh, stale []slots.Load
@@ -132,9 +142,10 @@
 				case 1:
 					answered(e, class, time.Duration(random.IntN(300))*time.Millisecond)
 				default:
-					b.Report(now, e, slots.Load{Slots: random.IntN(20), Running: random.IntN(20), Waiting: random.IntN(3) * random.IntN(100), ServiceTime: time.Duration(random.IntN(3)*random.IntN(50)) * time.Millisecond})
+					b.Report(now, e, slots.Load{Slots: random.IntN(20), Running: random.IntN(20), Waiting: random.IntN(3) * random.IntN(100), ServiceTime: time.Duration(random.IntN(3)*random.IntN(50)) * time.Millisecond, Pace: float64(random.IntN(3)) * (0.2 + random.Float64())})
 				}
 				g.Expect(b.meanServiceTime()).To(Equal(walkedServiceTime(b)))
+				g.Expect(b.paceCount).To(Equal(walkedPaceCount(b)))
 				for _, e := range b.order {
 					if e.state != b.states[e.Instance] {
 						t.Fatalf("state of %s: %v, want %v", e.Instance, e.state, b.states[e.Instance])
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -10,6 +10,7 @@
 	"sort"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/core/pace"
 	"github.com/landingmast/landingmast/internal/core/ratelimit"
 )
 
@@ -48,8 +49,10 @@
 	Slots   int
 	Running int
 	Waiting int
-	// ServiceTime is the mean service time of a request; 0: not enough samples.
+	// ServiceTime is the mean service time of a request, as expected now; 0: not enough samples.
 	ServiceTime time.Duration
+	// Pace is the factor of package pace that ServiceTime contains; 0: none is known.
+	Pace float64
 	// Offered is the offered load of the target, see Gate.OfferedLoadBesides; 0: unknown. Gate.Load does
 	// not set it.
 	Offered float64
@@ -67,27 +70,38 @@
 type activeRequest struct {
 	class     string
 	startedAt time.Duration
+	pace      float64 // when the request was sent
+	paceShare float64 // part of its time that depends on the pace
 }
 
-// meanTime is a moving average of service times.
+// meanTime is a moving average of service times at the usual pace of the target.
 type meanTime struct {
-	mean  float64 // ns
-	count int
+	mean      float64 // ns
+	paceShare float64 // mean part that depends on the pace
+	count     int
 }
 
-// add adds a sample in ns.
-func (m *meanTime) add(sample float64) {
+// newMeanTime returns an average that starts at mean (ns).
+func newMeanTime(mean float64) meanTime { return meanTime{mean: mean, paceShare: 1} }
+
+// add adds a sample in ns, of which a share depends on the pace.
+func (m *meanTime) add(sample, paceShare float64) {
 	m.count++
-	m.mean += max(serviceTimeWeight, 1/float64(m.count)) * (sample - m.mean)
+	weight := max(serviceTimeWeight, 1/float64(m.count))
+	m.mean += weight * (sample - m.mean)
+	m.paceShare += weight * (paceShare - m.paceShare)
 }
 
+// at returns the time in ns that is expected at a pace.
+func (m *meanTime) at(factor float64) float64 { return m.mean * pace.Scale(factor, m.paceShare) }
+
 // reliable reports whether there are enough samples to use the mean.
 func (m *meanTime) reliable() bool { return m.count >= minSamples }
 
 type queuedRequest struct {
 	request  Request
 	arrived  time.Duration
-	slotTime float64 // ns; expected
+	expected meanTime // of its class
 }
 
 // Gate is the gate of one target. It is not safe for concurrent use.
@@ -100,6 +114,7 @@
 	classes           map[string]*meanTime // by class
 	rate              *ratelimit.Bucket    // nil: the target states no rate
 	offered           offeredLoad
+	pace              pace.Latest
 	probationEndsAt   time.Duration // until then few requests are admitted at the same time
 	draining          bool
 	skipDeadlineCheck bool
@@ -127,7 +142,7 @@
 
 // New returns a gate for a target with the given number of slots.
 func New(slots int) *Gate {
-	return &Gate{slots: usableSlots(slots), running: map[uint64]activeRequest{}, serviceTime: meanTime{mean: float64(initialServiceTime)}, classes: map[string]*meanTime{}}
+	return &Gate{slots: usableSlots(slots), running: map[uint64]activeRequest{}, serviceTime: newMeanTime(float64(initialServiceTime)), classes: map[string]*meanTime{}}
 }
 
 // SkipDeadlineCheck disables the check that a request has enough time left to finish.
@@ -139,11 +154,26 @@
 	return g.dispatch(now, nil)
 }
 
+// ObservePace records how long work takes at the target now, as a factor of package pace.
+func (g *Gate) ObservePace(now time.Duration, factor float64) { g.pace.Observe(now, factor) }
+
+// Pace returns the factor in force, or 0 if none is known.
+func (g *Gate) Pace(now time.Duration) float64 { return g.pace.Known(now) }
+
+// SetPaceShare records which part of the time of a request that was sent depends on the pace of the
+// target; the rest is that of downstream calls. Without it, all of the time does.
+func (g *Gate) SetPaceShare(id uint64, share float64) {
+	if request, present := g.running[id]; present {
+		request.paceShare = share
+		g.running[id] = request
+	}
+}
+
 // Load returns the current load.
 func (g *Gate) Load(now time.Duration) Load {
-	load := Load{Slots: g.slots, Running: len(g.running), Waiting: len(g.queue)}
+	load := Load{Slots: g.slots, Running: len(g.running), Waiting: len(g.queue), Pace: g.pace.Known(now)}
 	if g.serviceTime.reliable() {
-		load.ServiceTime = time.Duration(g.serviceTime.mean)
+		load.ServiceTime = time.Duration(g.serviceTime.mean * g.pace.Now(now))
 	}
 	if g.rate != nil {
 		load.Slots, load.Running = g.rateLimitedLoad(now)
@@ -159,18 +189,18 @@
 	if g.draining {
 		return []Decision{{ID: request.ID, Reason: ReasonDraining}}
 	}
-	slotTime := g.expectedSlotTime(request.Class)
-	g.offered.add(now, slotTime)
-	request.Deadline -= g.minTimeLeft(request.Class)
+	expected := g.expectedSlotTime(request.Class)
+	g.offered.add(now, expected.at(g.pace.Now(now)))
+	request.Deadline -= g.minTimeLeft(now, request.Class)
 	if now >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonExpired}}
 	}
 	if len(g.queue) == 0 && g.tryAdmit(now) {
-		g.running[request.ID] = activeRequest{class: request.Class, startedAt: now}
+		g.running[request.ID] = activeRequest{class: request.Class, startedAt: now, pace: g.pace.Now(now), paceShare: 1}
 		return []Decision{{ID: request.ID, Send: true}}
 	}
 	position := g.queuePosition(request)
-	wait := max(g.expectedWait(position), g.tokenWait(now, position+1))
+	wait := max(g.expectedWait(now, position), g.tokenWait(now, position+1))
 	if now+wait >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonTooLong}}
 	}
@@ -179,7 +209,7 @@
 	}
 	g.queue = append(g.queue, queuedRequest{})
 	copy(g.queue[position+1:], g.queue[position:])
-	g.queue[position] = queuedRequest{request: request, arrived: now, slotTime: slotTime}
+	g.queue[position] = queuedRequest{request: request, arrived: now, expected: *expected}
 	if len(g.queue) == 1 || request.Deadline < g.earliestDeadline {
 		g.earliestDeadline = request.Deadline
 	}
@@ -205,8 +235,8 @@
 	return sort.Search(len(g.queue), func(i int) bool { return g.queue[i].request.Importance > request.Importance })
 }
 
-func (g *Gate) expectedWait(position int) time.Duration {
-	return time.Duration(g.serviceTime.mean * float64(position+1) / float64(g.slots))
+func (g *Gate) expectedWait(now time.Duration, position int) time.Duration {
+	return time.Duration(g.serviceTime.at(g.pace.Now(now)) * float64(position+1) / float64(g.slots))
 }
 
 const (
@@ -217,35 +247,38 @@
 	minOverallFraction = 0.5
 )
 
-// minTimeLeft returns the time that a request of a class must have left to be dispatched.
-func (g *Gate) minTimeLeft(class string) time.Duration {
+// minTimeLeft returns the time that a request of a class must have left to be dispatched. A target
+// that is slow now may be fast again before the request ends, so that its pace only shortens this time.
+func (g *Gate) minTimeLeft(now time.Duration, class string) time.Duration {
 	if g.skipDeadlineCheck {
 		return 0
 	}
+	factor := min(g.pace.Now(now), pace.Usual)
 	if classTime := g.classes[class]; classTime != nil && classTime.reliable() {
-		return time.Duration(minClassFraction * classTime.mean)
+		return time.Duration(minClassFraction * classTime.at(factor))
 	}
 	if g.serviceTime.reliable() && class == "" {
-		return time.Duration(minOverallFraction * g.serviceTime.mean)
+		return time.Duration(minOverallFraction * g.serviceTime.at(factor))
 	}
 	return 0
 }
 
 // Finish releases the slot of a request. answered reports a complete response, whose service
 // time is a valid sample. The time of an aborted request is a lower bound and counts only if it
-// exceeds the mean; otherwise a target too slow for all deadlines would never appear slow.
+// exceeds the mean; otherwise a target too slow for all deadlines would never appear slow. Samples are
+// at the usual pace of the target.
 func (g *Gate) Finish(now time.Duration, id uint64, answered bool) []Decision {
 	request, present := g.running[id]
 	if !present {
 		return nil
 	}
 	delete(g.running, id)
-	elapsed := float64(now - request.startedAt)
+	elapsed := float64(now-request.startedAt) / pace.Scale(pace.During(request.pace, g.pace.Now(now)), request.paceShare)
 	if answered || elapsed > g.serviceTime.mean {
-		g.serviceTime.add(elapsed)
+		g.serviceTime.add(elapsed, request.paceShare)
 	}
 	if class := g.class(request.class); class != nil && (answered || class.reliable() && elapsed > class.mean) {
-		class.add(elapsed)
+		class.add(elapsed, request.paceShare)
 	}
 	return g.dispatch(now, nil)
 }
@@ -258,7 +291,8 @@
 func (g *Gate) class(name string) *meanTime {
 	classTime := g.classes[name]
 	if classTime == nil && name != "" && len(g.classes) < maxClasses {
-		classTime = &meanTime{}
+		added := newMeanTime(0)
+		classTime = &added
 		g.classes[name] = classTime
 	}
 	return classTime
@@ -307,7 +341,7 @@
 	for len(g.queue) > 0 && g.tryAdmit(now) {
 		next := g.queue[0]
 		g.queue = g.queue[1:]
-		g.running[next.request.ID] = activeRequest{class: next.request.Class, startedAt: now}
+		g.running[next.request.ID] = activeRequest{class: next.request.Class, startedAt: now, pace: g.pace.Now(now), paceShare: 1}
 		decisions = append(decisions, Decision{ID: next.request.ID, Send: true, Waited: now - next.arrived})
 	}
 	return decisions
