Test the offered load at a pace with and without a queue

The test expected twice the load at twice the pace with requests in the queue. That held while the load was proportional to the backlog. The test states the expected loads without a queue, with a short one and beyond toleratedBacklog, within 0.001 instead of 0.01.

--- a/internal/core/slots/pace_test.go
+++ b/internal/core/slots/pace_test.go
@@ -51,19 +51,33 @@
 	g.Expect(gate.serviceTime.mean).To(BeNumerically("~", 100*time.Millisecond, time.Microsecond))
 }
 
-// A target that is slow at this moment provides less, so that the same requests are a higher load.
+// A target that is slow at this moment provides less, so that the same requests are a higher load. With a
+// queue, the limit of shortQueueLoad applies to its backlog at the pace.
 func TestOfferedLoadFollowsThePace(t *testing.T) {
-	g := NewWithT(t)
-	offered := func(factor float64) float64 {
-		gate := New(10)
-		now := serveAt(gate, 0, "c", 50, 1) + 10*time.Second
-		gate.ObservePace(now, factor)
-		for id := range uint64(20) {
-			gate.Submit(now, Request{ID: 1000 + id, Deadline: now + time.Minute, Class: "c"})
-		}
-		return gate.OfferedLoad(now)
+	for _, tc := range []struct {
+		name        string
+		requests    uint64
+		usual, slow float64 // at 9 slots and 100 ms for each request
+	}{
+		{"without a queue", 9, 0.1 / 0.3, 0.2 / 0.3},
+		{"with a short queue", 11, 11*0.1/0.3/9 + 2*0.1/9, 11*0.2/0.3/9 + 2*0.2/9},
+		{"with a queue beyond toleratedBacklog", 20, 20*0.1/0.3/9 + 11*0.1/9, 0.9 + (11*0.2/9-0.1)/0.3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			offered := func(factor float64) float64 {
+				gate := New(10)
+				now := serveAt(gate, 0, "c", 50, 1) + 10*time.Second
+				gate.ObservePace(now, factor)
+				for id := range tc.requests {
+					gate.Submit(now, Request{ID: 1000 + id, Deadline: now + time.Minute, Class: "c"})
+				}
+				return gate.OfferedLoad(now)
+			}
+			g.Expect(offered(1)).To(BeNumerically("~", tc.usual, 0.001))
+			g.Expect(offered(2)).To(BeNumerically("~", tc.slow, 0.001))
+		})
 	}
-	g.Expect(offered(2)).To(BeNumerically("~", 2*offered(1), 0.01))
 }
 
 // The share of a request is left out at the pace at which it was counted, or a slow target without other
