--- a/internal/core/balancer/balancer.go
+++ b/internal/core/balancer/balancer.go
@@ -41,6 +41,8 @@
 	// NoSamples, NoZones and NoLosses disable a mechanism: latency samples per class, the
 	// cross-zone cost, and the cost of lost responses and declined requests.
 	NoSamples, NoZones, NoLosses bool
+	// NoPace ignores the paces that load reports state.
+	NoPace bool
 	// Rank returns the place of the node among all nodes that send to an instance, which each of
 	// them computes alike, and their number. nil: the node is the only one.
 	Rank func(instance string) (rank, senders int)
@@ -83,9 +85,10 @@
 	order     []*Endpoint
 	classes   map[string]*classStats
 	states    map[string]*knownState // by instance
-	// serviceTimeSum and serviceTimeCount add up the known service times of order.
+	// serviceTimeSum and serviceTimeCount add up the known service times of order, at the usual pace.
 	serviceTimeSum   time.Duration
 	serviceTimeCount int
+	paceCount        int         // targets of order whose last report states a pace
 	fresh, stale     []*Endpoint // buffers of ServiceLoad
 	occupancies      []float64   // buffer of occupancyCap
 }
@@ -104,7 +107,7 @@
 	}
 	clear(b.order)
 	b.order = b.order[:0]
-	b.serviceTimeSum, b.serviceTimeCount = 0, 0
+	b.serviceTimeSum, b.serviceTimeCount, b.paceCount = 0, 0, 0
 	for _, target := range targets {
 		endpoint := previous[target.Node]
 		if endpoint == nil {
@@ -118,7 +121,7 @@
 		endpoint.listed = true
 		endpoint.local = target.Node == b.node
 		endpoint.remoteZone = target.Zone != b.zone
-		b.addServiceTime(endpoint.report.ServiceTime)
+		b.addReport(endpoint)
 		b.endpoints[target.Node] = endpoint
 		b.order = append(b.order, endpoint)
 	}
@@ -129,6 +132,7 @@
 func (b *Balancer) Pick(now time.Duration, need Requirement, excluded map[string]bool, allowAvoided bool) (best *Endpoint) {
 	var cost float64
 	profile := b.profile(need)
+	profile.paced = b.pacedMeans(now, profile)
 	for _, endpoint := range b.order {
 		if !b.usable(now, endpoint, excluded) || now < endpoint.avoidUntil || need.Allowed != nil && !need.Allowed[endpoint.Node] {
 			continue
@@ -175,14 +179,19 @@
 
 // Report records a load report of the endpoint's gate.
 func (b *Balancer) Report(now time.Duration, e *Endpoint, load slots.Load) {
+	if b.config.NoPace {
+		load.Pace = 0
+	}
 	if load.ServiceTime == 0 {
-		load.ServiceTime = e.report.ServiceTime
+		e.keepServiceTime(&load)
 	}
 	if e.listed {
-		b.removeServiceTime(e.report.ServiceTime)
-		b.addServiceTime(load.ServiceTime)
+		b.removeReport(e)
 	}
 	e.report, e.reportedAt, e.sentSinceReport = load, now, 0
+	if e.listed {
+		b.addReport(e)
+	}
 	b.ClearSuspicion(e)
 }
 
--- a/internal/core/slots/offered.go
+++ b/internal/core/slots/offered.go
@@ -31,13 +31,14 @@
 
 // OfferedLoad returns the slot time per second that arriving requests ask for, refused ones included,
 // and that queued requests need to be served within backlogSpan, relative to what the target provides:
-// above 1 it is asked for more than it can do. Without the queue, a backlog would persist once arrivals
+// above 1 it is asked for more than it can do. Requests count with the time that they take now, since
+// a target that is slow at this moment provides less. Without the queue, a backlog would persist once arrivals
 // match the capacity. For a target that states a rate, the load is at least the rate of requests
 // relative to that rate. It is 0, unknown, while the gate drains: the load then goes to other targets,
 // and its absence here says nothing about them.
 func (g *Gate) OfferedLoad(now time.Duration) float64 {
 	decay := g.offered.decay(now)
-	return g.relativeLoad(g.offered.slotTime*decay, g.offered.requests*decay)
+	return g.relativeLoad(now, g.offered.slotTime*decay, g.offered.requests*decay)
 }
 
 // OfferedLoadBesides returns the offered load without the share of one request, which was submitted at
@@ -47,17 +48,18 @@
 func (g *Gate) OfferedLoadBesides(now time.Duration, class string, submittedAt time.Duration) float64 {
 	decay := g.offered.decay(now)
 	own := math.Exp(-float64(now-submittedAt) / float64(offeredWindow))
-	return g.relativeLoad(max(g.offered.slotTime*decay-g.expectedSlotTime(class)*own, 0), max(g.offered.requests*decay-own, 0))
+	slotTime := g.expectedSlotTime(class).at(g.pace.Now(now))
+	return g.relativeLoad(now, max(g.offered.slotTime*decay-slotTime*own, 0), max(g.offered.requests*decay-own, 0))
 }
 
 // relativeLoad returns the load of slotTime (ns) and requests within offeredWindow, and of the queue,
 // relative to what the target provides.
-func (g *Gate) relativeLoad(slotTime, requests float64) float64 {
+func (g *Gate) relativeLoad(now time.Duration, slotTime, requests float64) float64 {
 	if g.draining {
 		return 0
 	}
 	provided := float64(g.slots)
-	backlog := g.backlog() / provided
+	backlog := g.backlog(now) / provided
 	load := slotTime/float64(offeredWindow)/provided + backlog/float64(backlogSpan)
 	load = min(load, shortQueueLoad+max(backlog-float64(toleratedBacklog), 0)/float64(backlogScale))
 	if g.rate != nil {
@@ -66,10 +68,11 @@
 	return min(max(load, minOfferedLoad), maxOfferedLoad)
 }
 
-// backlog returns the slot time in ns that queued requests are expected to take.
-func (g *Gate) backlog() (slotTime float64) {
+// backlog returns the slot time in ns that queued requests are expected to take at the current pace.
+func (g *Gate) backlog(now time.Duration) (slotTime float64) {
+	factor := g.pace.Now(now)
 	for i := range g.queue {
-		slotTime += g.queue[i].slotTime
+		slotTime += g.queue[i].expected.at(factor)
 	}
 	return slotTime
 }
@@ -93,10 +96,10 @@
 	maxOfferedLoad = 8.0
 )
 
-// expectedSlotTime returns the time in ns that a request of a class is expected to occupy a slot.
-func (g *Gate) expectedSlotTime(class string) float64 {
+// expectedSlotTime returns the time that a request of a class is expected to occupy a slot.
+func (g *Gate) expectedSlotTime(class string) *meanTime {
 	if classTime := g.classes[class]; classTime != nil && classTime.reliable() {
-		return classTime.mean
+		return classTime
 	}
-	return g.serviceTime.mean
+	return &g.serviceTime
 }
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -42,9 +42,11 @@
 	TargetState Mechanism = "target_state"
 	// Pipelining handles requests that clients send before an earlier one is answered.
 	Pipelining Mechanism = "pipelining"
+	// Pace places requests by how long work takes at each target now, as the targets state it.
+	Pace Mechanism = "pace"
 )
 
-var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining}
+var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining, Pace}
 
 // Enabled reports whether m is enabled.
 func (p Policy) Enabled(m Mechanism) bool { return !slices.Contains(p.Off, m) }
