--- a/internal/core/balancer/fullload_test.go
+++ b/internal/core/balancer/fullload_test.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -9,27 +8,10 @@
 
 	"github.com/landingmast/landingmast/internal/core/pace"
 	"github.com/landingmast/landingmast/internal/core/slots"
+	"github.com/landingmast/landingmast/internal/testbed/events"
 	. "github.com/onsi/gomega"
 )
 
-// event is a step of the simulation.
-type event struct {
-	at  time.Duration
-	run func(now time.Duration)
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int           { return len(q) }
-func (q eventQueue) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // Parameters of the simulation, those of service "results" in docs/design/shared-capacity.md.
 const (
 	simTargets = 18
@@ -54,7 +36,7 @@
 type simulation struct {
 	// Separate sources, so that arrivals and draws of the speed are the same whatever senders choose.
 	random, arrivals, draws *rand.Rand
-	events                  eventQueue
+	events                  events.Queue
 	targets                 map[string]*simTarget
 	order                   []*simTarget
 	senders                 []*Balancer
@@ -91,7 +73,7 @@
 }
 
 func (s *simulation) after(now, delay time.Duration, run func(now time.Duration)) {
-	heap.Push(&s.events, event{now + delay, run})
+	s.events.At(now+delay, run)
 }
 
 // play sends requests at load times the capacity of the targets at their usual pace.
@@ -121,13 +103,7 @@
 			s.after(0, time.Duration(s.draws.Float64()*float64(s.redraw)), draw)
 		}
 	}
-	for s.events.Len() > 0 {
-		next := heap.Pop(&s.events).(event)
-		if next.at > until {
-			return
-		}
-		next.run(next.at)
-	}
+	s.events.Run(until)
 }
 
 func (s *simulation) send(now time.Duration, id uint64) {
--- a/internal/core/overload/window_test.go
+++ b/internal/core/overload/window_test.go
@@ -1,11 +1,11 @@
 package overload
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/testbed/events"
 	. "github.com/onsi/gomega"
 )
 
@@ -49,25 +49,6 @@
 	g.Expect(w.InFlight()).To(BeZero())
 }
 
-// event is a scheduled callback of the simulation.
-type event struct {
-	at time.Duration
-	do func(now time.Duration)
-}
-
-type eventQueue []event
-
-func (e eventQueue) Len() int           { return len(e) }
-func (e eventQueue) Less(a, b int) bool { return e[a].at < e[b].at }
-func (e eventQueue) Swap(a, b int)      { e[a], e[b] = e[b], e[a] }
-func (e *eventQueue) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *eventQueue) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // simulation models chains of sequential calls to one service with a fixed number of slots and
 // a FIFO queue. The chains start at several independent nodes.
 type simulation struct {
@@ -77,7 +58,7 @@
 	arrivalRate         func(now time.Duration) float64 // chains per second
 
 	random  *rand.Rand
-	queue   eventQueue
+	queue   events.Queue
 	free    int
 	waiting []func(now time.Duration)
 	// Counts by second.
@@ -85,7 +66,7 @@
 }
 
 func (s *simulation) after(now, delay time.Duration, do func(time.Duration)) {
-	heap.Push(&s.queue, event{at: now + delay, do: do})
+	s.queue.At(now+delay, do)
 }
 
 func (s *simulation) call(now time.Duration, done func(now, waited time.Duration)) {
@@ -138,13 +119,7 @@
 		}
 		s.after(0, time.Duration(s.random.Int64N(int64(100*time.Millisecond))), begin)
 	}
-	for len(s.queue) > 0 {
-		next := heap.Pop(&s.queue).(event)
-		if next.at >= length {
-			return
-		}
-		next.do(next.at)
-	}
+	s.queue.Run(length)
 }
 
 func (s *simulation) chain(started, now time.Duration, left int, waited time.Duration, done func(end, waited time.Duration)) {
--- a/internal/core/pricing/simulation_test.go
+++ b/internal/core/pricing/simulation_test.go
@@ -1,33 +1,14 @@
 package pricing
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/slots"
+	"github.com/landingmast/landingmast/internal/testbed/events"
 )
 
-// event is a scheduled callback of the simulation.
-type event struct {
-	at time.Duration
-	do func(now time.Duration)
-}
-
-type eventQueue []event
-
-func (e eventQueue) Len() int           { return len(e) }
-func (e eventQueue) Less(a, b int) bool { return e[a].at < e[b].at }
-func (e eventQueue) Swap(a, b int)      { e[a], e[b] = e[b], e[a] }
-func (e *eventQueue) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *eventQueue) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // kind is a route of the simulation: a request works elsewhere for lead, makes branches parallel
 // sequences of calls to the scarce service, and its result is known to the node tail after the last.
 type kind struct {
@@ -55,7 +36,7 @@
 	noPrices  bool // admits everything
 
 	random *rand.Rand
-	queue  eventQueue
+	queue  events.Queue
 	gates  []*simulatedGate
 	ids    uint64
 	// Counts by kind and second of arrival.
@@ -71,7 +52,7 @@
 }
 
 func (s *simulation) after(now, delay time.Duration, do func(time.Duration)) {
-	heap.Push(&s.queue, event{at: now + delay, do: do})
+	s.queue.At(now+delay, do)
 }
 
 func (g *simulatedGate) apply(now time.Duration, decisions []slots.Decision) {
@@ -192,13 +173,7 @@
 		}
 	}
 	s.tick(0)
-	for len(s.queue) > 0 {
-		next := heap.Pop(&s.queue).(event)
-		if next.at >= length {
-			return
-		}
-		next.do(next.at)
-	}
+	s.queue.Run(length)
 }
 
 // tick expires waiting requests and samples the slots in use.
--- a/internal/core/slots/offered.go
+++ b/internal/core/slots/offered.go
@@ -79,7 +79,8 @@
 
 const (
 	// toleratedBacklog is the time to work off a queue up to which the load counts as shortQueueLoad at
-	// most, below the setpoint of core/pricing: a burst that a short queue absorbs is no overload. Beyond it, each backlogScale adds 1.
+	// most, below the setpoint of core/pricing: a burst that a short queue absorbs is no overload. Beyond
+	// it, each backlogScale adds 1.
 	toleratedBacklog = 100 * time.Millisecond
 	backlogScale     = 300 * time.Millisecond
 	shortQueueLoad   = 0.9
