Notice clients that left before their request was read

Cause: on a node whose processor has no time left, a request is handled up to 0.9 s after it arrived, and its connection may be closed by then. net/http starts the goroutine that watches the connection before the handler, but on a single processor it does not run before the handler blocks, which is after the request was passed on. Ruled out: pipelined bytes that hide the close, since calls of targets are not pipelined and the same is seen with read-ahead.

Change: the handlers of clients' requests and of calls yield once after the body was read. TestNoticeDisconnect: 0 of 20 such clients noticed without, 15 or more in ten runs with it, half of them with the race detector.

--- a/internal/duplex/duplex.go
+++ b/internal/duplex/duplex.go
@@ -13,6 +13,7 @@
 import (
 	"io"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,12 @@
 	return writer, r
 }
 
+// NoticeDisconnect lets net/http notice a client that has closed its connection, which ends the context
+// of the request. It must be called after the body was read. On a busy machine a request is handled long
+// after it arrived: the goroutine that watches the connection has been started, but on a single processor
+// does not run before the handler blocks, which is after the request was passed on.
+func NoticeDisconnect() { runtime.Gosched() }
+
 // Unwrap returns the underlying writer, for http.ResponseController.
 func (w *Writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
--- a/internal/duplex/duplex_test.go
+++ b/internal/duplex/duplex_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -141,3 +142,44 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return response, err
 }
+
+// A request whose client left before it was read must not be passed on. Without NoticeDisconnect, 110
+// such requests reached targets up to 0.9 s after their clients had left, through nodes whose processor
+// had no time left.
+func TestNoticeDisconnect(t *testing.T) {
+	for _, tc := range []struct{ name, request string }{
+		{"no body", "GET / HTTP/1.1\r\nHost: x\r\n\r\n"},
+		{"body", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			const requests = 20
+			for range requests {
+				conn, err := net.Dial("tcp", listener.Addr().String())
+				g.Expect(err).NotTo(HaveOccurred())
+				_, err = io.WriteString(conn, tc.request)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(conn.Close()).To(Succeed())
+			}
+			ended := make(chan error, requests)
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, r = Begin(w, r, nil)
+				_, _ = io.ReadAll(r.Body)
+				NoticeDisconnect()
+				ended <- r.Context().Err()
+			})}
+			go func() { _ = server.Serve(listener) }()
+			defer server.Close()
+			noticed := 0
+			for range requests {
+				if <-ended != nil {
+					noticed++
+				}
+			}
+			g.Expect(noticed).To(BeNumerically(">=", requests*3/4))
+		})
+	}
+}
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -11,6 +11,7 @@
 
 	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/core/slots"
+	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
 	"github.com/landingmast/landingmast/internal/sidecar/quarantine"
@@ -70,6 +71,7 @@
 		i.write(w, reply.NotRun(outcome.ReasonCancelled), "")
 		return
 	}
+	duplex.NoticeDisconnect()
 	omitted := ""
 	if r.Header.Get(i.options.Headers.RequestID) == "" {
 		omitted = i.options.Headers.RequestID // the sender has it from its call
--- a/internal/sidecar/entry/steps.go
+++ b/internal/sidecar/entry/steps.go
@@ -9,6 +9,7 @@
 	"github.com/landingmast/landingmast/internal/core/importance"
 	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/core/retryafter"
+	"github.com/landingmast/landingmast/internal/duplex"
 	readahead "github.com/landingmast/landingmast/internal/pipeline"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
@@ -132,6 +133,7 @@
 		r.reject(http.StatusRequestTimeout, outcome.ReasonCancelled, noRetryAfter)
 		return false
 	}
+	duplex.NoticeDisconnect()
 	r.body = body
 	r.header = headers.EndToEnd(r.incoming.Header)
 	if len(r.intent.Tenants) > 0 {
