Gate decides the order by need for its whole queue

Cause: nodes with a price for a service put the need in the place of the timeout in the importance of a request, nodes without one did not, and gates compared both numbers.

Change: senders state the need from an offered load of 0.7 on, beside the importance. A gate orders its queue by need while its arrivals ask for 0.95 of what it provides: by priorities, then by arrival plus 10 ms for each class of need, which bounds overtaking by senders with different knowledge to 0.3 s.

TestPricesExpire and TestNothingIsRefusedBelowTheSetpoint expect the need in the decision now, as strict as before; WithNeed and its test are replaced by Priority and its test.

--- a/internal/core/importance/importance.go
+++ b/internal/core/importance/importance.go
@@ -48,12 +48,8 @@
 	return route.Priority*PriorityStep + rank*tenantStep + tier*urgencyStep + newWork
 }
 
-// WithNeed returns the importance of a request that needs a scarce service: within its priorities it is
-// ordered by need, a class from 1, instead of its timeout, since more chains complete on the same slots
-// if those that need least go first.
-func WithNeed(request, class int) int {
-	return request - request%tenantStep + min(max(class-1, 0), maxTier)*urgencyStep + request%urgencyStep
-}
+// Priority returns the priorities of route and tenant that an importance contains, as one number.
+func Priority(importance int) int { return importance / tenantStep }
 
 // OfCall returns the importance of a call made for a request.
 func OfCall(parent int) int { return parent &^ newWork }
--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -77,9 +77,11 @@
 	Price       float64 // of that service
 	Merit       float64 // of the route there
 	Offered     float64 // offered load of that service
-	// RelativeNeed is the need of the route relative to the largest one of its rank there, on a
-	// logarithmic scale from 0 for the smallest distinguished need to 1 for the largest one.
+	// RelativeNeed is the need of the route relative to the largest one of its rank, on a logarithmic
+	// scale from 0 for the smallest distinguished need to 1 for the largest one. It is that for Service
+	// or, without a price, for the service with the highest load. Valid if NeedKnown.
 	RelativeNeed float64
+	NeedKnown    bool // a service that the route needs has a price or an offered load of needOrderLoad
 	Returning    bool // the request was refused before
 }
 
@@ -203,6 +205,7 @@
 	if known == nil {
 		return decision
 	}
+	highest := needOrderLoad
 	for name, n := range known.needs {
 		s := c.services[name]
 		if s == nil || n.slotTime <= 0 {
@@ -210,6 +213,10 @@
 		}
 		price := s.current(now, &c.config)
 		if price <= 0 {
+			if decision.Service == "" && s.offered >= highest {
+				highest, decision.NeedKnown = s.offered, true
+				decision.RelativeNeed = 1 - c.needMerit(now, name, n.slotTime, r.Rank)/maxNeedMerit
+			}
 			continue
 		}
 		needMerit := c.needMerit(now, name, n.slotTime, r.Rank)
@@ -220,7 +227,7 @@
 		if decision.Service == "" || price-merit > decision.Price-decision.Merit {
 			decision.Service, decision.Price, decision.Merit, decision.Offered = name, price, merit, s.offered
 			decision.Probability = c.share(price, merit)
-			decision.RelativeNeed = 1 - needMerit/maxNeedMerit
+			decision.RelativeNeed, decision.NeedKnown = 1-needMerit/maxNeedMerit, true
 		}
 	}
 	return decision
@@ -234,6 +241,12 @@
 	return min(needScale*math.Log(largest/need), maxNeedMerit)
 }
 
+// needOrderLoad is the offered load of a service from which on the needs of its chains are determined.
+// It lies below the setpoint: nodes come to a price at different times, and a target that orders its
+// queue by need must know the need of the requests of all of them. The last load counts, however old: a
+// node that refuses nearly all requests of a route gets no reports.
+const needOrderLoad = 0.7
+
 const (
 	// rankStep is the merit of a rank. The advantages of small needs and of returning requests add up to it
 	// at most, so that neither lets a request go before those of a more important route.
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -32,6 +32,9 @@
 type Request struct {
 	ID         uint64
 	Importance int           // lower is served first
+	Priority   int           // the part of Importance that is strict at a scarce target
+	NeedDelay  time.Duration // at a scarce target: how long requests of the Priority that arrive later go first at most
+	NeedKnown  bool          // whether the sender knows the need of the request
 	Deadline   time.Duration // time by which the response is needed
 	Class      string        // groups requests with similar service time; empty: none
 }
@@ -118,6 +121,7 @@
 	probationEndsAt   time.Duration // until then few requests are admitted at the same time
 	draining          bool
 	skipDeadlineCheck bool
+	scarcity          scarcity
 }
 
 // serviceTimeWeight is the weight of one sample in a mean service time. The first samples
@@ -191,6 +195,7 @@
 	}
 	expected := g.expectedSlotTime(request.Class)
 	g.offered.add(now, expected.at(g.pace.Now(now)))
+	g.updateScarcity(now, request)
 	request.Deadline -= g.minTimeLeft(now, request.Class)
 	if now >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonExpired}}
@@ -199,7 +204,8 @@
 		g.running[request.ID] = activeRequest{class: request.Class, startedAt: now, pace: g.pace.Now(now), paceShare: 1}
 		return []Decision{{ID: request.ID, Send: true}}
 	}
-	position := g.queuePosition(request)
+	item := queuedRequest{request: request, arrived: now, expected: *expected}
+	position := g.queuePosition(item)
 	wait := max(g.expectedWait(now, position), g.tokenWait(now, position+1))
 	if now+wait >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonTooLong}}
@@ -209,7 +215,7 @@
 	}
 	g.queue = append(g.queue, queuedRequest{})
 	copy(g.queue[position+1:], g.queue[position:])
-	g.queue[position] = queuedRequest{request: request, arrived: now, expected: *expected}
+	g.queue[position] = item
 	if len(g.queue) == 1 || request.Deadline < g.earliestDeadline {
 		g.earliestDeadline = request.Deadline
 	}
@@ -230,9 +236,9 @@
 	return append(decisions, Decision{ID: last.request.ID, Reason: reason, Waited: now - last.arrived})
 }
 
-// queuePosition returns the insertion index: by importance, then in order of arrival.
-func (g *Gate) queuePosition(request Request) int {
-	return sort.Search(len(g.queue), func(i int) bool { return g.queue[i].request.Importance > request.Importance })
+// queuePosition returns the insertion index: after all requests that are not served later.
+func (g *Gate) queuePosition(item queuedRequest) int {
+	return sort.Search(len(g.queue), func(i int) bool { return g.compare(g.queue[i], item) > 0 })
 }
 
 func (g *Gate) expectedWait(now time.Duration, position int) time.Duration {
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -61,7 +61,8 @@
 	Merit       float64 // price up to which all requests of the route are admitted
 	Offered     float64 // offered load of Bottleneck; set if there is a price
 	Returning   bool    // whether the request was refused before; set if there is a price
-	NeedClass   int     // need of the route for the scarcest service that it needs, see wire.SidecarCall; 0: none is scarce
+	NeedClass   int     // need of the route for the scarcest service that it needs, see wire.SidecarCall; 0: unknown
+	Scarce      bool    // whether a service that the route needs has a price
 	InFlight    int     // requests of the route in flight; set on rejection by the window
 	WindowSize  float64 // size of the route's admission window; set on rejection by it
 }
@@ -99,10 +100,13 @@
 		return decision
 	}
 	price := c.prices.Admit(now, request)
+	if price.NeedKnown {
+		decision.NeedClass = 1 + int(math.Round(price.RelativeNeed*(wire.MaxNeedClass-1)))
+	}
 	if price.Service == "" {
 		return decision
 	}
-	decision.NeedClass = 1 + int(math.Round(price.RelativeNeed*(wire.MaxNeedClass-1)))
+	decision.Scarce = true
 	if price.Probability > decision.Probability {
 		return decision
 	}
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/core/importance"
 	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/core/slots"
 	"github.com/landingmast/landingmast/internal/duplex"
@@ -215,7 +216,10 @@
 		}
 	}
 	now := i.options.Now()
-	id, decision := gate.Acquire(ctx, slots.Request{Importance: call.Importance, Deadline: now + req.remaining(ctx, now), Class: call.Route})
+	id, decision := gate.Acquire(ctx, slots.Request{
+		Importance: call.Importance, Priority: importance.Priority(call.Importance), NeedDelay: needDelay(call), NeedKnown: call.NeedClass > 0,
+		Deadline: now + req.remaining(ctx, now), Class: call.Route,
+	})
 	req.waited = decision.Waited
 	var response *reply.Reply
 	switch {
@@ -238,10 +242,25 @@
 	return response
 }
 
+// needDelay returns how long a call waits at a scarce target for the sake of chains that need less. A
+// sender that does not know the need, such as one that was just started or one of the previous release,
+// gets the middle class.
+func needDelay(call *wire.SidecarCall) time.Duration {
+	class := call.NeedClass
+	if class == 0 {
+		class = (1 + wire.MaxNeedClass) / 2
+	}
+	return time.Duration(class) * needClassDelay
+}
+
+// needClassDelay is the delay of one need class at a scarce target: that of the largest need, 0.31 s, is
+// as long as such a target's queue may be before requests are refused at the start of their chains.
+const needClassDelay = 10 * time.Millisecond
+
 // run sends the request to the target and reads its response.
 func (i *Ingress) run(ctx context.Context, gate *target.Gate, id uint64, req *request, header http.Header) *reply.Reply {
 	call := req.Call
-	running := &Running{ID: call.RequestID, Context: ctx, Importance: call.Importance, IsRetry: call.IsRetry, Tenant: call.Tenant, RetryGrant: call.RetryGrant, NeedClass: call.NeedClass, needs: map[string]wire.Need{}}
+	running := &Running{ID: call.RequestID, Context: ctx, Importance: call.Importance, IsRetry: call.IsRetry, Tenant: call.Tenant, RetryGrant: call.RetryGrant, NeedClass: call.NeedClass, Scarce: call.Scarce, needs: map[string]wire.Need{}}
 	i.Running.add(call.RequestID, running)
 	sentAt, paceBefore := i.options.Now(), gate.Pace()
 	response := i.sendToTarget(ctx, gate, req, header)
--- a/internal/sidecar/arrival/running.go
+++ b/internal/sidecar/arrival/running.go
@@ -18,6 +18,7 @@
 	Tenant     string  // name of the owning tenant; may be empty
 	RetryGrant float64 // share of the retry budgets left to its calls
 	NeedClass  int     // need of its chain for a scarce service; see wire.SidecarCall
+	Scarce     bool    // whether that service had a price when the chain began
 
 	mutex sync.Mutex
 	needs map[string]wire.Need
--- a/internal/sidecar/entry/entry.go
+++ b/internal/sidecar/entry/entry.go
@@ -46,7 +46,8 @@
 	keyTenant     *intent.Tenant   // tenant identified by the client's key; nil if none
 	tenant        string           // name of the tenant that owns the request; may be empty
 	importance    int
-	needClass     int // need of the chain for a scarce service; see wire.SidecarCall
+	needClass     int  // need of the chain for a scarce service; see wire.SidecarCall
+	scarce        bool // whether that service had a price when the chain began
 	parentIsRetry bool
 	retryGrant    float64 // share of the request's retry budget passed to downstream nodes
 	header        http.Header
@@ -211,5 +212,5 @@
 	r.parent = parent
 	r.importance = importance.OfCall(parent.Importance)
 	r.parentIsRetry = parent.IsRetry
-	r.needClass = parent.NeedClass
+	r.needClass, r.scarce = parent.NeedClass, parent.Scarce
 }
--- a/internal/sidecar/entry/send.go
+++ b/internal/sidecar/entry/send.go
@@ -104,8 +104,12 @@
 	if current := r.options.Configuration.Load(); current != nil {
 		priorities = current.LowestPriority() + 1
 	}
+	need := 0
+	if r.scarce {
+		need = r.needClass
+	}
 	root, _, _ := strings.Cut(r.id, wire.CallSeparator)
-	return retrybudget.Rank(r.importance/importance.PriorityStep, priorities, r.needClass, wire.MaxNeedClass, xxhash.Sum64String(root))
+	return retrybudget.Rank(r.importance/importance.PriorityStep, priorities, need, wire.MaxNeedClass, xxhash.Sum64String(root))
 }
 
 // requirement returns what the balancer must satisfy: a response within the objective of the route
@@ -125,7 +129,7 @@
 		RequestID: r.id, Method: r.incoming.Method, URI: requestURI(r.incoming), Host: r.incoming.Host, Service: r.service, Route: r.route.Name,
 		Caller: r.options.Caller(), From: r.options.Node, Importance: r.importance, Idempotent: repeatable,
 		IsRetry: r.parentIsRetry || r.delivered > 0, Attempt: r.delivered, Remaining: r.remaining(ctx).Microseconds(),
-		Version: int64(r.intent.Version), RetryGrant: r.retryGrant, NeedClass: r.needClass, Tenant: r.tenant, Suspect: suspect, Trial: r.trial,
+		Version: int64(r.intent.Version), RetryGrant: r.retryGrant, NeedClass: r.needClass, Scarce: r.scarce, Tenant: r.tenant, Suspect: suspect, Trial: r.trial,
 		TargetState: choice.State,
 	}
 	if choice.Node == r.options.Node {
--- a/internal/sidecar/entry/steps.go
+++ b/internal/sidecar/entry/steps.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/landingmast/landingmast/internal/core/importance"
 	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/core/retryafter"
 	"github.com/landingmast/landingmast/internal/duplex"
@@ -186,9 +185,7 @@
 		return false
 	}
 	r.onFinish(r.releaseWindow)
-	if r.needClass = r.decision.NeedClass; r.needClass > 0 {
-		r.importance = importance.WithNeed(r.importance, r.needClass)
-	}
+	r.needClass, r.scarce = r.decision.NeedClass, r.decision.Scarce
 	return true
 }
 
--- a/internal/wire/callheader.go
+++ b/internal/wire/callheader.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // Header names of a call. Fields added to SidecarCall after its first release have their own
@@ -46,7 +47,7 @@
 		header.Set(headerTenant, c.Tenant)
 	}
 	if c.NeedClass > 0 {
-		header.Set(headerNeedClass, strconv.Itoa(c.NeedClass))
+		header.Set(headerNeedClass, c.needHeader())
 	}
 	if value := c.suspectHeader(); value != "" {
 		header.Set(headerSuspect, value)
@@ -64,7 +65,7 @@
 	value := header.Get(headerSuspect)
 	call.RetryGrant = parseGrant(header.Get(headerGrant))
 	call.Tenant = header.Get(headerTenant)
-	call.NeedClass = parseNeedClass(header.Get(headerNeedClass))
+	call.NeedClass, call.Scarce = parseNeed(header.Get(headerNeedClass))
 	call.TargetState = DecodeTargetState(header)
 	call.Suspect, call.Trial = value == suspectValue, value == trialValue
 	return call, nil
@@ -80,14 +81,26 @@
 	return ""
 }
 
-// parseNeedClass parses a need class. Nodes of the previous release send none; a value that is malformed
-// or out of range counts as none.
-func parseNeedClass(text string) int {
-	class, err := strconv.Atoi(text)
-	if err != nil || class < 0 || class > MaxNeedClass {
-		return 0
+// scarceSuffix follows the need class of a chain that began while the service had a congestion price.
+const scarceSuffix = "+"
+
+func (c *SidecarCall) needHeader() string {
+	value := strconv.Itoa(c.NeedClass)
+	if c.Scarce {
+		value += scarceSuffix
+	}
+	return value
+}
+
+// parseNeed parses a need class and whether the service was scarce. Nodes of the previous release send
+// none; a value that is malformed or out of range counts as none.
+func parseNeed(text string) (class int, scarce bool) {
+	digits, scarce := strings.CutSuffix(text, scarceSuffix)
+	class, err := strconv.Atoi(digits)
+	if err != nil || class <= 0 || class > MaxNeedClass {
+		return 0, false
 	}
-	return class
+	return class, scarce
 }
 
 // parseGrant parses a granted fraction. A value that is missing, malformed or outside 0 to 1
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -50,9 +50,12 @@
 	// Tenant is the name of the tenant that the request belongs to; empty: none. It is sent in a
 	// separate header.
 	Tenant string `avro:"-"`
-	// NeedClass orders the chains of one priority while a service that they need is scarce, from 1 for
-	// the smallest need to MaxNeedClass; 0: none is scarce. It is sent in a separate header.
+	// NeedClass orders the chains of one priority at targets that are scarce, from 1 for the smallest
+	// need to MaxNeedClass; 0: unknown, or none comes near. It is sent in a separate header.
 	NeedClass int `avro:"-"`
+	// Scarce reports whether that service had a congestion price when the chain began. It is sent
+	// with NeedClass.
+	Scarce bool `avro:"-"`
 	// Suspect is set if a target has terminated while running the request, and Trial if the
 	// sender is the only node that may send it nevertheless. Both are sent in a separate header.
 	Suspect, Trial bool `avro:"-"`
