Requests wait for their turn at the start of chains during a shortage

While a congestion price decides, a client request is admitted by core/startqueue instead of a draw. It waits for at most admission.max_wait_share (0.125) of its objective, and of the time that it has left; a timer of admission.Control decides what no arrival does. A request whose client disconnects leaves the queue at once and returns its token. The window decides before, as it did, and without a price nothing changes.

Switch: start_queue in policy.off, or a share of 0. Metrics start_waiting, start_oldest_wait_seconds and start_wait_seconds, log field start_wait_ms, a clause in the output of story.

--- a/internal/logquery/logquery.go
+++ b/internal/logquery/logquery.go
@@ -146,6 +146,9 @@
 	case line.field("decisive") != "":
 		description += fmt.Sprintf(", %.2f of the route let in because %s is at %.2f of its slots", line.number("share"), line.field("decisive"), line.number("occupancy"))
 	}
+	if wait := line.number("start_wait_ms"); wait > 0 {
+		description += fmt.Sprintf(", waited %.1f ms for its turn at the start of the chain", wait)
+	}
 	if fits := line.number("fits"); fits > 0 {
 		description += fmt.Sprintf(", %.0f of the route were in flight here and %.1f fit", line.number("in_flight"), fits)
 	}
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -14,6 +14,7 @@
 	"github.com/landingmast/landingmast/internal/core/intent"
 	"github.com/landingmast/landingmast/internal/core/overload"
 	"github.com/landingmast/landingmast/internal/core/pricing"
+	"github.com/landingmast/landingmast/internal/core/startqueue"
 	"github.com/landingmast/landingmast/internal/wire"
 )
 
@@ -27,6 +28,7 @@
 	mutex  sync.Mutex
 	core   *overload.Controller
 	prices *pricing.Controller
+	start  startQueue
 	needs  []overload.Need // buffer of decodeNeeds
 	usages []pricing.Usage // buffer of decodeUsages
 }
@@ -49,6 +51,7 @@
 	return &Control{
 		now: o.Now, configuration: o.Configuration, windowDisabled: o.WindowDisabled, pricesDisabled: o.PricesDisabled,
 		core: overload.New(overload.DefaultConfig()), prices: pricing.New(pricing.DefaultConfig()),
+		start: startQueue{core: startqueue.New(), waiters: map[uint64]*waiter{}},
 	}
 }
 
@@ -65,6 +68,8 @@
 	Scarce      bool    // whether a service that the route needs has a price
 	InFlight    int     // requests of the route in flight; set on rejection by the window
 	WindowSize  float64 // size of the route's admission window; set on rejection by it
+	// StartWait is how long the request waited at the start of its chain.
+	StartWait time.Duration
 }
 
 // Admit decides whether a client request on the route is admitted. deadline is how long its client still
@@ -75,17 +80,23 @@
 	defer c.mutex.Unlock()
 	now := c.now()
 	decision = c.decide(now, pricing.Request{Route: pricing.Route{Name: route.Name, Rank: rank}, Deadline: deadline})
+	return c.draw(now, route, &decision), decision
+}
+
+// draw admits a request with the probability of the decision and completes the decision. mutex must be
+// held.
+func (c *Control) draw(now time.Duration, route *intent.Route, decision *Decision) bool {
 	if decision.Bottleneck != "" {
 		decision.Occupancy = c.core.Occupancy(decision.Bottleneck)
 	}
 	if decision.Probability >= 1 || rand.Float64() < decision.Probability {
 		c.core.Begin(now, route.Name)
-		return true, decision
+		return true
 	}
 	if decision.Price == 0 {
 		decision.InFlight, decision.WindowSize = c.core.Window(now, route.Name)
 	}
-	return false, decision
+	return false
 }
 
 // decide returns the decision by price or by window, whichever allows less. A price keeps the waits
--- a/internal/sidecar/entry/entry.go
+++ b/internal/sidecar/entry/entry.go
@@ -160,11 +160,22 @@
 // timeout counts as missing capacity, since it is unknown which service the request waited for.
 func (r *request) releaseWindow() {
 	r.options.Admission.End(admission.Completion{
-		Route: r.route, LatencyBudget: r.latencyBudget(), Latency: r.options.Now() - r.started, Needs: r.needs,
+		Route: r.route, LatencyBudget: r.latencyBudget(), Latency: r.options.Now() - r.started - r.decision.StartWait, Needs: r.needs,
 		NoCapacity: r.noCapacity || r.status == http.StatusGatewayTimeout, Abandoned: r.incoming.Context().Err() != nil,
 	})
 }
 
+// startLimits returns how long the request may wait at the start of its chain: a share of the latency
+// objective, and no larger share of the time that it has left.
+func (r *request) startLimits() admission.Limits {
+	left := r.remaining(r.ctx)
+	if !r.options.PolicyOn(settings.StartQueue) {
+		return admission.Limits{Left: left}
+	}
+	wanted := min(r.latencyBudget(), max(left, 0))
+	return admission.Limits{Left: left, MaxWait: time.Duration(r.options.MaxWaitShare() * float64(wanted))}
+}
+
 // remaining returns the time left until the request times out. It checks the node's clock as well
 // as the context, because context timers stop while the host is suspended.
 func (r *request) remaining(ctx context.Context) time.Duration {
--- a/internal/sidecar/entry/options.go
+++ b/internal/sidecar/entry/options.go
@@ -89,6 +89,7 @@
 	States        StateReader
 	SyncWith      func(address string)            // synchronizes with a node that has no configuration
 	PolicyOn      func(m settings.Mechanism) bool // whether a mechanism is enabled
+	MaxWaitShare  func() float64                  // setting admission.max_wait_share
 	Metrics       *metrics.Metrics
 	Events        *eventlog.Log
 	// Begin counts a request as in flight until end is called. closing reports that the node is
--- a/internal/sidecar/entry/steps.go
+++ b/internal/sidecar/entry/steps.go
@@ -32,6 +32,7 @@
 //	checkCrashes    content that crashed several targets       503 ends_targets
 //	checkQuota      a request over its tenant's limit          429 over_quota, 503 no_allowance
 //	admit           a share of new requests during overload    503 overload
+//	                (while a price decides, after a wait)
 var pipeline = [...]func(r *request) bool{
 	(*request).checkReady,
 	(*request).checkID,
@@ -177,7 +178,15 @@
 	}
 	var admitted bool
 	stated, _ := r.statedTimeout()
-	admitted, r.decision = r.options.Admission.Admit(r.route, stated)
+	admitted, r.decision = r.options.Admission.AdmitOrWait(r.ctx, r.route, stated, r.startLimits())
+	if r.decision.StartWait > 0 {
+		r.options.Metrics.StartWait.Observe(r.decision.StartWait.Seconds())
+	}
+	if !admitted && r.decision.StartWait > 0 && r.incoming.Context().Err() != nil {
+		r.options.Quotas.ReturnToken(r.keyTenant)
+		r.recordCompletion(0, outcome.ReasonCancelled, 0)
+		panic(http.ErrAbortHandler)
+	}
 	if !admitted {
 		r.options.Metrics.Shed.WithLabelValues(r.route.Name, r.decision.Bottleneck).Inc()
 		r.options.Quotas.ReturnToken(r.keyTenant)
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -18,6 +18,9 @@
 	RequestDuration *prometheus.HistogramVec
 	// Shed counts requests refused by admission control, by route and by the service that was overloaded.
 	Shed *prometheus.CounterVec
+	// StartWait is the wait at the start of a chain while a price decides, in seconds; requests that are
+	// decided on arrival are not counted.
+	StartWait prometheus.Histogram
 	// Attempts counts attempts by service, outcome and reason.
 	Attempts *prometheus.CounterVec
 	// Retries counts retries by service; RetriesDenied counts retries rejected by the retry budget.
@@ -50,6 +53,9 @@
 	RateLimit, RateLimitAge func() float64
 	// Pace is the time that work takes at the target now, relative to the usual; -1: it states none.
 	Pace func() float64
+	// StartWaiting is the number of requests that wait at the start of their chains, StartOldestWait how
+	// long the oldest of them has waited, in seconds.
+	StartWaiting, StartOldestWait func() float64
 	// StoreAge is the time since the last response of the store in seconds.
 	StoreAge func() float64
 	// PipelinedRequests is the number of requests read ahead since the start, PipelinesAtLimit that of
@@ -81,6 +87,7 @@
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: durationBuckets,
 		}, []string{"service"}),
 		Shed:           counters("shed_total", "Requests refused by admission control, by the overloaded service.", "route", "overloaded"),
+		StartWait:      histogram("start_wait_seconds", "Wait at the start of a call chain for admission by price; requests decided at once are not counted."),
 		Attempts:       counters("sends_total", "Sendings to targets' nodes, by how they ended.", "service", "outcome", "reason"),
 		Retries:        counters("repeats_total", "Requests sent to a second target.", "service"),
 		RetriesDenied:  counters("repeats_denied_total", "Repeats that the budget did not allow.", "service"),
@@ -95,7 +102,7 @@
 		SilentNodes:    counter("silent_nodes_total", "Times that another node was taken for dead."),
 		Omitted:        counters("log_lines_omitted_total", "Log lines that were left out.", "kind"),
 	}
-	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Shed, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
+	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Shed, m.StartWait, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
 	for _, gauge := range []struct {
 		name, help string
 		read       func() float64
@@ -109,6 +116,8 @@
 		{"target_pace", "Time that work takes at the target now, as it states, relative to the usual; -1: not stated of late.", gauges.Pace},
 		{"running", "Requests at the target.", gauges.Running},
 		{"waiting", "Requests that wait for a slot.", gauges.Waiting},
+		{"start_waiting", "Requests that wait at the start of their call chains for admission by price.", gauges.StartWaiting},
+		{"start_oldest_wait_seconds", "Wait of the oldest of these requests; 0: none waits.", gauges.StartOldestWait},
 		{"in_flight", "Requests that the node is serving.", gauges.InFlight},
 		{"store_age_seconds", "Time since the store last answered.", gauges.StoreAge},
 		{"pipelines_at_limit", "Connections of clients whose requests ahead, or their answers, wait because of a limit.", gauges.PipelinesAtLimit},
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -37,7 +37,9 @@
 			}
 			return float64(n.pipelines.Limited())
 		},
-		EachPrice: func(f func(service string, price, offered float64)) { n.admission.EachPrice(f) },
+		StartWaiting:    func() float64 { count, _ := n.admission.Waiting(); return float64(count) },
+		StartOldestWait: func() float64 { _, oldest := n.admission.Waiting(); return oldest.Seconds() },
+		EachPrice:       func(f func(service string, price, offered float64)) { n.admission.EachPrice(f) },
 	}
 }
 
--- a/internal/sidecar/options.go
+++ b/internal/sidecar/options.go
@@ -169,7 +169,7 @@
 	return entry.Options{
 		Node: n.settings().Node, Now: n.now, Headers: n.options.Headers, Caller: n.localService, Configuration: n.configuration, ConfigFresh: n.freshness.Fresh,
 		Ingress: n.ingress, Quarantine: n.heldBack, Quotas: n.quotas, Services: n.services, Admission: n.admission, Liveness: n.liveness,
-		PeerClient: n.peers, Members: n.membership, States: n.states, SyncWith: n.exchanger.SyncInBackground, PolicyOn: n.policyOn, Metrics: n.metrics, Events: n.events,
+		PeerClient: n.peers, Members: n.membership, States: n.states, SyncWith: n.exchanger.SyncInBackground, PolicyOn: n.policyOn, MaxWaitShare: func() float64 { return n.settings().Admission.WaitShare() }, Metrics: n.metrics, Events: n.events,
 		Begin: func(w http.ResponseWriter, r *http.Request) (*duplex.Writer, *http.Request, func(), bool) {
 			return n.beginRequest(w, r, func() bool { return n.shutdown.stopping.Load() && pipeline.MayClose(r.Context()) }, &n.shutdown.rejectClients)
 		},
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -44,9 +44,11 @@
 	Pipelining Mechanism = "pipelining"
 	// Pace places requests by how long work takes at each target now, as the targets state it.
 	Pace Mechanism = "pace"
+	// StartQueue lets requests wait at the start of their chains while a price decides.
+	StartQueue Mechanism = "start_queue"
 )
 
-var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining, Pace}
+var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining, Pace, StartQueue}
 
 // Enabled reports whether m is enabled.
 func (p Policy) Enabled(m Mechanism) bool { return !slices.Contains(p.Off, m) }
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -38,6 +38,8 @@
 	Quotas Quotas `yaml:"quotas"`
 	// Policy configures traffic management; changes take effect at the next start.
 	Policy Policy `yaml:"policy"`
+	// Admission configures the admission of client requests.
+	Admission Admission `yaml:"admission"`
 }
 
 // Target is the local application.
@@ -124,10 +126,28 @@
 type Policy struct {
 	// Off lists mechanisms to disable; default none. Accepted values: window, prices, urgency,
 	// grants, ration, declined, repeats, samples, zones, losses, suspicion, in_time, tenant_order,
-	// hold_back, target_state, pipelining, pace.
+	// hold_back, target_state, pipelining, pace, start_queue.
 	Off []Mechanism `yaml:"off"`
 }
 
+// Admission configures the admission of client requests.
+type Admission struct {
+	// MaxWaitShare is how long a request may wait at the start of its call chain during a shortage, as a
+	// fraction of the latency objective of its route; 0.25 at most, default 0.125, 0 disables waiting.
+	MaxWaitShare *float64 `yaml:"max_wait_share"`
+}
+
+// WaitShare returns the value of MaxWaitShare, or its default.
+func (a Admission) WaitShare() float64 {
+	if a.MaxWaitShare == nil {
+		return DefaultMaxWaitShare
+	}
+	return *a.MaxWaitShare
+}
+
+// maxMaxWaitShare bounds MaxWaitShare: the rest of the objective is needed to serve the request.
+const maxMaxWaitShare = 0.25
+
 // Default values.
 const (
 	DefaultLease               = 30 * time.Second
@@ -140,6 +160,7 @@
 	DefaultQuotaWindow         = 5 * time.Second
 	DefaultQuotaOvershoot      = 0.1
 	DefaultQuotaSlack          = 20
+	DefaultMaxWaitShare        = 0.125
 )
 
 // Load reads and validates a settings file.
@@ -259,6 +280,9 @@
 	if s.Store.ReadsPerSecond < 0 {
 		return invalidSetting("store.reads_per_second", "use 0 (unknown) or more", "%g is negative", s.Store.ReadsPerSecond)
 	}
+	if share := s.Admission.WaitShare(); !(share >= 0 && share <= maxMaxWaitShare) {
+		return invalidSetting("admission.max_wait_share", "use 0 (no waiting) to 0.25", "%g is out of range", share)
+	}
 	if s.Retries.Allowance < 0 {
 		return invalidSetting("retries.allowance", "use 0 or more", "%g is negative", s.Retries.Allowance)
 	}
--- a/internal/sidecar/settings/settings_test.go
+++ b/internal/sidecar/settings/settings_test.go
@@ -35,9 +35,31 @@
 		{"zone: a", "zone: a\nbounds: {drain: 5ms}", "bounds.drain"},
 		{"zone: a", "zone: a\nretries: {ratio: 3}", "retries.ratio"},
 		{"zone: a", "zone: a\nbounds: {drain: \"\"}", "time span"},
+		{"zone: a", "zone: a\nadmission: {max_wait_share: 0.3}", "admission.max_wait_share"},
+		{"zone: a", "zone: a\nadmission: {max_wait_share: -0.1}", "admission.max_wait_share"},
+		{"zone: a", "zone: a\nadmission: {max_wait_share: .nan}", "admission.max_wait_share"},
 	} {
 		_, err := Parse([]byte(strings.Replace(validSettings, tc.from, tc.to, 1)))
 		g.Expect(failure.KindOf(err)).To(Equal(failure.BadInput), tc.key)
 		g.Expect(err.Error()).To(And(ContainSubstring(tc.key), ContainSubstring("remedy")))
 	}
 }
+
+// A share of 0 must disable waiting, and must not be taken for one that is not set.
+func TestMaxWaitShare(t *testing.T) {
+	for _, tc := range []struct {
+		name, text string
+		want       float64
+	}{
+		{"not set", "", DefaultMaxWaitShare},
+		{"set", "admission: {max_wait_share: 0.25}", 0.25},
+		{"disabled", "admission: {max_wait_share: 0}", 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			settings, err := Parse([]byte(validSettings + tc.text))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(settings.Admission.WaitShare()).To(Equal(tc.want))
+		})
+	}
+}
