Prices rank routes among those that need the service

Callers of a service that only routes of rank 5 and more share saw none of its shortage refused by price: ranks were counted over all priorities of the configuration, so the least merit there was 10, which a leaky price does not come up to.

Change: a rank below does not count at a service if the node has served its routes without that service. A rank of which no request was seen counts as before, since its routes may need the service at other nodes. Chains that were not served prove nothing.

Open: nodes whose clients use different routes can differ by a rank.

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -59,7 +59,8 @@
 // Route identifies a route and its rank.
 type Route struct {
 	Name string
-	// Rank is the number of priorities between the least important one and that of the route.
+	// Rank is the number of priorities between the least important one and that of the route. At a
+	// service the ranks count whose routes need it, and those of which no request was seen.
 	Rank int
 }
 
@@ -87,12 +88,12 @@
 
 // Controller holds the prices of one node. It is not safe for concurrent use.
 type Controller struct {
-	config   Config
-	services map[string]*service
-	routes   map[string]*route
-	starting startingDeadlines
-	largest  map[needKey]float64 // largest need of a service among the routes of a rank
-	sortedAt time.Duration       // when largest was computed
+	config    Config
+	services  map[string]*service
+	routes    map[string]*route
+	starting  startingDeadlines
+	standings map[needKey]standing
+	sortedAt  time.Duration // when standings were computed
 }
 
 // needKey identifies the routes of one rank that call a service.
@@ -101,10 +102,17 @@
 	rank    int
 }
 
+// standing is what the order at a service takes from the other routes.
+type standing struct {
+	largest float64 // largest need among the routes of the rank, in ns
+	rank    int     // rank among the routes that need the service
+}
+
 // route holds what is known of the requests of one route.
 type route struct {
 	rank   int
 	needs  map[string]*need // by service
+	served bool             // a request was served, so needs are complete
 	seenAt time.Duration
 }
 
@@ -122,7 +130,7 @@
 const (
 	// needWeight is the weight of one request in the mean needs of its route.
 	needWeight = 0.05
-	// rankingInterval is how often the largest needs are computed anew.
+	// rankingInterval is how often the standings are computed anew.
 	rankingInterval = 500 * time.Millisecond
 	// routeExpiry is how long a route without requests takes part in the order, and how long a route
 	// needs a service that its requests do not call any more.
@@ -138,7 +146,7 @@
 		known = &route{needs: map[string]*need{}}
 		c.routes[r.Name] = known
 	}
-	known.rank, known.seenAt = r.Rank, now
+	known.rank, known.seenAt, known.served = r.Rank, now, known.served || served
 	known.observe(now, usages, served)
 	c.refresh(now)
 }
@@ -215,12 +223,13 @@
 		if price <= 0 {
 			if decision.Service == "" && s.offered >= highest {
 				highest, decision.NeedKnown = s.offered, true
-				decision.RelativeNeed = 1 - c.needMerit(now, name, n.slotTime, r.Rank)/maxNeedMerit
+				decision.RelativeNeed = 1 - c.standing(now, name, n.slotTime, r.Rank).needMerit(n.slotTime)/maxNeedMerit
 			}
 			continue
 		}
-		needMerit := c.needMerit(now, name, n.slotTime, r.Rank)
-		merit := rankStep*float64(r.Rank) + needMerit
+		standing := c.standing(now, name, n.slotTime, r.Rank)
+		needMerit := standing.needMerit(n.slotTime)
+		merit := rankStep*float64(standing.rank) + needMerit
 		if decision.Returning {
 			merit += returningMerit
 		}
@@ -233,12 +242,20 @@
 	return decision
 }
 
+// standing returns the standing of a route of a rank with a need of a service.
+func (c *Controller) standing(now time.Duration, service string, need float64, rank int) standing {
+	c.refresh(now)
+	known, ok := c.standings[needKey{service, rank}]
+	if !ok {
+		return standing{largest: need, rank: rank}
+	}
+	return known
+}
+
 // needMerit returns the part of the merit that grows the less of the service a request needs. The other
 // part is rankStep for each rank, so that a route is refused after all less important ones.
-func (c *Controller) needMerit(now time.Duration, service string, need float64, rank int) float64 {
-	c.refresh(now)
-	largest := max(c.largest[needKey{service, rank}], need)
-	return min(needScale*math.Log(largest/need), maxNeedMerit)
+func (s standing) needMerit(need float64) float64 {
+	return min(needScale*math.Log(max(s.largest, need)/need), maxNeedMerit)
 }
 
 // needOrderLoad is the offered load of a service from which on the needs of its chains are determined.
@@ -279,13 +296,46 @@
 // unless their needs are small.
 const thinAfter = 6.0
 
-// refresh computes the largest needs anew if they are too old, and removes routes, needs and services
-// that were not seen lately, since a new configuration may not have them any more.
+// refresh computes the standings anew if they are too old, and removes routes, needs and services that
+// were not seen lately, since a new configuration may not have them any more.
 func (c *Controller) refresh(now time.Duration) {
-	if c.largest != nil && now-c.sortedAt < rankingInterval {
+	if c.standings != nil && now-c.sortedAt < rankingInterval {
 		return
 	}
-	c.largest, c.sortedAt = map[needKey]float64{}, now
+	c.standings, c.sortedAt = map[needKey]standing{}, now
+	c.removeUnseen(now)
+	for _, r := range c.routes {
+		for service, n := range r.needs {
+			key := needKey{service, r.rank}
+			c.standings[key] = standing{largest: max(c.standings[key].largest, n.slotTime)}
+		}
+	}
+	c.rankRoutes()
+}
+
+// rankRoutes counts the ranks below each standing. A rank does not count if its routes have been served
+// here without the service: refusing them would yield nothing there, and a price could not come up to
+// the merits above them. A rank that was not seen counts, since its routes may need the service at other
+// nodes and all nodes must keep one order.
+func (c *Controller) rankRoutes() {
+	served := map[int]bool{}
+	for _, r := range c.routes {
+		if r.served {
+			served[r.rank] = true
+		}
+	}
+	for key, s := range c.standings {
+		s.rank = key.rank
+		for rank := range served {
+			if _, needed := c.standings[needKey{key.service, rank}]; rank < key.rank && !needed {
+				s.rank--
+			}
+		}
+		c.standings[key] = s
+	}
+}
+
+func (c *Controller) removeUnseen(now time.Duration) {
 	for name, r := range c.routes {
 		if now-r.seenAt > routeExpiry {
 			delete(c.routes, name)
@@ -294,10 +344,7 @@
 		for service, n := range r.needs {
 			if now-n.seenAt > routeExpiry {
 				delete(r.needs, service)
-				continue
 			}
-			key := needKey{service, r.rank}
-			c.largest[key] = max(c.largest[key], n.slotTime)
 		}
 	}
 	for name, s := range c.services {
