Rare needs are not refused by price

Callers of a route that needs a scarce service in one of 100 requests lost three of four requests to its price, since every need above 0 counted. Refusing them frees next to nothing there.

Change: a need does not count while under 0.05 of the route's requests call the service and the mean slot time is under 0.05 of the largest need there. A need that is rare but large, small but regular, or the only one of a service counts as before, a chain that newly calls the service after a few requests. A rank whose needs do not count is no rank at the service. The mean need decays to a small part between two rare calls; the rule uses the frequency and the mean of the calling requests.

A first form that compared the mean need itself admitted rare requests of 100 times that need whole.

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -104,22 +104,45 @@
 
 // standing is what the order at a service takes from the other routes.
 type standing struct {
-	largest float64 // largest need among the routes of the rank, in ns
-	rank    int     // rank among the routes that need the service
+	largest    float64 // largest need among the routes of the rank, in ns
+	rank       int     // rank among the routes that need the service
+	negligible float64 // rare needs below it do not count, in ns
+	needed     bool    // a need of the rank counts
 }
 
 // route holds what is known of the requests of one route.
 type route struct {
-	rank   int
-	needs  map[string]*need // by service
-	served bool             // a request was served, so needs are complete
-	seenAt time.Duration
+	rank     int
+	needs    map[string]*need // by service
+	requests int              // observed
+	served   bool             // a request was served, so needs are complete
+	seenAt   time.Duration
 }
 
 // need is what a request of a route takes of a service.
 type need struct {
-	slotTime float64 // mean, in ns
-	seenAt   time.Duration
+	slotTime  float64 // mean, in ns
+	frequency float64 // share of the requests that call the service
+	calling   float64 // mean slot time of those, in ns
+	seenAt    time.Duration
+}
+
+// counts reports whether a need is regular, or not below negligible, in ns. The mean over all requests is
+// not exact enough for it: between two rare calls it decays to a small part.
+func (n *need) counts(negligible float64) bool {
+	return n.frequency >= rareFrequency || n.frequency*n.calling >= negligible
+}
+
+// called records a request that called the service. One that was not served may have made only some of
+// its calls.
+func (n *need) called(slotTime, frequencyWeight float64, served bool) {
+	n.frequency = min(n.frequency+frequencyWeight, 1)
+	switch {
+	case n.calling == 0:
+		n.calling = slotTime
+	case served || slotTime > n.calling:
+		n.calling += needWeight * (slotTime - n.calling)
+	}
 }
 
 // New returns a Controller without prices.
@@ -130,6 +153,14 @@
 const (
 	// needWeight is the weight of one request in the mean needs of its route.
 	needWeight = 0.05
+	// frequencyWeight is the weight of one request in the share of requests that call a service. With it
+	// the standard deviation of a share of 0.01 is 0.007, well below rareFrequency.
+	frequencyWeight = 0.01
+	// rareFrequency and negligibleNeed are the share of requests and the part of the largest need at a
+	// service below both of which a need does not count: refusing 20 requests and more to spare one call
+	// costs callers more than the others gain by it.
+	rareFrequency  = 0.05
+	negligibleNeed = 0.05
 	// rankingInterval is how often the standings are computed anew.
 	rankingInterval = 500 * time.Millisecond
 	// routeExpiry is how long a route without requests takes part in the order, and how long a route
@@ -168,9 +199,12 @@
 
 func (r *route) observe(now time.Duration, usages []Usage, served bool) {
 	first := len(r.needs) == 0
+	r.requests++
+	frequencyWeight := max(frequencyWeight, 1/float64(r.requests))
 	if served {
 		for _, n := range r.needs {
 			n.slotTime *= 1 - needWeight
+			n.frequency *= 1 - frequencyWeight
 		}
 	}
 	for _, usage := range usages {
@@ -184,6 +218,7 @@
 			r.needs[usage.Service] = n
 		}
 		n.seenAt = now
+		n.called(slotTime, frequencyWeight, served)
 		switch {
 		case n.slotTime == 0 && (first || !served):
 			n.slotTime = slotTime
@@ -220,14 +255,17 @@
 			continue
 		}
 		price := s.current(now, &c.config)
-		if price <= 0 {
+		if price <= 0 && s.offered < highest {
+			continue
+		}
+		standing := c.standing(now, name, n.slotTime, r.Rank)
+		if price <= 0 || !n.counts(standing.negligible) {
 			if decision.Service == "" && s.offered >= highest {
 				highest, decision.NeedKnown = s.offered, true
-				decision.RelativeNeed = 1 - c.standing(now, name, n.slotTime, r.Rank).needMerit(n.slotTime)/maxNeedMerit
+				decision.RelativeNeed = 1 - standing.needMerit(n.slotTime)/maxNeedMerit
 			}
 			continue
 		}
-		standing := c.standing(now, name, n.slotTime, r.Rank)
 		needMerit := standing.needMerit(n.slotTime)
 		merit := rankStep*float64(standing.rank) + needMerit
 		if decision.Returning {
@@ -304,10 +342,20 @@
 	}
 	c.standings, c.sortedAt = map[needKey]standing{}, now
 	c.removeUnseen(now)
+	largest := map[string]float64{} // need of a service among all routes
+	for _, r := range c.routes {
+		for service, n := range r.needs {
+			largest[service] = max(largest[service], n.slotTime)
+		}
+	}
 	for _, r := range c.routes {
 		for service, n := range r.needs {
 			key := needKey{service, r.rank}
-			c.standings[key] = standing{largest: max(c.standings[key].largest, n.slotTime)}
+			s := c.standings[key]
+			s.negligible = negligibleNeed * largest[service]
+			s.largest = max(s.largest, n.slotTime)
+			s.needed = s.needed || n.counts(s.negligible)
+			c.standings[key] = s
 		}
 	}
 	c.rankRoutes()
@@ -327,7 +375,7 @@
 	for key, s := range c.standings {
 		s.rank = key.rank
 		for rank := range served {
-			if _, needed := c.standings[needKey{key.service, rank}]; rank < key.rank && !needed {
+			if rank < key.rank && !c.standings[needKey{key.service, rank}].needed {
 				s.rank--
 			}
 		}
--- a/internal/core/pricing/rank_test.go
+++ b/internal/core/pricing/rank_test.go
@@ -71,11 +71,17 @@
 }
 
 func BenchmarkAdmit(b *testing.B) {
+	for _, offered := range []float64{0.5, 1.3} {
+		b.Run(fmt.Sprintf("load %.1f of 8 services", offered), func(b *testing.B) { benchmarkAdmit(b, offered) })
+	}
+}
+
+func benchmarkAdmit(b *testing.B, offered float64) {
 	c := New(DefaultConfig())
 	now := time.Duration(0)
 	usages := make([]Usage, 8)
 	for index := range usages {
-		usages[index] = Usage{Service: fmt.Sprintf("service-%d", index), SlotTime: 100 * time.Millisecond, Offered: 1.3}
+		usages[index] = Usage{Service: fmt.Sprintf("service-%d", index), SlotTime: 100 * time.Millisecond, Offered: offered}
 	}
 	for ; now < 10*time.Second; now += interval {
 		for rank := range 3 {
