Least important routes keep their minimum share until all are reduced

At a service that four and more priorities share, clients of the least important route lost their minimum share while requests of the most important one were still all admitted: a route was thinned out from 6 above its own merit on, which is the merit of the fourth rank.

Change: a route is thinned out once the price has passed the merit of the highest rank at the service by 2, and from 6 above its own on as before. With up to three ranks nothing changes.

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -106,6 +106,7 @@
 type standing struct {
 	largest    float64 // largest need among the routes of the rank, in ns
 	rank       int     // rank among the routes that need the service
+	above      int     // ranks among them that are more important
 	negligible float64 // rare needs below it do not count, in ns
 	needed     bool    // a need of the rank counts
 }
@@ -273,7 +274,7 @@
 		}
 		if decision.Service == "" || price-merit > decision.Price-decision.Merit {
 			decision.Service, decision.Price, decision.Merit, decision.Offered = name, price, merit, s.offered
-			decision.Probability = c.share(price, merit)
+			decision.Probability = c.share(price, merit, standing.above)
 			decision.RelativeNeed, decision.NeedKnown = 1-needMerit/maxNeedMerit, true
 		}
 	}
@@ -316,8 +317,8 @@
 
 // share returns the admission probability at a price: 1 up to the merit, falling to MinShare within a
 // band of 1. Beyond it the remaining requests are thinned out slowly, so that an overload by minimum
-// shares alone ends too.
-func (c *Controller) share(price, merit float64) float64 {
+// shares alone ends too. above is the number of more important ranks at the service.
+func (c *Controller) share(price, merit float64, above int) float64 {
 	excess := price - merit
 	switch {
 	case excess <= 0:
@@ -325,14 +326,17 @@
 	case excess < 1:
 		return 1 - (1-c.config.MinShare)*excess
 	default:
-		return c.config.MinShare * math.Exp(-max(excess-thinAfter, 0))
+		return c.config.MinShare * math.Exp(-max(excess-thinAfter(above), 0))
 	}
 }
 
+// minThinRanks is the least number of ranks that are reduced before a route gets less than its minimum share.
+const minThinRanks = 2
+
 // thinAfter is how far a price must have passed a merit before a route gets less than its minimum
-// share: far enough that all routes of the next rank are reduced first, and those of the rank after it
-// unless their needs are small.
-const thinAfter = 6.0
+// share: far enough that the routes of all more important ranks are reduced first, those of the highest
+// one unless their needs are small.
+func thinAfter(above int) float64 { return rankStep * float64(max(above, minThinRanks)+1) }
 
 // refresh computes the standings anew if they are too old, and removes routes, needs and services that
 // were not seen lately, since a new configuration may not have them any more.
@@ -381,6 +385,16 @@
 		}
 		c.standings[key] = s
 	}
+	highest := map[string]int{} // rank at each service
+	for key, s := range c.standings {
+		if s.needed {
+			highest[key.service] = max(highest[key.service], s.rank)
+		}
+	}
+	for key, s := range c.standings {
+		s.above = max(highest[key.service]-s.rank, 0)
+		c.standings[key] = s
+	}
 }
 
 func (c *Controller) removeUnseen(now time.Duration) {
--- a/internal/core/pricing/rank_test.go
+++ b/internal/core/pricing/rank_test.go
@@ -94,3 +94,30 @@
 		c.Admit(now, request)
 	}
 }
+
+// The least important route must keep its minimum share until all others that need the service are reduced
+// as well.
+func TestMinimumShareHoldsUntilAllRoutesAreReduced(t *testing.T) {
+	for _, ranks := range [][]int{{0, 1, 2}, {0, 1, 2, 3}, {0, 1, 2, 3, 4}, {3, 4, 5, 6, 7}} {
+		t.Run(fmt.Sprint(ranks), func(t *testing.T) {
+			g := NewWithT(t)
+			c, now := New(DefaultConfig()), time.Duration(0)
+			reduced := false
+			for ; now < time.Minute; now += interval {
+				for _, rank := range ranks {
+					c.Observe(now, rankedRoute(rank), []Usage{{Service: "deep", SlotTime: 100 * time.Millisecond, Offered: 1.9}}, true)
+				}
+				for rank := range ranks[0] {
+					c.Observe(now, rankedRoute(rank), []Usage{{Service: "files", SlotTime: 100 * time.Millisecond, Offered: 0.5}}, true)
+				}
+				least := c.Admit(now, Request{Route: rankedRoute(ranks[0])}).Probability
+				most := c.Admit(now, Request{Route: rankedRoute(ranks[len(ranks)-1])}).Probability
+				if most > DefaultConfig().MinShare {
+					g.Expect(least).To(BeNumerically(">=", DefaultConfig().MinShare), "after %v, most important: %.2f", now, most)
+				}
+				reduced = reduced || least < 0.3
+			}
+			g.Expect(reduced).To(BeTrue())
+		})
+	}
+}
