--- a/internal/core/pricing/overload_test.go
+++ b/internal/core/pricing/overload_test.go
@@ -1,6 +1,8 @@
 package pricing
 
 import (
+	"flag"
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -46,6 +48,9 @@
 // wave swings by 55% with a period of 15 s, during a burst.
 func wave(now time.Duration) float64 { return 1.7 * (1 + 0.55*math.Sin(2*math.Pi*now.Seconds()/15)) }
 
+// overloadSeeds is how many seeds TestOverload plays.
+var overloadSeeds = flag.Uint64("overload-seeds", 3, "seeds that TestOverload plays")
+
 // The more important a route is, and the less of the scarce service its requests need, the more of it
 // must be served, chains that were admitted must end, and the service must stay busy. Without prices
 // the gates let calls of begun chains expire, and chains of many calls are served least.
@@ -53,36 +58,39 @@
 	const settled = 6 // s; a burst that begins at 3 s must have been answered, the wave begins at 1 s
 	for _, tc := range []struct {
 		name     string
-		play     *simulation
+		play     func() *simulation
 		load     func(time.Duration) float64
 		from, to int // seconds of overload
 		busy     float64
 	}{
-		{"burst", deepChains(), burst(1.8), settled, 21, 0.85},
-		{"smaller burst", deepChains(), burst(1.4), settled, 21, 0.85},
-		{"crest of a wave", sharedWave(), wave, settled - 1, 8, 0.7},
-		{"second crest", sharedWave(), wave, 18, 23, 0.85},
+		{"burst", deepChains, burst(1.8), settled, 21, 0.85},
+		{"smaller burst", deepChains, burst(1.4), settled, 21, 0.85},
+		{"crest of a wave", sharedWave, wave, settled - 1, 8, 0.7},
+		{"second crest", sharedWave, wave, 18, 23, 0.85},
 	} {
-		t.Run(tc.name, func(t *testing.T) {
-			t.Parallel()
-			g := NewWithT(t)
-			tc.play.load = tc.load
-			tc.play.run(30 * time.Second)
-			busy := 0.0
-			for second := tc.from; second < tc.to; second++ {
-				busy += tc.play.busy[second] / float64(tc.to-tc.from)
-			}
-			g.Expect(busy).To(BeNumerically(">", tc.busy))
-			previous := 1.0
-			for index, k := range tc.play.kinds {
-				admitted, served, _ := tc.play.shares(index, tc.from, tc.to)
-				t.Logf("%s: admitted %.3f, served %.3f", k.name, admitted, served)
-				g.Expect(served).To(BeNumerically("<=", previous+0.05), "%s is served more than a more important route", k.name)
-				g.Expect(admitted).To(BeNumerically(">", 0.2), "%s is starved", k.name)
-				previous = served
-			}
-			g.Expect(tc.play.failedShare(tc.from, tc.to)).To(BeNumerically("<", 0.03), "admitted chains that failed")
-		})
+		for seed := range *overloadSeeds {
+			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				play := tc.play()
+				play.seed, play.load = seed, tc.load
+				play.run(30 * time.Second)
+				busy := 0.0
+				for second := tc.from; second < tc.to; second++ {
+					busy += play.busy[second] / float64(tc.to-tc.from)
+				}
+				g.Expect(busy).To(BeNumerically(">", tc.busy))
+				previous := 1.0
+				for index, k := range play.kinds {
+					admitted, served, _ := play.shares(index, tc.from, tc.to)
+					t.Logf("%s: admitted %.3f, served %.3f", k.name, admitted, served)
+					g.Expect(served).To(BeNumerically("<=", previous+0.05), "%s is served more than a more important route", k.name)
+					g.Expect(admitted).To(BeNumerically(">", 0.2), "%s is starved", k.name)
+					previous = served
+				}
+				g.Expect(play.failedShare(tc.from, tc.to)).To(BeNumerically("<", 0.03), "admitted chains that failed")
+			})
+		}
 	}
 }
 
--- a/internal/core/pricing/simulation_test.go
+++ b/internal/core/pricing/simulation_test.go
@@ -34,6 +34,7 @@
 	lostShare float64                         // share of the results that bring no report
 	cut       func(node int, now time.Duration) bool
 	noPrices  bool // admits everything
+	seed      uint64
 
 	random *rand.Rand
 	queue  events.Queue
@@ -146,7 +147,7 @@
 
 // run plays the load for a time.
 func (s *simulation) run(length time.Duration) {
-	s.random = rand.New(rand.NewPCG(7, 11)) // fixed seed
+	s.random = rand.New(rand.NewPCG(7, 11+s.seed))
 	seconds := int(length/time.Second) + 1
 	s.busy = make([]float64, seconds)
 	for _, counts := range []*[][]int{&s.arrived, &s.admitted, &s.served} {
