--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -59,7 +59,8 @@
 // Route identifies a route and its rank.
 type Route struct {
 	Name string
-	// Rank is the number of priorities between the least important one and that of the route.
+	// Rank is the number of priorities between the least important one and that of the route. At a
+	// service the ranks count whose routes need it, and those of which no request was seen.
 	Rank int
 }
 
@@ -87,12 +88,12 @@
 
 // Controller holds the prices of one node. It is not safe for concurrent use.
 type Controller struct {
-	config   Config
-	services map[string]*service
-	routes   map[string]*route
-	starting startingDeadlines
-	largest  map[needKey]float64 // largest need of a service among the routes of a rank
-	sortedAt time.Duration       // when largest was computed
+	config    Config
+	services  map[string]*service
+	routes    map[string]*route
+	starting  startingDeadlines
+	standings map[needKey]standing
+	sortedAt  time.Duration // when standings were computed
 }
 
 // needKey identifies the routes of one rank that call a service.
@@ -101,17 +102,48 @@
 	rank    int
 }
 
+// standing is what the order at a service takes from the other routes.
+type standing struct {
+	largest    float64 // largest need among the routes of the rank, in ns
+	rank       int     // rank among the routes that need the service
+	above      int     // ranks among them that are more important
+	negligible float64 // rare needs below it do not count, in ns
+	needed     bool    // a need of the rank counts
+}
+
 // route holds what is known of the requests of one route.
 type route struct {
-	rank   int
-	needs  map[string]*need // by service
-	seenAt time.Duration
+	rank     int
+	needs    map[string]*need // by service
+	requests int              // observed
+	served   bool             // a request was served, so needs are complete
+	seenAt   time.Duration
 }
 
 // need is what a request of a route takes of a service.
 type need struct {
-	slotTime float64 // mean, in ns
-	seenAt   time.Duration
+	slotTime  float64 // mean, in ns
+	frequency float64 // share of the requests that call the service
+	calling   float64 // mean slot time of those, in ns
+	seenAt    time.Duration
+}
+
+// counts reports whether a need is regular, or not below negligible, in ns. The mean over all requests is
+// not exact enough for it: between two rare calls it decays to a small part.
+func (n *need) counts(negligible float64) bool {
+	return n.frequency >= rareFrequency || n.frequency*n.calling >= negligible
+}
+
+// called records a request that called the service. One that was not served may have made only some of
+// its calls.
+func (n *need) called(slotTime, frequencyWeight float64, served bool) {
+	n.frequency = min(n.frequency+frequencyWeight, 1)
+	switch {
+	case n.calling == 0:
+		n.calling = slotTime
+	case served || slotTime > n.calling:
+		n.calling += needWeight * (slotTime - n.calling)
+	}
 }
 
 // New returns a Controller without prices.
@@ -122,7 +154,15 @@
 const (
 	// needWeight is the weight of one request in the mean needs of its route.
 	needWeight = 0.05
-	// rankingInterval is how often the largest needs are computed anew.
+	// frequencyWeight is the weight of one request in the share of requests that call a service. With it
+	// the standard deviation of a share of 0.01 is 0.007, well below rareFrequency.
+	frequencyWeight = 0.01
+	// rareFrequency and negligibleNeed are the share of requests and the part of the largest need at a
+	// service below both of which a need does not count: refusing 20 requests and more to spare one call
+	// costs callers more than the others gain by it.
+	rareFrequency  = 0.05
+	negligibleNeed = 0.05
+	// rankingInterval is how often the standings are computed anew.
 	rankingInterval = 500 * time.Millisecond
 	// routeExpiry is how long a route without requests takes part in the order, and how long a route
 	// needs a service that its requests do not call any more.
@@ -138,7 +178,7 @@
 		known = &route{needs: map[string]*need{}}
 		c.routes[r.Name] = known
 	}
-	known.rank, known.seenAt = r.Rank, now
+	known.rank, known.seenAt, known.served = r.Rank, now, known.served || served
 	known.observe(now, usages, served)
 	c.refresh(now)
 }
@@ -160,9 +200,12 @@
 
 func (r *route) observe(now time.Duration, usages []Usage, served bool) {
 	first := len(r.needs) == 0
+	r.requests++
+	frequencyWeight := max(frequencyWeight, 1/float64(r.requests))
 	if served {
 		for _, n := range r.needs {
 			n.slotTime *= 1 - needWeight
+			n.frequency *= 1 - frequencyWeight
 		}
 	}
 	for _, usage := range usages {
@@ -176,6 +219,7 @@
 			r.needs[usage.Service] = n
 		}
 		n.seenAt = now
+		n.called(slotTime, frequencyWeight, served)
 		switch {
 		case n.slotTime == 0 && (first || !served):
 			n.slotTime = slotTime
@@ -212,33 +256,45 @@
 			continue
 		}
 		price := s.current(now, &c.config)
-		if price <= 0 {
+		if price <= 0 && s.offered < highest {
+			continue
+		}
+		standing := c.standing(now, name, n.slotTime, r.Rank)
+		if price <= 0 || !n.counts(standing.negligible) {
 			if decision.Service == "" && s.offered >= highest {
 				highest, decision.NeedKnown = s.offered, true
-				decision.RelativeNeed = 1 - c.needMerit(now, name, n.slotTime, r.Rank)/maxNeedMerit
+				decision.RelativeNeed = 1 - standing.needMerit(n.slotTime)/maxNeedMerit
 			}
 			continue
 		}
-		needMerit := c.needMerit(now, name, n.slotTime, r.Rank)
-		merit := rankStep*float64(r.Rank) + needMerit
+		needMerit := standing.needMerit(n.slotTime)
+		merit := rankStep*float64(standing.rank) + needMerit
 		if decision.Returning {
 			merit += returningMerit
 		}
 		if decision.Service == "" || price-merit > decision.Price-decision.Merit {
 			decision.Service, decision.Price, decision.Merit, decision.Offered = name, price, merit, s.offered
-			decision.Probability = c.share(price, merit)
+			decision.Probability = c.share(price, merit, standing.above)
 			decision.RelativeNeed, decision.NeedKnown = 1-needMerit/maxNeedMerit, true
 		}
 	}
 	return decision
 }
 
+// standing returns the standing of a route of a rank with a need of a service.
+func (c *Controller) standing(now time.Duration, service string, need float64, rank int) standing {
+	c.refresh(now)
+	known, ok := c.standings[needKey{service, rank}]
+	if !ok {
+		return standing{largest: need, rank: rank}
+	}
+	return known
+}
+
 // needMerit returns the part of the merit that grows the less of the service a request needs. The other
 // part is rankStep for each rank, so that a route is refused after all less important ones.
-func (c *Controller) needMerit(now time.Duration, service string, need float64, rank int) float64 {
-	c.refresh(now)
-	largest := max(c.largest[needKey{service, rank}], need)
-	return min(needScale*math.Log(largest/need), maxNeedMerit)
+func (s standing) needMerit(need float64) float64 {
+	return min(needScale*math.Log(max(s.largest, need)/need), maxNeedMerit)
 }
 
 // needOrderLoad is the offered load of a service from which on the needs of its chains are determined.
@@ -261,8 +317,8 @@
 
 // share returns the admission probability at a price: 1 up to the merit, falling to MinShare within a
 // band of 1. Beyond it the remaining requests are thinned out slowly, so that an overload by minimum
-// shares alone ends too.
-func (c *Controller) share(price, merit float64) float64 {
+// shares alone ends too. above is the number of more important ranks at the service.
+func (c *Controller) share(price, merit float64, above int) float64 {
 	excess := price - merit
 	switch {
 	case excess <= 0:
@@ -270,22 +326,78 @@
 	case excess < 1:
 		return 1 - (1-c.config.MinShare)*excess
 	default:
-		return c.config.MinShare * math.Exp(-max(excess-thinAfter, 0))
+		return c.config.MinShare * math.Exp(-max(excess-thinAfter(above), 0))
 	}
 }
 
+// minThinRanks is the least number of ranks that are reduced before a route gets less than its minimum share.
+const minThinRanks = 2
+
 // thinAfter is how far a price must have passed a merit before a route gets less than its minimum
-// share: far enough that all routes of the next rank are reduced first, and those of the rank after it
-// unless their needs are small.
-const thinAfter = 6.0
+// share: far enough that the routes of all more important ranks are reduced first, those of the highest
+// one unless their needs are small.
+func thinAfter(above int) float64 { return rankStep * float64(max(above, minThinRanks)+1) }
 
-// refresh computes the largest needs anew if they are too old, and removes routes, needs and services
-// that were not seen lately, since a new configuration may not have them any more.
+// refresh computes the standings anew if they are too old, and removes routes, needs and services that
+// were not seen lately, since a new configuration may not have them any more.
 func (c *Controller) refresh(now time.Duration) {
-	if c.largest != nil && now-c.sortedAt < rankingInterval {
+	if c.standings != nil && now-c.sortedAt < rankingInterval {
 		return
 	}
-	c.largest, c.sortedAt = map[needKey]float64{}, now
+	c.standings, c.sortedAt = map[needKey]standing{}, now
+	c.removeUnseen(now)
+	largest := map[string]float64{} // need of a service among all routes
+	for _, r := range c.routes {
+		for service, n := range r.needs {
+			largest[service] = max(largest[service], n.slotTime)
+		}
+	}
+	for _, r := range c.routes {
+		for service, n := range r.needs {
+			key := needKey{service, r.rank}
+			s := c.standings[key]
+			s.negligible = negligibleNeed * largest[service]
+			s.largest = max(s.largest, n.slotTime)
+			s.needed = s.needed || n.counts(s.negligible)
+			c.standings[key] = s
+		}
+	}
+	c.rankRoutes()
+}
+
+// rankRoutes counts the ranks below each standing. A rank does not count if its routes have been served
+// here without the service: refusing them would yield nothing there, and a price could not come up to
+// the merits above them. A rank that was not seen counts, since its routes may need the service at other
+// nodes and all nodes must keep one order.
+func (c *Controller) rankRoutes() {
+	served := map[int]bool{}
+	for _, r := range c.routes {
+		if r.served {
+			served[r.rank] = true
+		}
+	}
+	for key, s := range c.standings {
+		s.rank = key.rank
+		for rank := range served {
+			if rank < key.rank && !c.standings[needKey{key.service, rank}].needed {
+				s.rank--
+			}
+		}
+		c.standings[key] = s
+	}
+	highest := map[string]int{} // rank at each service
+	for key, s := range c.standings {
+		if s.needed {
+			highest[key.service] = max(highest[key.service], s.rank)
+		}
+	}
+	for key, s := range c.standings {
+		s.above = max(highest[key.service]-s.rank, 0)
+		c.standings[key] = s
+	}
+}
+
+func (c *Controller) removeUnseen(now time.Duration) {
 	for name, r := range c.routes {
 		if now-r.seenAt > routeExpiry {
 			delete(c.routes, name)
@@ -294,10 +406,7 @@
 		for service, n := range r.needs {
 			if now-n.seenAt > routeExpiry {
 				delete(r.needs, service)
-				continue
 			}
-			key := needKey{service, r.rank}
-			c.largest[key] = max(c.largest[key], n.slotTime)
 		}
 	}
 	for name, s := range c.services {
