Merge fixes: waits of chains use the rank at the service

The merge of the ranks by service left ObserveWait with the rank over all priorities. It now compares the price with the same merit as Admit, and rare needs raise no price by their waits. Tests of pricing and admission pass.

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -267,15 +267,14 @@
 			}
 			continue
 		}
-		needMerit := standing.needMerit(n.slotTime)
-		merit := rankStep*float64(standing.rank) + needMerit
+		merit := standing.merit(n.slotTime)
 		if decision.Returning {
 			merit += returningMerit
 		}
 		if decision.Service == "" || price-merit > decision.Price-decision.Merit {
 			decision.Service, decision.Price, decision.Merit, decision.Offered = name, price, merit, s.offered
 			decision.Probability = c.share(price, merit, standing.above)
-			decision.RelativeNeed, decision.NeedKnown = 1-needMerit/maxNeedMerit, true
+			decision.RelativeNeed, decision.NeedKnown = 1-standing.needMerit(n.slotTime)/maxNeedMerit, true
 		}
 	}
 	return decision
@@ -291,6 +290,9 @@
 	return known
 }
 
+// merit returns the price up to which all new requests with a need are admitted.
+func (s standing) merit(need float64) float64 { return rankStep*float64(s.rank) + s.needMerit(need) }
+
 // needMerit returns the part of the merit that grows the less of the service a request needs. The other
 // part is rankStep for each rank, so that a route is refused after all less important ones.
 func (s standing) needMerit(need float64) float64 {
--- a/internal/core/pricing/wait.go
+++ b/internal/core/pricing/wait.go
@@ -38,8 +38,12 @@
 	if known == nil || known.needs[name] == nil || known.needs[name].slotTime <= 0 {
 		return
 	}
-	merit := rankStep*float64(r.Rank) + c.needMerit(now, name, known.needs[name].slotTime, r.Rank)
-	if s.current(now, &c.config) >= merit+1 {
+	need := known.needs[name]
+	standing := c.standing(now, name, need.slotTime, r.Rank)
+	if !need.counts(standing.negligible) {
+		return
+	}
+	if s.current(now, &c.config) >= standing.merit(need.slotTime)+1 {
 		share = min(share, bearableWait)
 	}
 	s.wait.observe(now, r.Name, share)
