Fair shares of tenants at a scarce service

A gate cannot say which tenants take more of a scarce service than others. The meter measures the slot time that each tenant asks for and compares it with a weighted max-min fair share. Random demands: the level serves 0.9 of what is asked for in each of 2,000. Nothing uses it yet.

--- /dev/null
+++ b/internal/core/fairshare/fairshare.go
@@ -0,0 +1,144 @@
+// Package fairshare compares the tenants of a service while the service is scarce: how much slot time
+// each of them asks for, relative to its weighted max-min fair share. A gate keeps a Meter of the calls
+// that reach its target; a gate sees thousands of calls a second, whereas a node at the start of chains
+// sees a given tenant every few seconds.
+//
+// The level of a share is relative to what arrives, not to the capacity: nodes refuse requests at the
+// start of their chains, so that what arrives comes down to the capacity, and a level by capacity would
+// be reached by nobody while tenants are still refused for others.
+//
+// The package does no locking and uses no clock or randomness.
+package fairshare
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// Window is the time constant of the moving sum of slot time: long enough for some calls of small
+	// tenants, short enough to notice a burst of one tenant within seconds.
+	Window = 2 * time.Second
+	// MaxTenants bounds the tenants that a Meter distinguishes. The others count as one.
+	MaxTenants = 128
+	// servedShare is the part of the slot time asked for that the level would serve. Below 1, so that
+	// the largest tenants are above their share as soon as the service is scarce.
+	servedShare = 0.9
+	// levelInterval is how often the level is computed.
+	levelInterval = 100 * time.Millisecond
+	// negligible is the slot time in ns below which a tenant is forgotten.
+	negligible = float64(10 * time.Microsecond)
+)
+
+// Meter measures the slot time that tenants ask of one target. It is not safe for concurrent use.
+type Meter struct {
+	tenants map[string]*usage
+	others  usage // tenants beyond MaxTenants
+	level   float64
+	levelAt time.Duration
+	known   bool // whether level was computed
+	order   []*usage
+}
+
+// usage is what one tenant asks for.
+type usage struct {
+	slotTime float64 // ns, decaying with Window
+	at       time.Duration
+	weight   float64
+}
+
+// NewMeter returns a Meter that has seen nothing.
+func NewMeter() *Meter { return &Meter{tenants: map[string]*usage{}} }
+
+// Add records a call of a tenant that is expected to occupy a slot for slotTime. weight is the tenant's
+// right to capacity relative to that of the others; values that are not positive and finite count as 1.
+func (m *Meter) Add(now time.Duration, tenant string, weight float64, slotTime time.Duration) {
+	if !(weight > 0) || math.IsInf(weight, 0) {
+		weight = 1
+	}
+	u := m.tenants[tenant]
+	if u == nil {
+		u = m.admit(now, tenant)
+	}
+	u.slotTime = u.current(now) + max(float64(slotTime), 0)
+	u.at, u.weight = now, weight
+}
+
+// admit starts the usage of a tenant, or returns that of the others if there are too many tenants.
+func (m *Meter) admit(now time.Duration, tenant string) *usage {
+	if len(m.tenants) >= MaxTenants {
+		m.refresh(now)
+	}
+	if len(m.tenants) >= MaxTenants {
+		return &m.others
+	}
+	u := &usage{}
+	m.tenants[tenant] = u
+	return u
+}
+
+// Ratio returns the slot time that a tenant asks for relative to its fair share: above 1 it asks for
+// more. 0: unknown.
+func (m *Meter) Ratio(now time.Duration, tenant string) float64 {
+	u := m.tenants[tenant]
+	if u == nil {
+		u = &m.others
+	}
+	m.refresh(now)
+	if m.level <= 0 || u.weight <= 0 {
+		return 0
+	}
+	return u.current(now) / (m.level * u.weight)
+}
+
+// current returns the decayed slot time.
+func (u *usage) current(now time.Duration) float64 {
+	return u.slotTime * math.Exp(-float64(max(now-u.at, 0))/float64(Window))
+}
+
+// refresh computes the level anew if it is too old, and forgets tenants that were not seen lately.
+func (m *Meter) refresh(now time.Duration) {
+	if m.known && now-m.levelAt < levelInterval {
+		return
+	}
+	m.order = m.order[:0]
+	for name, u := range m.tenants {
+		if u.slotTime, u.at = u.current(now), now; u.slotTime < negligible {
+			delete(m.tenants, name)
+			continue
+		}
+		m.order = append(m.order, u)
+	}
+	if m.others.slotTime, m.others.at = m.others.current(now), now; m.others.slotTime >= negligible {
+		m.order = append(m.order, &m.others)
+	}
+	m.level, m.levelAt, m.known = level(m.order), now, true
+}
+
+// level returns the slot time per weight up to which all that is asked for is served: the level at
+// which servedShare of the slot time is. It sorts the usages.
+func level(usages []*usage) float64 {
+	slices.SortFunc(usages, func(a, b *usage) int {
+		switch {
+		case a.slotTime*b.weight < b.slotTime*a.weight:
+			return -1
+		case a.slotTime*b.weight > b.slotTime*a.weight:
+			return 1
+		}
+		return 0
+	})
+	left, weights := 0.0, 0.0
+	for _, u := range usages {
+		left += servedShare * u.slotTime
+		weights += u.weight
+	}
+	for _, u := range usages {
+		if u.slotTime*weights >= left*u.weight {
+			return left / weights
+		}
+		left -= u.slotTime
+		weights -= u.weight
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/core/fairshare/fairshare_test.go
@@ -0,0 +1,103 @@
+package fairshare
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// demand is what a tenant asks for.
+type demand struct {
+	tenant string
+	weight float64
+	perSec float64 // slot time in ms per second
+}
+
+// fill records demands for some windows, and returns the time at the end.
+func fill(m *Meter, demands []demand) time.Duration {
+	const step = 10 * time.Millisecond
+	now := time.Duration(0)
+	for ; now < 5*Window; now += step {
+		for _, d := range demands {
+			m.Add(now, d.tenant, d.weight, time.Duration(d.perSec*step.Seconds()*float64(time.Millisecond)))
+		}
+	}
+	return now
+}
+
+func TestRatio(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		demands []demand
+		want    map[string]float64
+	}{
+		{"all ask for the same", []demand{{"a", 1, 100}, {"b", 1, 100}}, map[string]float64{"a": 1.11, "b": 1.11}},
+		{"one asks for more", []demand{{"a", 1, 100}, {"b", 1, 100}, {"c", 1, 700}}, map[string]float64{"a": 0.16, "b": 0.16, "c": 1.15}},
+		{"a larger weight is entitled to more", []demand{{"a", 10, 1000}, {"b", 1, 100}, {"c", 1, 200}}, map[string]float64{"a": 1.03, "b": 1.03, "c": 2.05}},
+		{"one tenant alone", []demand{{"a", 1, 100}}, map[string]float64{"a": 1.11}},
+		{"a tenant that was not seen", []demand{{"a", 1, 100}}, map[string]float64{"z": 0}},
+		{"an unusable weight counts as 1", []demand{{"a", math.NaN(), 100}, {"b", -1, 100}, {"c", math.Inf(1), 100}}, map[string]float64{"a": 1.11, "b": 1.11, "c": 1.11}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := NewMeter()
+			now := fill(m, tc.demands)
+			for tenant, want := range tc.want {
+				g.Expect(m.Ratio(now, tenant)).To(BeNumerically("~", want, 0.05), tenant)
+			}
+		})
+	}
+}
+
+// The sum of min(demand, level * weight) must be servedShare of all demand, whatever the demands are.
+func TestLevelServesItsShare(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		var usages []*usage
+		total := 0.0
+		for range 1 + random.IntN(20) {
+			u := &usage{slotTime: math.Exp(random.NormFloat64() * 3), weight: math.Exp(random.NormFloat64())}
+			usages = append(usages, u)
+			total += u.slotTime
+		}
+		l, served := level(usages), 0.0
+		for _, u := range usages {
+			served += min(u.slotTime, l*u.weight)
+		}
+		g.Expect(served).To(BeNumerically("~", servedShare*total, 1e-9*total))
+	}
+}
+
+// Tenants that come and go must not use memory without bound, and those beyond the bound count as one.
+func TestTenantsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	m := NewMeter()
+	now := time.Duration(0)
+	for i := range 10 * MaxTenants {
+		m.Add(now, fmt.Sprint(i), 1, 10*time.Millisecond)
+		now += time.Millisecond
+	}
+	g.Expect(len(m.tenants)).To(BeNumerically("<=", MaxTenants))
+	g.Expect(m.Ratio(now, "unseen")).To(BeNumerically(">", 1), "the others together ask for most")
+	m.Ratio(now+20*Window, "unseen")
+	g.Expect(m.tenants).To(BeEmpty())
+}
+
+// A tenant that stops asking must be back within its share after some windows.
+func TestRatioFollowsTheDemand(t *testing.T) {
+	g := NewWithT(t)
+	m := NewMeter()
+	now := fill(m, []demand{{"a", 1, 100}, {"b", 1, 100}, {"hot", 1, 700}})
+	g.Expect(m.Ratio(now, "hot")).To(BeNumerically(">", 1))
+	for range 100 {
+		now += 50 * time.Millisecond
+		m.Add(now, "a", 1, 5*time.Millisecond)
+		m.Add(now, "b", 1, 5*time.Millisecond)
+	}
+	g.Expect(m.Ratio(now, "hot")).To(BeNumerically("<", 1))
+}
