Tenants above their fair share of a scarce service are refused first

While a service had a congestion price, tenants mattered only through their rate limit: one that sent seven times its usual rate took capacity from all others of its routes.

Gates now measure the slot time that each tenant asks for, relative to its weighted max-min fair share (core/fairshare; weights by rate limit and priority). Results report the ratio in the usage header, averaged along chains. The node at the start of a chain keeps it for each scarce service and tenant; a ratio above 1 lowers the merit and the minimum share of the tenant's requests, never below less important routes. Switch: tenant_shares.

core/fairshare had these faults: the tenants beyond 128 counted as one with the weight of one; newcomers were never distinguished while 128 tenants were active; a report contained its own call, so that a tenant with few calls seemed to ask for more. The least active tenant now makes room, with its weight, and the call is taken out.

--- a/internal/core/fairshare/fairshare.go
+++ b/internal/core/fairshare/fairshare.go
@@ -1,5 +1,5 @@
-// Package fairshare compares the tenants of a service while the service is scarce: how much slot time
-// each of them asks for, relative to its weighted max-min fair share. A gate keeps a Meter of the calls
+// Package fairshare compares the tenants of a service: how much slot time each of them asks for, relative
+// to its weighted max-min fair share. Tenants that all ask for the same by weight are at 1. A gate keeps a Meter of the calls
 // that reach its target; a gate sees thousands of calls a second, whereas a node at the start of chains
 // sees a given tenant every few seconds.
 //
@@ -20,11 +20,12 @@
 	// Window is the time constant of the moving sum of slot time: long enough for some calls of small
 	// tenants, short enough to notice a burst of one tenant within seconds.
 	Window = 2 * time.Second
-	// MaxTenants bounds the tenants that a Meter distinguishes. The others count as one.
+	// MaxTenants bounds the tenants that a Meter distinguishes. The least active ones count as one.
 	MaxTenants = 128
-	// servedShare is the part of the slot time asked for that the level would serve. Below 1, so that
-	// the largest tenants are above their share as soon as the service is scarce.
-	servedShare = 0.9
+	// servedShare is the part of the slot time asked for that the level would serve. At 0.9 a tenant that
+	// takes 28 of 100 at a service, four times as much by weight as the others, is only at twice its share,
+	// since most of what it takes too much passes for available.
+	servedShare = 0.7
 	// levelInterval is how often the level is computed.
 	levelInterval = 100 * time.Millisecond
 	// negligible is the slot time in ns below which a tenant is forgotten.
@@ -34,8 +35,8 @@
 // Meter measures the slot time that tenants ask of one target. It is not safe for concurrent use.
 type Meter struct {
 	tenants map[string]*usage
-	others  usage // tenants beyond MaxTenants
-	level   float64
+	others  usage   // tenants that made room for others, with the sum of their weights
+	level   float64 // slot time per weight of a fair share
 	levelAt time.Duration
 	known   bool // whether level was computed
 	order   []*usage
@@ -65,38 +66,82 @@
 	u.at, u.weight = now, weight
 }
 
-// admit starts the usage of a tenant, or returns that of the others if there are too many tenants.
+// admit starts the usage of a tenant. If there are too many tenants, the least active one makes room, so
+// that a tenant which begins to ask for much is distinguished however many small ones there are.
 func (m *Meter) admit(now time.Duration, tenant string) *usage {
 	if len(m.tenants) >= MaxTenants {
 		m.refresh(now)
 	}
 	if len(m.tenants) >= MaxTenants {
-		return &m.others
+		m.mergeLeastActive(now)
 	}
 	u := &usage{}
 	m.tenants[tenant] = u
 	return u
 }
 
+// mergeLeastActive adds the usage and the weight of the least active tenant to those of the others.
+func (m *Meter) mergeLeastActive(now time.Duration) {
+	least, lowest := "", math.Inf(1)
+	for name, u := range m.tenants {
+		if u.slotTime < lowest { // as of the last refresh or later
+			least, lowest = name, u.slotTime
+		}
+	}
+	u := m.tenants[least]
+	m.others.decay(now)
+	m.others.slotTime += u.current(now)
+	m.others.weight += u.weight
+	delete(m.tenants, least)
+}
+
 // Ratio returns the slot time that a tenant asks for relative to its fair share: above 1 it asks for
-// more. 0: unknown.
+// more. For a tenant that is not distinguished it is the mean ratio of those. 0: unknown.
 func (m *Meter) Ratio(now time.Duration, tenant string) float64 {
-	u := m.tenants[tenant]
-	if u == nil {
+	return m.RatioBesides(now, tenant, now, 0)
+}
+
+// RatioBesides returns the ratio of a tenant without the share of one call, which was added at a time
+// with slotTime. Results report it. Calls see the sum while they are part of it: a tenant with two calls in
+// the window would seem to ask for half as much again as it does, a large one for what it does. The
+// result is above 0 if the tenant is distinguished.
+func (m *Meter) RatioBesides(now time.Duration, tenant string, addedAt, slotTime time.Duration) float64 {
+	m.refresh(now)
+	u, own := m.tenants[tenant], 0.0
+	if u != nil {
+		own = float64(slotTime) * math.Exp(-float64(max(now-addedAt, 0))/float64(Window))
+	} else {
 		u = &m.others
 	}
-	m.refresh(now)
 	if m.level <= 0 || u.weight <= 0 {
 		return 0
 	}
-	return u.current(now) / (m.level * u.weight)
+	ratio := max(u.current(now)-own, 0) / (m.level * u.weight)
+	return min(max(ratio, minRatio), maxRatio)
 }
 
+const (
+	// minRatio is the least ratio that is known, since 0 means unknown.
+	minRatio = 0.001
+	// maxRatio bounds a ratio: the share of a tenant whose weight is tiny beside those of the others.
+	maxRatio = 100.0
+)
+
 // current returns the decayed slot time.
 func (u *usage) current(now time.Duration) float64 {
 	return u.slotTime * math.Exp(-float64(max(now-u.at, 0))/float64(Window))
 }
 
+// decay brings the slot time and the weight of the others to now.
+func (u *usage) decay(now time.Duration) {
+	if u.slotTime > 0 {
+		decayed := u.current(now)
+		u.weight *= decayed / u.slotTime
+		u.slotTime = decayed
+	}
+	u.at = now
+}
+
 // refresh computes the level anew if it is too old, and forgets tenants that were not seen lately.
 func (m *Meter) refresh(now time.Duration) {
 	if m.known && now-m.levelAt < levelInterval {
@@ -110,10 +155,12 @@
 		}
 		m.order = append(m.order, u)
 	}
-	if m.others.slotTime, m.others.at = m.others.current(now), now; m.others.slotTime >= negligible {
+	if m.others.decay(now); m.others.slotTime >= negligible {
 		m.order = append(m.order, &m.others)
+	} else {
+		m.others = usage{at: now}
 	}
-	m.level, m.levelAt, m.known = level(m.order), now, true
+	m.level, m.levelAt, m.known = level(m.order)/servedShare, now, true
 }
 
 // level returns the slot time per weight up to which all that is asked for is served: the level at
--- a/internal/core/intent/tenant.go
+++ b/internal/core/intent/tenant.go
@@ -16,8 +16,23 @@
 	HasPriority bool     // the operators set Priority
 	Rate        float64  // requests per second over all nodes; 0: no limit
 	Burst       float64  // requests above the rate
+
+	shareWeight float64
 }
 
+// ShareWeight returns the tenant's right to a scarce service relative to that of the other tenants; it is
+// above 0 once the configuration is sealed. It is the rate limit, or the mean limit if the tenant has
+// none, times priorityWeight for each priority above the lowest one that is set.
+func (t *Tenant) ShareWeight() float64 { return t.shareWeight }
+
+// priorityWeight is the factor by which a priority of a tenant raises its share: enough to matter in a
+// shortage, without refusing the tenants below it entirely.
+const priorityWeight = 2.0
+
+// maxPrioritySteps bounds the factor, so that a priority number far above the others leaves the weights
+// finite and the shares of its tenants above 0.
+const maxPrioritySteps = 10
+
 // HasRateLimit reports whether the tenant has a rate limit.
 func (t *Tenant) HasRateLimit() bool { return t.Rate > 0 }
 
@@ -48,9 +63,36 @@
 			t.byKey[key] = tenant
 		}
 	}
+	setShareWeights(tenants)
 	return nil
 }
 
+// setShareWeights sets the weights of all tenants.
+func setShareWeights(tenants []*Tenant) {
+	sum, limited, lowest := 0.0, 0, 0
+	for _, tenant := range tenants {
+		if tenant.HasRateLimit() {
+			sum, limited = sum+tenant.Rate, limited+1
+		}
+		if tenant.HasPriority {
+			lowest = max(lowest, tenant.Priority)
+		}
+	}
+	mean := 1.0
+	if limited > 0 {
+		mean = sum / float64(limited)
+	}
+	for _, tenant := range tenants {
+		tenant.shareWeight = mean
+		if tenant.HasRateLimit() {
+			tenant.shareWeight = tenant.Rate
+		}
+		if tenant.HasPriority {
+			tenant.shareWeight *= math.Pow(priorityWeight, float64(min(lowest-tenant.Priority, maxPrioritySteps)))
+		}
+	}
+}
+
 func (t *Tenant) validate() error {
 	bad := func(remedy, format string, arguments ...any) error {
 		return failure.New(failure.BadInput, remedy, "tenant "+t.Name+": "+format, arguments...)
--- a/internal/core/intent/tenant_test.go
+++ b/internal/core/intent/tenant_test.go
@@ -47,3 +47,26 @@
 		})
 	}
 }
+
+// A tenant is entitled to a scarce service by its rate limit and by its priority where they are set.
+func TestShareWeights(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		tenants []*Tenant
+		want    []float64
+	}{
+		{"neither limits nor priorities", []*Tenant{{Name: "a"}, {Name: "b"}}, []float64{1, 1}},
+		{"limits", []*Tenant{{Name: "a", Rate: 30}, {Name: "b", Rate: 10}, {Name: "c"}}, []float64{30, 10, 20}},
+		{"priorities", []*Tenant{{Name: "a", HasPriority: true}, {Name: "b", HasPriority: true, Priority: 2}, {Name: "c"}}, []float64{4, 1, 1}},
+		{"both", []*Tenant{{Name: "a", Rate: 30, HasPriority: true}, {Name: "b", Rate: 10, HasPriority: true, Priority: 1}}, []float64{60, 10}},
+		{"priorities far apart", []*Tenant{{Name: "a", HasPriority: true}, {Name: "b", HasPriority: true, Priority: 1 << 40}}, []float64{1024, 1}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect((&Intent{Tenants: tc.tenants}).Seal()).To(Succeed())
+			for index, want := range tc.want {
+				g.Expect(tc.tenants[index].ShareWeight()).To(Equal(want), tc.tenants[index].Name)
+			}
+		})
+	}
+}
--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -68,6 +68,7 @@
 	Route
 	// Deadline is how long the client still waits, as it states; 0: unknown.
 	Deadline time.Duration
+	Tenant   string // empty: none
 }
 
 // Decision is an admission probability and its reason.
@@ -83,6 +84,10 @@
 	RelativeNeed float64
 	NeedKnown    bool // a service that the route needs has a price or an offered load of needOrderLoad
 	Returning    bool // the request was refused before
+	// TenantRatio is the slot time that the tenant asks of Service relative to its fair share, if that
+	// is above 1 and lowers the merit; 0: it does not. ShareWithout is the Probability without it.
+	TenantRatio  float64
+	ShareWithout float64
 }
 
 // Controller holds the prices of one node. It is not safe for concurrent use.
@@ -196,8 +201,8 @@
 	return s
 }
 
-// Admit returns the probability with which to admit a request. The service whose price exceeds the merit
-// of the route most, or falls short of it least, decides.
+// Admit returns the probability with which to admit a request. The service with the least
+// probability decides; among equals the one whose price exceeds the merit most, or falls short of it least.
 // Without a price above 0 the probability is 1 and the decision names no service.
 func (c *Controller) Admit(now time.Duration, r Request) Decision {
 	decision := Decision{Probability: 1, Returning: c.starting.returning(now, r.Name, r.Deadline)}
@@ -205,7 +210,7 @@
 	if known == nil {
 		return decision
 	}
-	highest := needOrderLoad
+	highest, without := needOrderLoad, 1.0
 	for name, n := range known.needs {
 		s := c.services[name]
 		if s == nil || n.slotTime <= 0 {
@@ -224,12 +229,26 @@
 		if decision.Returning {
 			merit += returningMerit
 		}
-		if decision.Service == "" || price-merit > decision.Price-decision.Merit {
+		ratio := 1.0
+		if r.Tenant != "" {
+			without = min(without, c.share(price, merit, c.config.MinShare))
+			if ratio = s.tenantRatio(now, r.Tenant, &c.config); ratio > 1 {
+				merit = c.tenantMerit(now, name, r.Rank, merit, ratio, decision.Returning)
+			}
+		}
+		share := c.share(price, merit, c.config.MinShare/ratio)
+		if decision.Service == "" || share < decision.Probability || share == decision.Probability && price-merit > decision.Price-decision.Merit {
 			decision.Service, decision.Price, decision.Merit, decision.Offered = name, price, merit, s.offered
-			decision.Probability = c.share(price, merit)
+			decision.Probability, decision.TenantRatio = share, 0
+			if ratio > 1 {
+				decision.TenantRatio = ratio
+			}
 			decision.RelativeNeed, decision.NeedKnown = 1-needMerit/maxNeedMerit, true
 		}
 	}
+	if decision.TenantRatio > 0 {
+		decision.ShareWithout = without
+	}
 	return decision
 }
 
@@ -259,18 +278,18 @@
 	returningMerit = 0.8
 )
 
-// share returns the admission probability at a price: 1 up to the merit, falling to MinShare within a
+// share returns the admission probability at a price: 1 up to the merit, falling to minShare within a
 // band of 1. Beyond it the remaining requests are thinned out slowly, so that an overload by minimum
 // shares alone ends too.
-func (c *Controller) share(price, merit float64) float64 {
+func (c *Controller) share(price, merit, minShare float64) float64 {
 	excess := price - merit
 	switch {
 	case excess <= 0:
 		return 1
 	case excess < 1:
-		return 1 - (1-c.config.MinShare)*excess
+		return 1 - (1-minShare)*excess
 	default:
-		return c.config.MinShare * math.Exp(-max(excess-thinAfter, 0))
+		return minShare * math.Exp(-max(excess-thinAfter, 0))
 	}
 }
 
--- a/internal/core/pricing/service.go
+++ b/internal/core/pricing/service.go
@@ -11,6 +11,7 @@
 	offered   float64 // moving average
 	sampledAt time.Duration
 	sampled   bool
+	tenants   map[string]*tenantRatio // nil: none is known
 }
 
 const (
--- a/internal/core/slots/offered.go
+++ b/internal/core/slots/offered.go
@@ -97,6 +97,11 @@
 	maxOfferedLoad = 8.0
 )
 
+// ExpectedSlotTime returns the time that a request of a class is expected to occupy a slot now.
+func (g *Gate) ExpectedSlotTime(now time.Duration, class string) time.Duration {
+	return time.Duration(g.expectedSlotTime(class).at(g.pace.Now(now)))
+}
+
 // expectedSlotTime returns the time that a request of a class is expected to occupy a slot.
 func (g *Gate) expectedSlotTime(class string) *meanTime {
 	if classTime := g.classes[class]; classTime != nil && classTime.reliable() {
--- a/internal/logquery/logquery.go
+++ b/internal/logquery/logquery.go
@@ -143,6 +143,9 @@
 	case price > 0 && line.number("share") >= 1: // admitted
 	case price > 0:
 		description += fmt.Sprintf(", %.2f of the route let in because %s is at %.2f of its slots and asked for %.2f of what it can do (price %.2f, merit of the route %.2f)", line.number("share"), line.field("decisive"), line.number("occupancy"), line.number("offered"), price, line.number("merit"))
+		if ratio := line.number("tenant_ratio"); ratio > 0 {
+			description += fmt.Sprintf(", less than for others since the tenant asks for %.2f of its fair share there", ratio)
+		}
 	case line.field("decisive") != "":
 		description += fmt.Sprintf(", %.2f of the route let in because %s is at %.2f of its slots", line.number("share"), line.field("decisive"), line.number("occupancy"))
 	}
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -19,10 +19,11 @@
 
 // Control is the admission control of one node. It is safe for concurrent use.
 type Control struct {
-	now            func() time.Duration
-	configuration  Configuration
-	windowDisabled bool
-	pricesDisabled bool
+	now             func() time.Duration
+	configuration   Configuration
+	windowDisabled  bool
+	pricesDisabled  bool
+	tenantsDisabled bool
 
 	mutex  sync.Mutex
 	core   *overload.Controller
@@ -38,16 +39,17 @@
 
 // Options configures a Control.
 type Options struct {
-	Now            func() time.Duration
-	Configuration  Configuration
-	WindowDisabled bool // windows refuse nothing
-	PricesDisabled bool // there are no prices
+	Now             func() time.Duration
+	Configuration   Configuration
+	WindowDisabled  bool // windows refuse nothing
+	PricesDisabled  bool // there are no prices
+	TenantsDisabled bool // requests are admitted without regard to the shares of tenants
 }
 
 // New returns a Control without requests in flight.
 func New(o Options) *Control {
 	return &Control{
-		now: o.Now, configuration: o.Configuration, windowDisabled: o.WindowDisabled, pricesDisabled: o.PricesDisabled,
+		now: o.Now, configuration: o.Configuration, windowDisabled: o.WindowDisabled, pricesDisabled: o.PricesDisabled, tenantsDisabled: o.TenantsDisabled,
 		core: overload.New(overload.DefaultConfig()), prices: pricing.New(pricing.DefaultConfig()),
 	}
 }
@@ -61,27 +63,36 @@
 	Merit       float64 // price up to which all requests of the route are admitted
 	Offered     float64 // offered load of Bottleneck; set if there is a price
 	Returning   bool    // whether the request was refused before; set if there is a price
+	TenantRatio float64 // slot time that the tenant asks of Bottleneck relative to its fair share; 0: it did not lower Probability
+	OverShare   bool    // whether the request was rejected because of TenantRatio
 	NeedClass   int     // need of the route for the scarcest service that it needs, see wire.SidecarCall; 0: unknown
 	Scarce      bool    // whether a service that the route needs has a price
 	InFlight    int     // requests of the route in flight; set on rejection by the window
 	WindowSize  float64 // size of the route's admission window; set on rejection by it
+
+	shareWithout float64 // Probability without TenantRatio
 }
 
 // Admit decides whether a client request on the route is admitted. deadline is how long its client still
-// waits; 0: unknown. If it is admitted, End must be called.
-func (c *Control) Admit(route *intent.Route, deadline time.Duration) (admitted bool, decision Decision) {
+// waits; 0: unknown. tenant may be empty. If the request is admitted, End must be called.
+func (c *Control) Admit(route *intent.Route, tenant string, deadline time.Duration) (admitted bool, decision Decision) {
 	rank := c.priorityAboveLowest(route)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.now()
-	decision = c.decide(now, pricing.Request{Route: pricing.Route{Name: route.Name, Rank: rank}, Deadline: deadline})
+	if c.tenantsDisabled {
+		tenant = ""
+	}
+	decision = c.decide(now, pricing.Request{Route: pricing.Route{Name: route.Name, Rank: rank}, Deadline: deadline, Tenant: tenant})
 	if decision.Bottleneck != "" {
 		decision.Occupancy = c.core.Occupancy(decision.Bottleneck)
 	}
-	if decision.Probability >= 1 || rand.Float64() < decision.Probability {
+	draw := rand.Float64()
+	if decision.Probability >= 1 || draw < decision.Probability {
 		c.core.Begin(now, route.Name)
 		return true, decision
 	}
+	decision.OverShare = decision.TenantRatio > 0 && draw < decision.shareWithout
 	if decision.Price == 0 {
 		decision.InFlight, decision.WindowSize = c.core.Window(now, route.Name)
 	}
@@ -110,6 +121,7 @@
 	if price.Probability > decision.Probability {
 		return decision
 	}
+	decision.TenantRatio, decision.shareWithout = price.TenantRatio, min(price.ShareWithout, decision.Probability)
 	decision.Probability, decision.Bottleneck = price.Probability, price.Service
 	decision.Price, decision.Merit, decision.Offered, decision.Returning = price.Price, price.Merit, price.Offered, price.Returning
 	return decision
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -216,6 +216,7 @@
 		}
 	}
 	now := i.options.Now()
+	i.recordTenant(gate, call)
 	id, decision := gate.Acquire(ctx, slots.Request{
 		Importance: call.Importance, Priority: importance.Priority(call.Importance), NeedDelay: needDelay(call), NeedKnown: call.NeedClass > 0,
 		Deadline: now + req.remaining(ctx, now), Class: call.Route,
@@ -238,10 +239,23 @@
 	}
 	response.Load = gate.LoadBesides(call.Route, now)
 	response.Waited = decision.Waited
+	if call.Tenant != "" {
+		response.TenantLoad = gate.TenantLoad(call.Tenant, call.Route, now)
+	}
 	i.attachState(gate, response)
 	return response
 }
 
+// recordTenant counts a call for the share of its tenant.
+func (i *Ingress) recordTenant(gate *target.Gate, call *wire.SidecarCall) {
+	if call.Tenant == "" {
+		return
+	}
+	if weight := i.options.TenantWeight(call.Tenant); weight > 0 {
+		gate.RecordTenant(call.Tenant, weight, call.Route)
+	}
+}
+
 // needDelay returns how long a call waits at a scarce target for the sake of chains that need less. A
 // sender that does not know the need, such as one that was just started or one of the previous release,
 // gets the middle class.
--- a/internal/sidecar/arrival/options.go
+++ b/internal/sidecar/arrival/options.go
@@ -60,11 +60,14 @@
 	Now         func() time.Duration // monotonic clock that includes time spent suspended
 	Headers     headers.Names
 	Version     func() uint64 // version of the configuration in force; 0 if none is known
-	Target      Target
-	States      StateReader
-	Quarantine  Quarantine
-	Metrics     *metrics.Metrics
-	Events      *eventlog.Log
+	// TenantWeight returns the weight of a tenant's fair share, or 0 if the tenant is unknown or shares
+	// are not measured.
+	TenantWeight func(tenant string) float64
+	Target       Target
+	States       StateReader
+	Quarantine   Quarantine
+	Metrics      *metrics.Metrics
+	Events       *eventlog.Log
 	// Begin counts a request of another node as in flight until end is called. draining reports
 	// that the node accepts no more requests.
 	Begin func(w http.ResponseWriter, r *http.Request) (writer *duplex.Writer, request *http.Request, end func(), draining bool)
--- a/internal/sidecar/arrival/running.go
+++ b/internal/sidecar/arrival/running.go
@@ -33,7 +33,8 @@
 		sum.Service = need.Service
 		if calls := sum.Calls + need.Calls; calls > 0 {
 			sum.SlotTime += need.SlotTime
-			sum.Offered = meanOffered(sum, need)
+			sum.Offered = meanLoad(sum.Offered, sum.Calls, need.Offered, need.Calls)
+			sum.TenantLoad = meanLoad(sum.TenantLoad, sum.Calls, need.TenantLoad, need.Calls)
 			sum.Wait = (sum.Wait*time.Duration(sum.Calls) + need.Wait*time.Duration(need.Calls)) / time.Duration(calls)
 			sum.Calls = calls
 		}
@@ -44,15 +45,15 @@
 	}
 }
 
-// meanOffered returns the mean offered load of two demands on a service, by calls.
-func meanOffered(a, b wire.Need) float64 {
+// meanLoad returns the mean of two loads, each over a number of calls; a load of 0 is unknown.
+func meanLoad(a float64, callsA int, b float64, callsB int) float64 {
 	switch {
-	case a.Offered <= 0:
-		return b.Offered
-	case b.Offered <= 0:
-		return a.Offered
+	case a <= 0:
+		return b
+	case b <= 0:
+		return a
 	}
-	return (a.Offered*float64(a.Calls) + b.Offered*float64(b.Calls)) / float64(a.Calls+b.Calls)
+	return (a*float64(callsA) + b*float64(callsB)) / float64(callsA+callsB)
 }
 
 func (r *Running) collectNeeds() []wire.Need {
--- a/internal/sidecar/entry/entry.go
+++ b/internal/sidecar/entry/entry.go
@@ -188,13 +188,14 @@
 func (r *request) recordNeeds(response *reply.Reply) {
 	needs := response.Needs
 	if pressure, known := r.options.Services.Get(r.service).Pressure(r.options.Now()); known && response.Load.Slots > 0 {
-		needs = append(needs, wire.Need{Service: r.service, Calls: 1, Occupancy: int(pressure.Occupancy * wire.OccupancyScale), Wait: response.Waited, SlotTime: response.SlotTime, Offered: response.Load.Offered})
+		needs = append(needs, wire.Need{Service: r.service, Calls: 1, Occupancy: int(pressure.Occupancy * wire.OccupancyScale), Wait: response.Waited, SlotTime: response.SlotTime, Offered: response.Load.Offered, TenantLoad: response.TenantLoad})
 	}
 	r.needs = needs
 	if r.parent != nil {
 		r.parent.AddNeeds(needs)
 	}
 	r.options.Admission.RecordNeeds(r.route, needs, response.Outcome == outcome.Answered && response.Status < http.StatusBadRequest, r.parent != nil)
+	r.options.Admission.RecordTenant(r.tenant, needs)
 }
 
 // resolveParent looks up the request at the local target that made this call and derives the
--- a/internal/sidecar/entry/log.go
+++ b/internal/sidecar/entry/log.go
@@ -30,7 +30,7 @@
 	event := eventlog.Request{
 		Request: r.id, Tenant: r.tenant, Service: r.service, Version: r.options.Configuration.Version(), Importance: r.importance, Status: status, Reason: string(reason),
 		TookMS: eventlog.Milliseconds(elapsed), TimeLimitMS: eventlog.Milliseconds(r.timeout), AdmitProbability: r.decision.Probability, BottleneckService: r.decision.Bottleneck, Occupancy: r.decision.Occupancy,
-		Price: r.decision.Price, Merit: r.decision.Merit, Offered: r.decision.Offered, Returning: r.decision.Returning, ReadAhead: readahead.ReadAhead(r.incoming.Context()),
+		Price: r.decision.Price, Merit: r.decision.Merit, Offered: r.decision.Offered, Returning: r.decision.Returning, TenantRatio: r.decision.TenantRatio, ReadAhead: readahead.ReadAhead(r.incoming.Context()),
 		RetryAfterMS: eventlog.Milliseconds(retryAfter), Attempts: r.attempts, InFlight: r.decision.InFlight, WindowSize: r.decision.WindowSize,
 	}
 	if r.route != nil {
--- a/internal/sidecar/entry/steps.go
+++ b/internal/sidecar/entry/steps.go
@@ -177,9 +177,12 @@
 	}
 	var admitted bool
 	stated, _ := r.statedTimeout()
-	admitted, r.decision = r.options.Admission.Admit(r.route, stated)
+	admitted, r.decision = r.options.Admission.Admit(r.route, r.tenant, stated)
 	if !admitted {
 		r.options.Metrics.Shed.WithLabelValues(r.route.Name, r.decision.Bottleneck).Inc()
+		if r.decision.OverShare {
+			r.options.Metrics.ShedOverShare.WithLabelValues(r.route.Name).Inc()
+		}
 		r.options.Quotas.ReturnToken(r.keyTenant)
 		r.reject(http.StatusServiceUnavailable, outcome.ReasonOverload, r.shedDelay())
 		return false
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -32,6 +32,7 @@
 	Merit             float64   `json:"merit,omitempty" doc:"price up to which all requests of the route are admitted"`
 	Offered           float64   `json:"offered,omitempty" doc:"offered load of that service: slot time asked for over what its targets provide"`
 	Returning         bool      `json:"returning,omitempty" doc:"whether the client was refused before: it states less time than new requests of the route"`
+	TenantRatio       float64   `json:"tenant_ratio,omitempty" doc:"slot time that the tenant asks of that service over its fair share; missing: it did not lower the admission probability"`
 	ReadAhead         bool      `json:"ahead,omitempty" doc:"whether it was read before the response to an earlier request on its connection was complete"`
 	InFlight          int       `json:"in_flight,omitempty" doc:"requests of the route in flight from this node when it was rejected"`
 	WindowSize        float64   `json:"fits,omitempty" doc:"size of the route's window at that time"`
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -121,7 +121,7 @@
 	n.metrics = metrics.New(n.gauges())
 	n.storeHealth = storehealth.New(n.events, n.metrics.StoreCalls)
 	n.admission = admission.New(admission.Options{
-		Now: n.now, Configuration: n.configuration, WindowDisabled: !n.policyOn(window), PricesDisabled: !n.policyOn(prices),
+		Now: n.now, Configuration: n.configuration, WindowDisabled: !n.policyOn(window), PricesDisabled: !n.policyOn(prices), TenantsDisabled: !n.policyOn(tenantShares),
 	})
 	n.services = services.New(services.Options{
 		Node: settings.Node, Zone: settings.Zone, Now: n.now, Budget: budget(settings), FirstStart: settings.FirstStart, Policy: settings.Policy,
@@ -157,6 +157,8 @@
 	window = settings.Window
 	prices = settings.Prices
 
+	tenantShares = settings.TenantShares
+
 	targetState = settings.TargetState
 	pipelining  = settings.Pipelining
 )
--- a/internal/sidecar/options.go
+++ b/internal/sidecar/options.go
@@ -158,13 +158,26 @@
 func (n *Node) arrivalOptions() arrival.Options {
 	return arrival.Options{
 		Node: n.settings().Node, Incarnation: n.incarnation, Now: n.now, Headers: n.options.Headers, Version: n.configuration.Version,
-		Target: n.target, States: n.states, Quarantine: n.heldBack, Metrics: n.metrics, Events: n.events,
+		Target: n.target, TenantWeight: n.tenantWeight, States: n.states, Quarantine: n.heldBack, Metrics: n.metrics, Events: n.events,
 		Begin: func(w http.ResponseWriter, r *http.Request) (*duplex.Writer, *http.Request, func(), bool) {
 			return n.beginRequest(w, r, n.shutdown.leaving.Load, &n.shutdown.rejectAll)
 		},
 	}
 }
 
+// tenantWeight returns the weight of a tenant's fair share, or 0 if the configuration in force does not
+// have the tenant or shares are disabled.
+func (n *Node) tenantWeight(name string) float64 {
+	current := n.configuration.Load()
+	if current == nil || !n.policyOn(settings.TenantShares) {
+		return 0
+	}
+	if tenant := current.TenantByName(name); tenant != nil {
+		return tenant.ShareWeight()
+	}
+	return 0
+}
+
 func (n *Node) entryOptions() entry.Options {
 	return entry.Options{
 		Node: n.settings().Node, Now: n.now, Headers: n.options.Headers, Caller: n.localService, Configuration: n.configuration, ConfigFresh: n.freshness.Fresh,
--- a/internal/sidecar/reply/reply.go
+++ b/internal/sidecar/reply/reply.go
@@ -34,6 +34,7 @@
 	Needs       []wire.Need   // demand on downstream services
 	Waited      time.Duration // time spent waiting for a slot of the target
 	SlotTime    time.Duration // time that the request occupied a slot of the target; a streamed body: up to its first part
+	TenantLoad  float64       // slot time that the tenant asks of the target, relative to its fair share; 0: unknown
 	// RunPace is the factor of package pace while the request ran; 0: unknown.
 	RunPace float64
 	// TargetState is the state that the node of the target keeps to; nil: the target states nothing, or
@@ -215,11 +216,11 @@
 func EncodeUsage(r *Reply) string {
 	message := &wire.Usage{Services: make([]wire.ServiceUsage, 0, len(r.Needs)+1)}
 	if r.Load.Slots > 0 && r.Load.Offered > 0 {
-		message.Services = append(message.Services, encodeServiceUsage("", r.SlotTime, r.Load.Offered))
+		message.Services = append(message.Services, encodeServiceUsage("", r.SlotTime, r.Load.Offered, r.TenantLoad))
 	}
 	for _, need := range r.Needs {
 		if need.Offered > 0 {
-			message.Services = append(message.Services, encodeServiceUsage(need.Service, need.SlotTime, need.Offered))
+			message.Services = append(message.Services, encodeServiceUsage(need.Service, need.SlotTime, need.Offered, need.TenantLoad))
 		}
 	}
 	if len(message.Services) == 0 {
@@ -232,9 +233,13 @@
 	return head
 }
 
-// encodeServiceUsage rounds a small load up, since 0 means unknown.
-func encodeServiceUsage(service string, slotTime time.Duration, offered float64) wire.ServiceUsage {
-	return wire.ServiceUsage{Service: service, SlotTime: slotTime.Microseconds(), Offered: max(int(offered*wire.OccupancyScale), 1)}
+// encodeServiceUsage rounds small loads up, since 0 means unknown.
+func encodeServiceUsage(service string, slotTime time.Duration, offered, tenantLoad float64) wire.ServiceUsage {
+	usage := wire.ServiceUsage{Service: service, SlotTime: slotTime.Microseconds(), Offered: max(int(offered*wire.OccupancyScale), 1)}
+	if tenantLoad > 0 {
+		usage.TenantLoad = max(int(tenantLoad*wire.OccupancyScale), 1)
+	}
+	return usage
 }
 
 // SetUsage decodes the usage of services into the reply. It ignores usage that cannot be decoded or
@@ -252,12 +257,13 @@
 			continue
 		}
 		slotTime, offered := time.Duration(usage.SlotTime)*time.Microsecond, float64(usage.Offered)/wire.OccupancyScale
+		tenantLoad := float64(max(usage.TenantLoad, 0)) / wire.OccupancyScale
 		if usage.Service == "" {
-			r.SlotTime, r.Load.Offered = slotTime, offered
+			r.SlotTime, r.Load.Offered, r.TenantLoad = slotTime, offered, tenantLoad
 		}
 		for index := range r.Needs {
 			if r.Needs[index].Service == usage.Service {
-				r.Needs[index].SlotTime, r.Needs[index].Offered = slotTime, offered
+				r.Needs[index].SlotTime, r.Needs[index].Offered, r.Needs[index].TenantLoad = slotTime, offered, tenantLoad
 			}
 		}
 	}
--- a/internal/sidecar/reply/reply_test.go
+++ b/internal/sidecar/reply/reply_test.go
@@ -124,3 +124,17 @@
 	}
 	NewWithT(t).Expect(EncodeUsage(&Reply{})).To(BeEmpty())
 }
+
+// What a tenant asks for relative to its share must survive the way to the start of the chain, also if it
+// is little; 0 stays unknown.
+func TestTenantLoadIsEncodedWithTheResult(t *testing.T) {
+	g := NewWithT(t)
+	sent := &Reply{
+		TenantLoad: 2.5, Load: slots.Load{Slots: 9, Offered: 1.25},
+		Needs: []wire.Need{{Service: "deep", Calls: 4, Offered: 0.5, TenantLoad: 0.0001}, {Service: "files", Calls: 1, Offered: 0.5}},
+	}
+	received := transmit(t, sent)
+	g.Expect(received.TenantLoad).To(Equal(2.5))
+	g.Expect(received.Needs[0].TenantLoad).To(Equal(0.001))
+	g.Expect(received.Needs[1].TenantLoad).To(BeZero())
+}
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -14,6 +14,8 @@
 	Window Mechanism = "window"
 	// Prices admits requests by the congestion prices of the services that they need.
 	Prices Mechanism = "prices"
+	// TenantShares refuses tenants above their fair share of a scarce service first.
+	TenantShares Mechanism = "tenant_shares"
 	// Urgency orders requests of equal priority by their latency objective.
 	Urgency Mechanism = "urgency"
 	// Grants delegate retry budget to the nodes that make downstream calls.
@@ -46,7 +48,7 @@
 	Pace Mechanism = "pace"
 )
 
-var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining, Pace}
+var mechanisms = []Mechanism{Window, Prices, TenantShares, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining, Pace}
 
 // Enabled reports whether m is enabled.
 func (p Policy) Enabled(m Mechanism) bool { return !slices.Contains(p.Off, m) }
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -122,7 +122,7 @@
 
 // Policy configures traffic management.
 type Policy struct {
-	// Off lists mechanisms to disable; default none. Accepted values: window, prices, urgency,
+	// Off lists mechanisms to disable; default none. Accepted values: window, prices, tenant_shares, urgency,
 	// grants, ration, declined, repeats, samples, zones, losses, suspicion, in_time, tenant_order,
 	// hold_back, target_state, pipelining, pace.
 	Off []Mechanism `yaml:"off"`
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/core/fairshare"
 	"github.com/landingmast/landingmast/internal/core/ratelimit"
 	"github.com/landingmast/landingmast/internal/core/roster"
 	"github.com/landingmast/landingmast/internal/core/slots"
@@ -65,6 +66,7 @@
 
 	mu          sync.Mutex
 	core        *slots.Gate
+	tenants     *fairshare.Meter // nil: no call had a tenant with a share
 	stated      ratelimit.Stated
 	hasStated   bool          // a rate was stated, or adopted
 	statedAt    time.Duration // arrival of the last response; 0: none yet
--- a/internal/wire/sidecar.go
+++ b/internal/wire/sidecar.go
@@ -93,9 +93,11 @@
 	Wait time.Duration `avro:"-"`
 	// SlotTime is the time that the calls occupied slots, all of them together, and Offered the mean
 	// offered load of the targets that they reached, relative to what these provide; 0: unknown.
-	// Both are sent in Usage.
-	SlotTime time.Duration `avro:"-"`
-	Offered  float64       `avro:"-"`
+	// TenantLoad is the mean slot time that the tenant of the request asks of those targets, relative to
+	// its fair share there; 0: unknown. All are sent in Usage.
+	SlotTime   time.Duration `avro:"-"`
+	Offered    float64       `avro:"-"`
+	TenantLoad float64       `avro:"-"`
 }
 
 // Waits accompanies a SidecarResult if the request or a downstream call waited for a slot. It is
@@ -122,6 +124,9 @@
 	Service  string `avro:"service"`      // empty: the request itself
 	SlotTime int64  `avro:"slot_time_us"` // total over all calls
 	Offered  int    `avro:"offered"`      // slot time asked for, in thousandths of what the targets provide
+	// TenantLoad is the slot time that the tenant of the request asks for, in thousandths of its fair
+	// share; 0: unknown.
+	TenantLoad int `avro:"tenant_load"`
 }
 
 // NodeRecord describes a sidecar node to the other nodes.
@@ -288,7 +293,8 @@
 {"name":"service","type":"string"},{"name":"wait_us","type":"long"}]}},"default":[]}]}`
 	usageSchema = `{"type":"record","name":"Usage","fields":[
 {"name":"services","type":{"type":"array","items":{"type":"record","name":"ServiceUsage","fields":[
-{"name":"service","type":"string"},{"name":"slot_time_us","type":"long"},{"name":"offered","type":"int"}]}},"default":[]}]}`
+{"name":"service","type":"string"},{"name":"slot_time_us","type":"long"},{"name":"offered","type":"int"},
+{"name":"tenant_load","type":"int","default":0}]}},"default":[]}]}`
 	newsSchema = `{"type":"record","name":"News","fields":[
 {"name":"from","type":"string"},{"name":"forward","type":{"type":"array","items":"string"},"default":[]},
 {"name":"version","type":"long","default":0},
