Merge tenant shares

The queue at the start of chains gets the tenant of a request: those of tenants above their share wait behind others. make check and the tests of core, sidecar, logquery and wire pass.

--- a/internal/core/pricing/service.go
+++ b/internal/core/pricing/service.go
@@ -12,6 +12,7 @@
 	sampledAt time.Duration
 	sampled   bool
 	wait      waitSignal
+	tenants   map[string]*tenantRatio // nil: none is known
 }
 
 const (
--- a/internal/sidecar/admission/bench_test.go
+++ b/internal/sidecar/admission/bench_test.go
@@ -25,7 +25,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		now += time.Millisecond
-		control.Admit(route, 0)
+		control.Admit(route, "", 0)
 		control.EachNeed(route, func(string, float64) {})
 		control.RecordNeeds(route, needs, true, false)
 		control.End(Completion{Route: route, LatencyBudget: time.Second, Latency: 800 * time.Millisecond, Needs: needs})
@@ -49,7 +49,7 @@
 			control.RecordNeeds(route, []wire.Need{{Service: "results", Calls: 8, SlotTime: 50 * time.Millisecond, Offered: 0.7}}, true, false)
 			b.ReportAllocs()
 			for b.Loop() {
-				control.AdmitOrWait(b.Context(), route, 0, tc.limits)
+				control.AdmitOrWait(b.Context(), route, "", 0, tc.limits)
 				control.End(Completion{Route: route, Abandoned: true})
 			}
 		})
--- a/internal/sidecar/admission/wait.go
+++ b/internal/sidecar/admission/wait.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/intent"
-	"github.com/landingmast/landingmast/internal/core/pricing"
 	"github.com/landingmast/landingmast/internal/core/startqueue"
 )
 
@@ -34,14 +33,14 @@
 
 // AdmitOrWait decides like Admit. While a price decides, the request may wait for its turn until a limit
 // or the end of ctx; decision.StartWait then says for how long. If it is admitted, End must be called.
-func (c *Control) AdmitOrWait(ctx context.Context, route *intent.Route, deadline time.Duration, limits Limits) (admitted bool, decision Decision) {
+func (c *Control) AdmitOrWait(ctx context.Context, route *intent.Route, tenant string, deadline time.Duration, limits Limits) (admitted bool, decision Decision) {
 	if limits.MaxWait <= 0 {
-		return c.Admit(route, deadline)
+		return c.Admit(route, tenant, deadline)
 	}
 	rank := c.priorityAboveLowest(route)
 	c.mutex.Lock()
 	now := c.now()
-	decision = c.decide(now, pricing.Request{Route: pricing.Route{Name: route.Name, Rank: rank}, Deadline: deadline})
+	decision = c.decide(now, c.priced(route, rank, tenant, deadline))
 	if !decision.Scarce && c.start.core.Waiting() > 0 {
 		c.conclude(now, c.start.core.ArriveUnrestricted(now, route.Name))
 	}
@@ -51,6 +50,7 @@
 		return admitted, decision
 	}
 	id, w := c.enqueue(now, route, &decision, limits)
+	decision.OverShare = decision.TenantRatio > 0 && rand.Float64()*(1-decision.Probability) < decision.shareWithout-decision.Probability
 	if decision.Bottleneck != "" {
 		decision.Occupancy = c.core.Occupancy(decision.Bottleneck)
 	}
@@ -72,7 +72,7 @@
 	w = &waiter{route: route.Name, since: now, decided: make(chan bool, 1)}
 	s.waiters[s.lastID] = w
 	c.conclude(now, s.core.Arrive(now, startqueue.Request{
-		ID: s.lastID, Route: route.Name, Probability: decision.Probability, Returning: decision.Returning,
+		ID: s.lastID, Route: route.Name, Probability: decision.Probability, Returning: decision.Returning, OverShare: decision.TenantRatio > 0,
 		Deadline: now + limits.Left, WaitUntil: now + limits.MaxWait, Draw: rand.Float64(),
 	}))
 	return s.lastID, w
--- a/internal/sidecar/admission/wait_test.go
+++ b/internal/sidecar/admission/wait_test.go
@@ -51,7 +51,7 @@
 
 func (c *Control) admitRead(ctx context.Context) result {
 	began := time.Now()
-	admitted, decision := c.AdmitOrWait(ctx, readRoute, 0, readLimits)
+	admitted, decision := c.AdmitOrWait(ctx, readRoute, "", 0, readLimits)
 	return result{admitted, decision, time.Since(began)}
 }
 
@@ -183,7 +183,7 @@
 		g := NewWithT(t)
 		c := newShortControl(2)
 		for range 20 {
-			c.AdmitOrWait(t.Context(), readRoute, 0, Limits{Left: readTimeout})
+			c.AdmitOrWait(t.Context(), readRoute, "", 0, Limits{Left: readTimeout})
 		}
 		g.Expect(c.start.lastID).To(BeZero(), "a wait of 0")
 		for range 20 {
--- a/internal/sidecar/entry/steps.go
+++ b/internal/sidecar/entry/steps.go
@@ -178,7 +178,7 @@
 	}
 	var admitted bool
 	stated, _ := r.statedTimeout()
-	admitted, r.decision = r.options.Admission.AdmitOrWait(r.ctx, r.route, stated, r.startLimits())
+	admitted, r.decision = r.options.Admission.AdmitOrWait(r.ctx, r.route, r.tenant, stated, r.startLimits())
 	if r.decision.StartWait > 0 {
 		r.options.Metrics.StartWait.Observe(r.decision.StartWait.Seconds())
 	}
@@ -189,6 +189,9 @@
 	}
 	if !admitted {
 		r.options.Metrics.Shed.WithLabelValues(r.route.Name, r.decision.Bottleneck).Inc()
+		if r.decision.OverShare {
+			r.options.Metrics.ShedOverShare.WithLabelValues(r.route.Name).Inc()
+		}
 		r.options.Quotas.ReturnToken(r.keyTenant)
 		r.reject(http.StatusServiceUnavailable, outcome.ReasonOverload, r.shedDelay())
 		return false
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -18,6 +18,8 @@
 	RequestDuration *prometheus.HistogramVec
 	// Shed counts requests refused by admission control, by route and by the service that was overloaded.
 	Shed *prometheus.CounterVec
+	// ShedOverShare counts those that would have been admitted if their tenant were within its fair share, by route.
+	ShedOverShare *prometheus.CounterVec
 	// StartWait is the wait at the start of a chain while a price decides, in seconds; requests that are
 	// decided on arrival are not counted.
 	StartWait prometheus.Histogram
@@ -87,6 +89,7 @@
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: durationBuckets,
 		}, []string{"service"}),
 		Shed:           counters("shed_total", "Requests refused by admission control, by the overloaded service.", "route", "overloaded"),
+		ShedOverShare:  counters("shed_over_share_total", "Requests refused by admission control because their tenant asked for more than its fair share of a scarce service.", "route"),
 		StartWait:      histogram("start_wait_seconds", "Wait at the start of a call chain for admission by price; requests decided at once are not counted."),
 		Attempts:       counters("sends_total", "Sendings to targets' nodes, by how they ended.", "service", "outcome", "reason"),
 		Retries:        counters("repeats_total", "Requests sent to a second target.", "service"),
@@ -102,7 +105,7 @@
 		SilentNodes:    counter("silent_nodes_total", "Times that another node was taken for dead."),
 		Omitted:        counters("log_lines_omitted_total", "Log lines that were left out.", "kind"),
 	}
-	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Shed, m.StartWait, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
+	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Shed, m.ShedOverShare, m.StartWait, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
 	for _, gauge := range []struct {
 		name, help string
 		read       func() float64
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -14,6 +14,8 @@
 	Window Mechanism = "window"
 	// Prices admits requests by the congestion prices of the services that they need.
 	Prices Mechanism = "prices"
+	// TenantShares refuses tenants above their fair share of a scarce service first.
+	TenantShares Mechanism = "tenant_shares"
 	// Urgency orders requests of equal priority by their latency objective.
 	Urgency Mechanism = "urgency"
 	// Grants delegate retry budget to the nodes that make downstream calls.
@@ -48,7 +50,7 @@
 	StartQueue Mechanism = "start_queue"
 )
 
-var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining, Pace, StartQueue}
+var mechanisms = []Mechanism{Window, Prices, TenantShares, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining, Pace, StartQueue}
 
 // Enabled reports whether m is enabled.
 func (p Policy) Enabled(m Mechanism) bool { return !slices.Contains(p.Off, m) }
