Need of a service that is new to a route is known soon

While a chain that newly called a scarce service was compared with others, it went before them for some seconds: its mean need started at 5% of the need and followed with a weight of 0.05 for each request.

Change: a mean starts with equal weights of the requests since the first one that called the service, down to 0.05.

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -123,6 +123,7 @@
 // need is what a request of a route takes of a service.
 type need struct {
 	slotTime  float64 // mean, in ns
+	served    int     // requests of the route served since the first one that called the service
 	frequency float64 // share of the requests that call the service
 	calling   float64 // mean slot time of those, in ns
 	seenAt    time.Duration
@@ -134,6 +135,10 @@
 	return n.frequency >= rareFrequency || n.frequency*n.calling >= negligible
 }
 
+// weight returns the weight of a served request in slotTime. The first ones weigh more, so that the need of
+// a service that is new to the route is known soon.
+func (n *need) weight() float64 { return max(needWeight, 1/float64(n.served)) }
+
 // called records a request that called the service. One that was not served may have made only some of
 // its calls.
 func (n *need) called(slotTime, frequencyWeight float64, served bool) {
@@ -152,7 +157,7 @@
 }
 
 const (
-	// needWeight is the weight of one request in the mean needs of its route.
+	// needWeight is the weight of one request in the mean needs of its route, after the first ones.
 	needWeight = 0.05
 	// frequencyWeight is the weight of one request in the share of requests that call a service. With it
 	// the standard deviation of a share of 0.01 is 0.007, well below rareFrequency.
@@ -199,12 +204,12 @@
 }
 
 func (r *route) observe(now time.Duration, usages []Usage, served bool) {
-	first := len(r.needs) == 0
 	r.requests++
 	frequencyWeight := max(frequencyWeight, 1/float64(r.requests))
 	if served {
 		for _, n := range r.needs {
-			n.slotTime *= 1 - needWeight
+			n.served++
+			n.slotTime *= 1 - n.weight()
 			n.frequency *= 1 - frequencyWeight
 		}
 	}
@@ -217,14 +222,17 @@
 		if n == nil {
 			n = &need{}
 			r.needs[usage.Service] = n
+			if served {
+				n.served = 1
+			}
 		}
 		n.seenAt = now
 		n.called(slotTime, frequencyWeight, served)
 		switch {
-		case n.slotTime == 0 && (first || !served):
+		case n.slotTime == 0 && !served:
 			n.slotTime = slotTime
 		case served:
-			n.slotTime += needWeight * slotTime
+			n.slotTime += n.weight() * slotTime
 		default:
 			n.slotTime += needWeight * max(slotTime-n.slotTime, 0)
 		}
--- a/internal/core/pricing/rare_test.go
+++ b/internal/core/pricing/rare_test.go
@@ -102,3 +102,25 @@
 	}
 	g.Expect(c.Admit(now, Request{Route: important}).Merit).To(Equal(0.0))
 }
+
+// A service that is new to a route must be refused for its whole need after a few requests: until its mean
+// was known, the route went before others with the same need.
+func TestNeedsOfNewServicesAreKnownSoon(t *testing.T) {
+	g := NewWithT(t)
+	c := New(DefaultConfig())
+	now := time.Duration(0)
+	observe := func(span time.Duration, usages ...Usage) {
+		for end := now + span; now < end; now += interval {
+			c.Observe(now, small, append([]Usage{{Service: "files", SlotTime: 10 * time.Millisecond, Offered: 0.5}}, usages...), true)
+			c.Observe(now, large, []Usage{{Service: "deep", SlotTime: slotTimes["large"], Offered: 1.15}}, true)
+		}
+	}
+	observe(30 * time.Second)
+	observe(8*interval, Usage{Service: "deep", SlotTime: slotTimes["large"], Offered: 1.15})
+	c.refresh(now + rankingInterval)
+	g.Expect(c.Admit(now, Request{Route: small}).Service).To(Equal("deep"))
+	g.Expect(c.Admit(now, Request{Route: small}).Merit).To(BeNumerically("~", c.Admit(now, Request{Route: large}).Merit, 0.1))
+	observe(time.Second)
+	c.refresh(now + rankingInterval)
+	g.Expect(c.Admit(now, Request{Route: small}).Merit).To(BeNumerically(">", 0.7), "its requests do not call the service any more")
+}
