Return times of refused requests in time slots

Clients that a price refused drew a random delay, whatever room there was when they returned.

Without room the delay is the jittered one as before. A returning request that has less time left than requests of its route take gets no Retry-After. Switch: return_slots. Refusals by window and all others are unchanged. `returning` in log lines is now also set where a price applies but the window decided.

New: returning_requests_total (route, outcome), return_in_ms, story.

--- a/internal/core/retryafter/retryafter.go
+++ b/internal/core/retryafter/retryafter.go
@@ -54,11 +54,16 @@
 // follows the load within a second and prefers returning requests, so that one that returns within half
 // of its objective can still be served in time. objective is that of the route; 0: none.
 func ShedByPrice(attemptTimeout, objective time.Duration) Range {
+	return jittered(longestByPrice(attemptTimeout, objective) / 2)
+}
+
+// longestByPrice returns the longest delay for a request refused by the congestion price of a service.
+func longestByPrice(attemptTimeout, objective time.Duration) time.Duration {
 	longest := attemptTimeout / shedDivisor
 	if objective > 0 {
 		longest = min(longest, objective/objectiveDivisor)
 	}
-	return jittered(longest / 2)
+	return longest
 }
 
 // NotRun returns the delay for a request that no target ran. Quarantined requests must not be
--- a/internal/logquery/logquery.go
+++ b/internal/logquery/logquery.go
@@ -149,9 +149,7 @@
 	if fits := line.number("fits"); fits > 0 {
 		description += fmt.Sprintf(", %.0f of the route were in flight here and %.1f fit", line.number("in_flight"), fits)
 	}
-	if after := line.number("retry_after_ms"); after > 0 {
-		description += fmt.Sprintf(", told to come back after %.0f ms", after)
-	}
+	description += describeReturn(line)
 	sends, _ := line.Fields["sends"].([]any)
 	for _, entry := range sends {
 		send, _ := entry.(map[string]any)
@@ -160,6 +158,21 @@
 	return description
 }
 
+// describeReturn tells when the client of a refused request may return.
+func describeReturn(line Line) string {
+	after := line.number("retry_after_ms")
+	refusedByPrice := line.field("reason") == "overload" && line.number("price") > 0
+	switch {
+	case line.number("return_in_ms") > 0:
+		return fmt.Sprintf(", told to come back after %.0f ms, in a time slot that has room", after)
+	case after > 0:
+		return fmt.Sprintf(", told to come back after %.0f ms", after)
+	case refusedByPrice && line.field("returning") == "true":
+		return ", had come back after a refusal and has no time left for another attempt"
+	}
+	return ""
+}
+
 // Count is the number of lines in one group of a summary.
 type Count struct {
 	Label string
--- a/internal/logquery/lost_test.go
+++ b/internal/logquery/lost_test.go
@@ -107,3 +107,23 @@
 		})
 	}
 }
+
+// The story must tell a promised time slot from the delay that is told without room, and a refusal that
+// left the client no time from other refusals without Retry-After.
+func TestStoryOfWhenARefusedClientMayReturn(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		fields map[string]any
+		want   string
+	}{
+		{"time slot", map[string]any{"reason": "overload", "price": 2.5, "retry_after_ms": 350.0, "return_in_ms": 350.0}, ", told to come back after 350 ms, in a time slot that has room"},
+		{"no room", map[string]any{"reason": "overload", "price": 2.5, "retry_after_ms": 700.0, "returning": true}, ", told to come back after 700 ms"},
+		{"no time left", map[string]any{"reason": "overload", "price": 2.5, "returning": true}, ", had come back after a refusal and has no time left for another attempt"},
+		{"admitted on return", map[string]any{"reason": "none", "price": 2.5, "returning": true}, ""},
+		{"held back", map[string]any{"reason": "ends_targets"}, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			NewWithT(t).Expect(describeReturn(newLine("request", "10:00:00", tc.fields))).To(Equal(tc.want))
+		})
+	}
+}
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -106,12 +106,12 @@
 	if price.Service == "" {
 		return decision
 	}
-	decision.Scarce = true
+	decision.Scarce, decision.Returning = true, price.Returning
 	if price.Probability > decision.Probability {
 		return decision
 	}
 	decision.Probability, decision.Bottleneck = price.Probability, price.Service
-	decision.Price, decision.Merit, decision.Offered, decision.Returning = price.Price, price.Merit, price.Offered, price.Returning
+	decision.Price, decision.Merit, decision.Offered = price.Price, price.Merit, price.Offered
 	return decision
 }
 
--- a/internal/sidecar/entry/entry.go
+++ b/internal/sidecar/entry/entry.go
@@ -24,17 +24,19 @@
 type Egress struct {
 	options  Options
 	splitter *weightedSplitter
+	returns  *returns
 }
 
 // New returns the egress handler of a node.
 func New(options Options) *Egress {
-	return &Egress{options: options, splitter: &weightedSplitter{credit: map[string][]float64{}}}
+	return &Egress{options: options, splitter: &weightedSplitter{credit: map[string][]float64{}}, returns: newReturns()}
 }
 
 // request is the state of one request while it is processed.
 type request struct {
 	options       *Options
 	splitter      *weightedSplitter
+	returns       *returns
 	writer        *duplex.Writer
 	incoming      *http.Request
 	id            string
@@ -64,9 +66,10 @@
 	trial         bool            // whether this is the only request admitted to test content that crashed targets
 
 	// Recorded in the request's log event.
-	timeout  time.Duration
-	decision admission.Decision
-	attempts []eventlog.Attempt
+	timeout          time.Duration
+	decision         admission.Decision
+	attempts         []eventlog.Attempt
+	returnIsPromised bool // whether Retry-After leads to a time slot with room
 }
 
 const (
@@ -85,7 +88,7 @@
 	if !isCall {
 		defer e.options.CountClient()()
 	}
-	req := &request{options: &e.options, splitter: e.splitter, writer: w, incoming: r, id: id, started: e.options.Now(), draining: closing && !isCall}
+	req := &request{options: &e.options, splitter: e.splitter, returns: e.returns, writer: w, incoming: r, id: id, started: e.options.Now(), draining: closing && !isCall}
 	defer req.finish()
 	for _, step := range pipeline {
 		if !step(req) {
--- a/internal/sidecar/entry/log.go
+++ b/internal/sidecar/entry/log.go
@@ -20,6 +20,10 @@
 	}
 	r.options.Metrics.Requests.WithLabelValues(service, label, string(reason)).Inc()
 	r.options.Metrics.RequestDuration.WithLabelValues(service).Observe(elapsed.Seconds())
+	if label == "ok" {
+		r.recordTime(elapsed)
+	}
+	r.recordReturning(label, reason, retryAfter)
 	weight := eventlog.Success
 	if label != "ok" || len(r.attempts) > 1 || (r.route != nil && r.route.Objective > 0 && elapsed > r.route.Objective) {
 		weight = eventlog.Failure
@@ -33,6 +37,9 @@
 		Price: r.decision.Price, Merit: r.decision.Merit, Offered: r.decision.Offered, Returning: r.decision.Returning, ReadAhead: readahead.ReadAhead(r.incoming.Context()),
 		RetryAfterMS: eventlog.Milliseconds(retryAfter), Attempts: r.attempts, InFlight: r.decision.InFlight, WindowSize: r.decision.WindowSize,
 	}
+	if r.returnIsPromised {
+		event.ReturnInMS = event.RetryAfterMS
+	}
 	if r.route != nil {
 		event.Route = r.route.Name
 		event.ObjectiveMS = eventlog.Milliseconds(r.route.Objective)
--- a/internal/sidecar/entry/steps.go
+++ b/internal/sidecar/entry/steps.go
@@ -12,6 +12,7 @@
 	readahead "github.com/landingmast/landingmast/internal/pipeline"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
+	"github.com/landingmast/landingmast/internal/sidecar/settings"
 )
 
 // pipeline lists the steps between accepting a request and its first attempt, in order. A step
@@ -184,6 +185,7 @@
 		r.reject(http.StatusServiceUnavailable, outcome.ReasonOverload, r.shedDelay())
 		return false
 	}
+	r.recordAdmission()
 	r.onFinish(r.releaseWindow)
 	r.needClass, r.scarce = r.decision.NeedClass, r.decision.Scarce
 	return true
@@ -191,7 +193,10 @@
 
 // shedDelay returns the Retry-After of a request that admission refused.
 func (r *request) shedDelay() retryafter.Range {
-	if r.decision.Price > 0 {
+	switch {
+	case r.decision.Price > 0 && r.options.PolicyOn(settings.ReturnSlots):
+		return r.assignReturn()
+	case r.decision.Price > 0:
 		return retryafter.ShedByPrice(r.clientTimeout(), r.route.Objective)
 	}
 	return retryafter.Shed(r.clientTimeout())
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -36,6 +36,7 @@
 	InFlight          int       `json:"in_flight,omitempty" doc:"requests of the route in flight from this node when it was rejected"`
 	WindowSize        float64   `json:"fits,omitempty" doc:"size of the route's window at that time"`
 	RetryAfterMS      float64   `json:"retry_after_ms,omitempty" doc:"value of Retry-After sent to the client"`
+	ReturnInMS        float64   `json:"return_in_ms,omitempty" doc:"delay to the time slot assigned to a request that a price refused; missing: no time slot had room, or none is assigned"`
 	Attempts          []Attempt `json:"sends,omitempty" doc:"attempts, in order"`
 }
 
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -18,6 +18,9 @@
 	RequestDuration *prometheus.HistogramVec
 	// Shed counts requests refused by admission control, by route and by the service that was overloaded.
 	Shed *prometheus.CounterVec
+	// Returning counts requests that return after a refusal while a service that they need has a price,
+	// by route and outcome.
+	Returning *prometheus.CounterVec
 	// Attempts counts attempts by service, outcome and reason.
 	Attempts *prometheus.CounterVec
 	// Retries counts retries by service; RetriesDenied counts retries rejected by the retry budget.
@@ -81,6 +84,7 @@
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: durationBuckets,
 		}, []string{"service"}),
 		Shed:           counters("shed_total", "Requests refused by admission control, by the overloaded service.", "route", "overloaded"),
+		Returning:      counters("returning_requests_total", "Requests that returned after a refusal while a service that they need has a price, by how they ended.", "route", "outcome"),
 		Attempts:       counters("sends_total", "Sendings to targets' nodes, by how they ended.", "service", "outcome", "reason"),
 		Retries:        counters("repeats_total", "Requests sent to a second target.", "service"),
 		RetriesDenied:  counters("repeats_denied_total", "Repeats that the budget did not allow.", "service"),
@@ -95,7 +99,7 @@
 		SilentNodes:    counter("silent_nodes_total", "Times that another node was taken for dead."),
 		Omitted:        counters("log_lines_omitted_total", "Log lines that were left out.", "kind"),
 	}
-	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Shed, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
+	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Shed, m.Returning, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
 	for _, gauge := range []struct {
 		name, help string
 		read       func() float64
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -44,9 +44,11 @@
 	Pipelining Mechanism = "pipelining"
 	// Pace places requests by how long work takes at each target now, as the targets state it.
 	Pace Mechanism = "pace"
+	// ReturnSlots assigns the times at which requests refused by price may return.
+	ReturnSlots Mechanism = "return_slots"
 )
 
-var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining, Pace}
+var mechanisms = []Mechanism{Window, Prices, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining, Pace, ReturnSlots}
 
 // Enabled reports whether m is enabled.
 func (p Policy) Enabled(m Mechanism) bool { return !slices.Contains(p.Off, m) }
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -124,7 +124,7 @@
 type Policy struct {
 	// Off lists mechanisms to disable; default none. Accepted values: window, prices, urgency,
 	// grants, ration, declined, repeats, samples, zones, losses, suspicion, in_time, tenant_order,
-	// hold_back, target_state, pipelining, pace.
+	// hold_back, target_state, pipelining, pace, return_slots.
 	Off []Mechanism `yaml:"off"`
 }
 
--- a/internal/testbed/client/client.go
+++ b/internal/testbed/client/client.go
@@ -80,8 +80,13 @@
 	c.Tally.count(c.Tally.Sent, route.Prefix)
 	tenant, key := c.PickCredentials()
 	uri := route.Prefix + randomPathSuffix()
+	refused := false
 	for attempt := range 2 {
 		status, retryAfter := c.Attempt(ctx, origin, route, uri, tenant, key, deadline)
+		if refused {
+			c.Tally.countReturned(route.Prefix, status)
+		}
+		refused = status == http.StatusServiceUnavailable
 		if status == http.StatusOK {
 			c.Tally.count(c.Tally.Served, route.Prefix)
 			if time.Since(began) <= route.Objective {
