Log who holds the slots of a scarce target; landingmast logs room

Of a service that is asked for more than it provides, operators could see the load and the price, but not which routes and tenants hold its slots.

While the offered load of a target is above 0.95, its node logs an event `room` at most once in 2 s: slots, requests running and waiting, by route of the call and by tenant (8 of each, the rest summed up), and the offered load. Below that, an arriving call costs an atomic load, and the load is looked at every 0.1 s at most. `landingmast logs room` sums up the last statement of each node by service, with demand and age; refused requests count in the offered load alone.

--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -37,6 +37,7 @@
 	NeedKnown  bool          // whether the sender knows the need of the request
 	Deadline   time.Duration // time by which the response is needed
 	Class      string        // groups requests with similar service time; empty: none
+	Tenant     string        // of the call chain; empty: none
 }
 
 // Decision tells the caller to send a request or to refuse it.
@@ -72,6 +73,7 @@
 // activeRequest is a request that was sent to the target.
 type activeRequest struct {
 	class     string
+	tenant    string
 	startedAt time.Duration
 	pace      float64 // when the request was sent
 	paceShare float64 // part of its time that depends on the pace
@@ -201,7 +203,7 @@
 		return []Decision{{ID: request.ID, Reason: ReasonExpired}}
 	}
 	if len(g.queue) == 0 && g.tryAdmit(now) {
-		g.running[request.ID] = activeRequest{class: request.Class, startedAt: now, pace: g.pace.Now(now), paceShare: 1}
+		g.running[request.ID] = activeRequest{class: request.Class, tenant: request.Tenant, startedAt: now, pace: g.pace.Now(now), paceShare: 1}
 		return []Decision{{ID: request.ID, Send: true}}
 	}
 	item := queuedRequest{request: request, arrived: now, expected: *expected}
@@ -347,7 +349,7 @@
 	for len(g.queue) > 0 && g.tryAdmit(now) {
 		next := g.queue[0]
 		g.queue = g.queue[1:]
-		g.running[next.request.ID] = activeRequest{class: next.request.Class, startedAt: now, pace: g.pace.Now(now), paceShare: 1}
+		g.running[next.request.ID] = activeRequest{class: next.request.Class, tenant: next.request.Tenant, startedAt: now, pace: g.pace.Now(now), paceShare: 1}
 		decisions = append(decisions, Decision{ID: next.request.ID, Send: true, Waited: now - next.arrived})
 	}
 	return decisions
--- a/internal/operator/logs.go
+++ b/internal/operator/logs.go
@@ -28,13 +28,16 @@
 // registerLogs registers `landingmast logs`, which summarizes log files.
 func (c *cli) registerLogs() {
 	command := c.application.Command("logs", "Summarize log files of sidecar nodes.")
-	summary := command.Arg("question", "Summary to print: lost, refused, slowest, versions or omitted.").Required().Enum("lost", "refused", "slowest", "versions", "omitted")
+	summary := command.Arg("question", "Summary to print: lost, refused, slowest, versions, omitted or room.").Required().Enum("lost", "refused", "slowest", "versions", "omitted", "room")
 	paths := command.Flag("logs", "Log file or directory; repeatable.").Required().Strings()
 	c.add(command, func(context.Context) error {
 		lines, skipped, err := logquery.Read(*paths)
 		if err != nil {
 			return err
 		}
+		if *summary == "room" {
+			return c.printRoom(logquery.Room(lines), len(lines), skipped)
+		}
 		switch *summary {
 		case "lost":
 			losses := logquery.Lost(lines)
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -215,10 +215,11 @@
 			gate.Unanswered.ReleaseSuspectSlot() // cleared of suspicion while waiting
 		}
 	}
+	i.logHolders(gate)
 	now := i.options.Now()
 	id, decision := gate.Acquire(ctx, slots.Request{
 		Importance: call.Importance, Priority: importance.Priority(call.Importance), NeedDelay: needDelay(call), NeedKnown: call.NeedClass > 0,
-		Deadline: now + req.remaining(ctx, now), Class: call.Route,
+		Deadline: now + req.remaining(ctx, now), Class: call.Route, Tenant: call.Tenant,
 	})
 	req.waited = decision.Waited
 	var response *reply.Reply
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -71,6 +71,27 @@
 	Retry       bool    `json:"repeat,omitempty" doc:"whether it, or a request upstream in the call chain, is a retry"`
 }
 
+// Room reports who holds the slots of a target while it is offered more than 0.95 of what it provides,
+// once in 2 s.
+type Room struct {
+	Service  string       `json:"service" doc:"service of the target"`
+	Instance string       `json:"instance" doc:"instance of the target"`
+	Slots    int          `json:"slots" doc:"available slots of the target"`
+	Running  int          `json:"running" doc:"requests that hold one"`
+	Waiting  int          `json:"waiting" doc:"requests waiting for one"`
+	Offered  float64      `json:"offered" doc:"offered load: slot time asked for, refused requests included, over what the target provides"`
+	Routes   []RoomHolder `json:"routes,omitempty" doc:"the 8 routes of calls with the most requests; the last entry sums up the rest"`
+	Tenants  []RoomHolder `json:"tenants,omitempty" doc:"the same for tenants; missing if no request has one"`
+}
+
+// RoomHolder is a route or a tenant with its requests at a target.
+type RoomHolder struct {
+	Name    string `json:"name,omitempty" doc:"route or tenant; missing: requests without a tenant, or the rest"`
+	Running int    `json:"running" doc:"slots that it holds"`
+	Waiting int    `json:"waiting" doc:"its waiting requests"`
+	Rest    int    `json:"rest,omitempty" doc:"number of further routes or tenants that the entry sums up"`
+}
+
 // Crash reports that the local target exited while it ran requests.
 type Crash struct {
 	Instance string     `json:"instance" doc:"instance that exited"`
@@ -183,6 +204,9 @@
 // Kind implements Event.
 func (Run) Kind() string { return "run" }
 
+// Kind implements Event.
+func (Room) Kind() string { return "room" }
+
 // Kind implements Event.
 func (Crash) Kind() string { return "crash" }
 
@@ -218,7 +242,7 @@
 
 // All returns a zero value of each event type, used to generate docs/LOGS.md.
 func All() []Event {
-	return []Event{Request{}, Run{}, Crash{}, HeldBack{}, Settle{}, Configuration{}, Target{}, Member{}, Store{}, Freshness{}, Keeper{}, Node{}, Omitted{}}
+	return []Event{Request{}, Run{}, Room{}, Crash{}, HeldBack{}, Settle{}, Configuration{}, Target{}, Member{}, Store{}, Freshness{}, Keeper{}, Node{}, Omitted{}}
 }
 
 // Milliseconds converts a duration to the unit used in the log.
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -11,6 +11,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/ratelimit"
@@ -74,6 +75,8 @@
 	timerActive bool          // the timer runs
 	tickAt      time.Duration // when it fires
 
+	holdersDueAt atomic.Int64 // ns; see DueHolders
+
 	Unanswered Unanswered // runs without a response
 }
 
