--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -23,6 +23,9 @@
 	// StartWait is the wait at the start of a chain while a price decides, in seconds; requests that are
 	// decided on arrival are not counted.
 	StartWait prometheus.Histogram
+	// Returning counts requests that return after a refusal while a service that they need has a price,
+	// by route and outcome.
+	Returning *prometheus.CounterVec
 	// Attempts counts attempts by service, outcome and reason.
 	Attempts *prometheus.CounterVec
 	// Retries counts retries by service; RetriesDenied counts retries rejected by the retry budget.
@@ -91,6 +94,7 @@
 		Shed:           counters("shed_total", "Requests refused by admission control, by the overloaded service.", "route", "overloaded"),
 		ShedOverShare:  counters("shed_over_share_total", "Requests refused by admission control because their tenant asked for more than its fair share of a scarce service.", "route"),
 		StartWait:      histogram("start_wait_seconds", "Wait at the start of a call chain for admission by price; requests decided at once are not counted."),
+		Returning:      counters("returning_requests_total", "Requests that returned after a refusal while a service that they need has a price, by how they ended.", "route", "outcome"),
 		Attempts:       counters("sends_total", "Sendings to targets' nodes, by how they ended.", "service", "outcome", "reason"),
 		Retries:        counters("repeats_total", "Requests sent to a second target.", "service"),
 		RetriesDenied:  counters("repeats_denied_total", "Repeats that the budget did not allow.", "service"),
@@ -105,7 +109,7 @@
 		SilentNodes:    counter("silent_nodes_total", "Times that another node was taken for dead."),
 		Omitted:        counters("log_lines_omitted_total", "Log lines that were left out.", "kind"),
 	}
-	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Shed, m.ShedOverShare, m.StartWait, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
+	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Shed, m.ShedOverShare, m.StartWait, m.Returning, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
 	for _, gauge := range []struct {
 		name, help string
 		read       func() float64
--- a/internal/sidecar/settings/policy.go
+++ b/internal/sidecar/settings/policy.go
@@ -48,9 +48,11 @@
 	Pace Mechanism = "pace"
 	// StartQueue lets requests wait at the start of their chains while a price decides.
 	StartQueue Mechanism = "start_queue"
+	// ReturnSlots assigns the times at which requests refused by price may return.
+	ReturnSlots Mechanism = "return_slots"
 )
 
-var mechanisms = []Mechanism{Window, Prices, TenantShares, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining, Pace, StartQueue}
+var mechanisms = []Mechanism{Window, Prices, TenantShares, Urgency, Grants, Ration, Declined, Repeats, Samples, Zones, Losses, Suspicion, InTime, TenantOrder, HoldBack, TargetState, Pipelining, Pace, StartQueue, ReturnSlots}
 
 // Enabled reports whether m is enabled.
 func (p Policy) Enabled(m Mechanism) bool { return !slices.Contains(p.Off, m) }
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -126,7 +126,7 @@
 type Policy struct {
 	// Off lists mechanisms to disable; default none. Accepted values: window, prices, tenant_shares, urgency,
 	// grants, ration, declined, repeats, samples, zones, losses, suspicion, in_time, tenant_order,
-	// hold_back, target_state, pipelining, pace, start_queue.
+	// hold_back, target_state, pipelining, pace, start_queue, return_slots.
 	Off []Mechanism `yaml:"off"`
 }
 
