Standings at a service are kept with the needs

Admit looked up the standing of a route by service and rank for each service that it needs.

Change: a refresh stores the standing beside the need.

--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -127,6 +127,8 @@
 	frequency float64 // share of the requests that call the service
 	calling   float64 // mean slot time of those, in ns
 	seenAt    time.Duration
+	standing  standing // as of the last refresh
+	ranked    bool     // standing is set
 }
 
 // counts reports whether a need is regular, or not below negligible, in ns. The mean over all requests is
@@ -257,6 +259,7 @@
 	if known == nil {
 		return decision
 	}
+	c.refresh(now)
 	highest := needOrderLoad
 	for name, n := range known.needs {
 		s := c.services[name]
@@ -267,7 +270,7 @@
 		if price <= 0 && s.offered < highest {
 			continue
 		}
-		standing := c.standing(now, name, n.slotTime, r.Rank)
+		standing := n.standingOf(r.Rank)
 		if price <= 0 || !n.counts(standing.negligible) {
 			if decision.Service == "" && s.offered >= highest {
 				highest, decision.NeedKnown = s.offered, true
@@ -289,14 +292,12 @@
 	return decision
 }
 
-// standing returns the standing of a route of a rank with a need of a service.
-func (c *Controller) standing(now time.Duration, service string, need float64, rank int) standing {
-	c.refresh(now)
-	known, ok := c.standings[needKey{service, rank}]
-	if !ok {
-		return standing{largest: need, rank: rank}
+// standingOf returns the standing of a need of a route of a rank.
+func (n *need) standingOf(rank int) standing {
+	if !n.ranked {
+		return standing{largest: n.slotTime, rank: rank}
 	}
-	return known
+	return n.standing
 }
 
 // needMerit returns the part of the merit that grows the less of the service a request needs. The other
@@ -371,6 +372,11 @@
 		}
 	}
 	c.rankRoutes()
+	for _, r := range c.routes {
+		for service, n := range r.needs {
+			n.standing, n.ranked = c.standings[needKey{service, r.rank}], true
+		}
+	}
 }
 
 // rankRoutes counts the ranks below each standing. A rank does not count if its routes have been served
