--- a/internal/core/pricing/pricing.go
+++ b/internal/core/pricing/pricing.go
@@ -132,6 +132,8 @@
 	frequency float64 // share of the requests that call the service
 	calling   float64 // mean slot time of those, in ns
 	seenAt    time.Duration
+	standing  standing // as of the last refresh
+	ranked    bool     // standing is set
 }
 
 // counts reports whether a need is regular, or not below negligible, in ns. The mean over all requests is
@@ -262,6 +264,7 @@
 	if known == nil {
 		return decision
 	}
+	c.refresh(now)
 	highest, without := needOrderLoad, 1.0
 	for name, n := range known.needs {
 		s := c.services[name]
@@ -272,7 +275,7 @@
 		if price <= 0 && s.offered < highest {
 			continue
 		}
-		standing := c.standing(now, name, n.slotTime, r.Rank)
+		standing := n.standingOf(r.Rank)
 		if price <= 0 || !n.counts(standing.negligible) {
 			if decision.Service == "" && s.offered >= highest {
 				highest, decision.NeedKnown = s.offered, true
@@ -288,7 +291,7 @@
 		if r.Tenant != "" {
 			without = min(without, c.share(price, merit, c.config.MinShare, standing.above))
 			if ratio = s.tenantRatio(now, r.Tenant, &c.config); ratio > 1 {
-				merit = c.tenantMerit(now, name, r.Rank, merit, ratio, decision.Returning)
+				merit = c.tenantMerit(name, r.Rank, merit, ratio, decision.Returning)
 			}
 		}
 		share := c.share(price, merit, c.config.MinShare/ratio, standing.above)
@@ -307,14 +310,12 @@
 	return decision
 }
 
-// standing returns the standing of a route of a rank with a need of a service.
-func (c *Controller) standing(now time.Duration, service string, need float64, rank int) standing {
-	c.refresh(now)
-	known, ok := c.standings[needKey{service, rank}]
-	if !ok {
-		return standing{largest: need, rank: rank}
+// standingOf returns the standing of a need of a route of a rank.
+func (n *need) standingOf(rank int) standing {
+	if !n.ranked {
+		return standing{largest: n.slotTime, rank: rank}
 	}
-	return known
+	return n.standing
 }
 
 // merit returns the price up to which all new requests with a need are admitted.
@@ -392,6 +393,11 @@
 		}
 	}
 	c.rankRoutes()
+	for _, r := range c.routes {
+		for service, n := range r.needs {
+			n.standing, n.ranked = c.standings[needKey{service, r.rank}], true
+		}
+	}
 }
 
 // rankRoutes counts the ranks below each standing. A rank does not count if its routes have been served
--- a/internal/core/pricing/tenant.go
+++ b/internal/core/pricing/tenant.go
@@ -77,14 +77,18 @@
 // tenantMerit returns the merit of a request whose tenant asks for ratio times its share of a service.
 // It does not fall below the merits of requests of less important routes that need the service and, like
 // this one, are new or returning.
-func (c *Controller) tenantMerit(now time.Duration, service string, rank int, merit, ratio float64, returning bool) float64 {
+func (c *Controller) tenantMerit(service string, rank int, merit, ratio float64, returning bool) float64 {
 	lowest := math.Inf(-1)
 	for _, r := range c.routes {
 		n := r.needs[service]
 		if r.rank >= rank || n == nil || n.slotTime <= 0 {
 			continue
 		}
-		other := c.standing(now, service, n.slotTime, r.rank).merit(n.slotTime)
+		standing := n.standingOf(r.rank)
+		if !n.counts(standing.negligible) {
+			continue
+		}
+		other := standing.merit(n.slotTime)
 		if returning {
 			other += returningMerit
 		}
--- a/internal/core/pricing/wait.go
+++ b/internal/core/pricing/wait.go
@@ -39,7 +39,8 @@
 		return
 	}
 	need := known.needs[name]
-	standing := c.standing(now, name, need.slotTime, r.Rank)
+	c.refresh(now)
+	standing := need.standingOf(r.Rank)
 	if !need.counts(standing.negligible) {
 		return
 	}
--- a/internal/core/slots/scarcity.go
+++ b/internal/core/slots/scarcity.go
@@ -27,13 +27,14 @@
 	scarceHold = 2 * time.Second
 )
 
-// updateScarcity records the arrival of a request and sorts the queue anew if its order changes.
+// updateScarcity records the arrival of a request and sorts the queue anew if its order changes. A
+// target stays scarce while its queue is not empty: a backlog outlasts the burst that caused it.
 func (g *Gate) updateScarcity(now time.Duration, arriving Request) {
 	s := &g.scarcity
 	if arriving.NeedKnown {
 		s.needs, s.needsAt = true, now
 	}
-	if g.arrivalLoad() >= scarceLoad {
+	if g.arrivalLoad(now) >= scarceLoad || s.active && len(g.queue) > 0 {
 		s.seenAt = now
 	} else if !s.active {
 		return
@@ -46,11 +47,13 @@
 	slices.SortStableFunc(g.queue, g.compare)
 }
 
-// arrivalLoad returns the load by arriving requests alone, as of the last arrival.
-func (g *Gate) arrivalLoad() float64 {
-	load := g.offered.slotTime / float64(offeredWindow) / float64(g.slots)
+// arrivalLoad returns the load by arriving requests alone, without the one that arrives now: at a target
+// that takes a few requests a second, each would look like a shortage.
+func (g *Gate) arrivalLoad(now time.Duration) float64 {
+	decay := g.offered.decay(now)
+	load := g.offered.slotTime * decay / float64(offeredWindow) / float64(g.slots)
 	if g.rate != nil {
-		load = max(load, g.offered.requests/offeredWindow.Seconds()/g.rate.Rate())
+		load = max(load, g.offered.requests*decay/offeredWindow.Seconds()/g.rate.Rate())
 	}
 	return load
 }
--- a/internal/core/slots/scarcity_test.go
+++ b/internal/core/slots/scarcity_test.go
@@ -65,7 +65,7 @@
 		{"with room", 0, true, 0, []uint64{101, 102}},
 		{"scarce, needs unknown", 400, false, 0, []uint64{101, 102}},
 		{"scarce a moment ago", 400, true, scarceHold - time.Millisecond, []uint64{102, 101}},
-		{"not scarce any more", 400, true, scarceHold, []uint64{101, 102}},
+		{"a backlog outlasts the burst", 400, true, scarceHold, []uint64{102, 101}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -87,3 +87,24 @@
 		})
 	}
 }
+
+// Once its queue has been empty for a while, a target is scarce no more; and one that takes a few requests a second
+// is not scarce for each of them.
+func TestScarcityEnds(t *testing.T) {
+	g := NewWithT(t)
+	gate, now := New(10), time.Minute
+	for range 400 {
+		gate.Submit(now, Request{ID: 1, NeedKnown: true})
+	}
+	g.Expect(gate.scarcity.active).To(BeTrue())
+	gate.Submit(now+scarceHold, Request{ID: 1, NeedKnown: true})
+	g.Expect(gate.scarcity.active).To(BeFalse())
+
+	slow := New(1)
+	slow.SetRateLimit(now, 1)
+	for range 20 {
+		now += 2 * time.Second
+		slow.Submit(now, Request{ID: 1, NeedKnown: true})
+		g.Expect(slow.scarcity.active).To(BeFalse())
+	}
+}
--- a/internal/core/slots/slots.go
+++ b/internal/core/slots/slots.go
@@ -196,8 +196,8 @@
 		return []Decision{{ID: request.ID, Reason: ReasonDraining}}
 	}
 	expected := g.expectedSlotTime(request.Class)
-	g.offered.add(now, expected.at(g.pace.Now(now)))
 	g.updateScarcity(now, request)
+	g.offered.add(now, expected.at(g.pace.Now(now)))
 	request.Deadline -= g.minTimeLeft(now, request.Class)
 	if now >= request.Deadline {
 		return []Decision{{ID: request.ID, Reason: ReasonExpired}}
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -265,6 +265,9 @@
 	if class == 0 {
 		class = (1 + wire.MaxNeedClass) / 2
 	}
+	if call.Importance != importance.OfCall(call.Importance) {
+		class++ // calls of running work go before new work
+	}
 	return time.Duration(class) * needClassDelay
 }
 
--- a/internal/sidecar/entry/startqueue_test.go
+++ b/internal/sidecar/entry/startqueue_test.go
@@ -58,7 +58,7 @@
 	}
 	writer, incoming := duplex.Begin(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/read", nil).WithContext(ctx), nil)
 	r = &request{
-		id: "a", options: options, splitter: &weightedSplitter{credit: map[string][]float64{}}, writer: writer, incoming: incoming, started: options.Now(), timeout: timeout,
+		id: "a", options: options, returns: newReturns(), splitter: &weightedSplitter{credit: map[string][]float64{}}, writer: writer, incoming: incoming, started: options.Now(), timeout: timeout,
 		route: &intent.Route{Name: "read", Objective: objective, Backends: []intent.Backend{{Service: "front", Weight: 1}}},
 	}
 	r.startTimeout()
@@ -132,7 +132,7 @@
 				Now: func() time.Duration { return tc.elapsed }, MaxWaitShare: func() float64 { return settings.DefaultMaxWaitShare },
 				PolicyOn: func(m settings.Mechanism) bool { return !tc.off || m != settings.StartQueue },
 			}
-			r := &request{options: options, route: &intent.Route{Objective: tc.objective}, timeout: tc.timeout, ctx: context.Background()}
+			r := &request{options: options, returns: newReturns(), route: &intent.Route{Objective: tc.objective}, timeout: tc.timeout, ctx: context.Background()}
 			limits := r.startLimits()
 			g.Expect(limits.MaxWait).To(Equal(tc.want))
 			g.Expect(limits.Left).To(Equal(tc.timeout - tc.elapsed))
