--- a/internal/core/slots/scarcity_test.go
+++ b/internal/core/slots/scarcity_test.go
@@ -78,7 +78,7 @@
 				gate.Submit(now, Request{ID: 200})
 			}
 			gate.Submit(now, Request{ID: 102, Importance: 20, NeedDelay: 30 * time.Millisecond, NeedKnown: tc.known, Deadline: time.Hour})
-			gate.Submit(now+tc.wait, Request{ID: 201})
+			gate.Submit(now+tc.wait, Request{ID: 201, NeedKnown: tc.known})
 			var order []uint64
 			for _, item := range gate.queue {
 				order = append(order, item.request.ID)
