A sender hears of a crash after the other nodes know of it

Callers saw a request that had ended three targets reach four more, three are allowed, and lost what ran at one target more.

Cause: the node beside a target collects the evidence of its end for 5 ms and then broadcasts it, but answered the sender at once. The sender's node, or the client at another node, sends the request again within 1 ms, to gates that do not count the end yet. Two senders of a request that is still suspected at its third end reached four targets so.

Change: the answer to the sender waits until the other nodes have accepted the evidence, and a node acknowledges a broadcast after those behind it have. Both wait 0.1 s at most. Concurrent runs at one end wait for the one that records them.

It holds since an attempt that follows an answer meets nodes that count the end: two senders reach two targets, one node may try once more, and the sixth end holds the request back.

--- a/internal/sidecar/arrival/crash.go
+++ b/internal/sidecar/arrival/crash.go
@@ -1,6 +1,7 @@
 package arrival
 
 import (
+	"context"
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/outcome"
@@ -20,14 +21,16 @@
 )
 
 // recordLost records a run whose connection broke and reports whether the target crashed or only
-// this response was lost.
-func (i *Ingress) recordLost(gate *target.Gate, req *request) outcome.Reason {
+// this response was lost. After a crash it returns when the other nodes know of it, so that the
+// request that the sender repeats at once meets nodes that count this crash.
+func (i *Ingress) recordLost(ctx context.Context, gate *target.Gate, req *request) outcome.Reason {
 	now := i.options.Now()
 	gate.Unanswered.Add(now, req.unansweredRun(now+lostRunTTL))
 	if !gate.Unanswered.TargetExited(gate.Link.Probe) {
 		return outcome.ReasonLost
 	}
 	i.recordCrash(gate)
+	i.options.Quarantine.AwaitBroadcast(ctx)
 	return outcome.ReasonTargetEnded
 }
 
@@ -59,8 +62,11 @@
 	}
 }
 
-// recordCrash records the requests that were in progress when the target crashed.
+// recordCrash records the requests that were in progress when the target crashed. Concurrent calls
+// take turns: the first one records the runs of all, and none returns before they are recorded.
 func (i *Ingress) recordCrash(gate *target.Gate) {
+	i.crash.Lock()
+	defer i.crash.Unlock()
 	runs, first := gate.Unanswered.TakeRuns(i.options.Now())
 	if len(runs) == 0 {
 		return
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -26,6 +26,7 @@
 	options       Options
 	Running       runningTable
 	SettleHandler *onceHandler
+	crash         sync.Mutex // serializes recordCrash
 }
 
 // New returns the ingress handler of a node.
@@ -318,7 +319,7 @@
 	case err == nil || ctx.Err() != nil:
 		i.recordCancelled(gate, req)
 	default:
-		i.recordLost(gate, req)
+		i.recordLost(ctx, gate, req)
 	}
 }
 
--- a/internal/sidecar/arrival/options.go
+++ b/internal/sidecar/arrival/options.go
@@ -13,6 +13,7 @@
 package arrival
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -51,6 +52,7 @@
 	IsSuspected(r *quarantine.Request) bool
 	RecordSuccess(r *quarantine.Request)
 	RecordCrash(instance, service string, runs []quarantine.Run)
+	AwaitBroadcast(ctx context.Context)
 }
 
 // Options holds the dependencies of an Ingress.
--- a/internal/sidecar/arrival/send.go
+++ b/internal/sidecar/arrival/send.go
@@ -52,7 +52,7 @@
 	case errors.Is(err, targetlink.ErrInvalidResponse):
 		return reply.Unknown(outcome.ReasonInvalidResponse)
 	default:
-		return reply.Unknown(i.recordLost(gate, req))
+		return reply.Unknown(i.recordLost(ctx, gate, req))
 	}
 }
 
@@ -76,7 +76,7 @@
 		if ctx.Err() != nil {
 			return reply.Unknown(reply.CancelReason(ctx))
 		}
-		return reply.Unknown(i.recordLost(gate, req))
+		return reply.Unknown(i.recordLost(ctx, gate, req))
 	}
 	response := &reply.Reply{Outcome: outcome.Answered, Reason: outcome.ReasonNone, Arrived: true, Status: answer.Status, Header: headers.KeepEndToEnd(answer.Header), Body: data, Length: answer.Length}
 	if rest == nil {
--- a/internal/sidecar/broadcast/broadcast.go
+++ b/internal/sidecar/broadcast/broadcast.go
@@ -8,6 +8,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -26,22 +27,36 @@
 type Send func(address string, forward []string) error
 
 // ToZones sends to nodes grouped by zone. It uses a tree in the sender's own zone, and a single
-// branch in each other zone to limit cross-zone traffic. It does not wait for delivery.
-func ToZones(addresses map[string][]string, ownZone string, send Send) {
+// branch in each other zone to limit cross-zone traffic. It does not wait for delivery. The result
+// is closed when each branch has a node that accepted the message, or was given up.
+func ToZones(addresses map[string][]string, ownZone string, send Send) (accepted <-chan struct{}) {
+	var list [][]string
 	for zone, nodes := range addresses {
 		if zone == ownZone {
-			ToNodes(nodes, send)
+			list = append(list, branches(nodes)...)
 			continue
 		}
-		go sendAlongBranch(nodes, send)
+		list = append(list, nodes)
 	}
+	return sendAlong(list, send)
 }
 
-// ToNodes sends to nodes along a tree. It does not wait for delivery.
-func ToNodes(addresses []string, send Send) {
-	for _, branch := range branches(addresses) {
-		go sendAlongBranch(branch, send)
+// ToNodes sends to nodes along a tree. It does not wait for delivery. The result is that of ToZones.
+func ToNodes(addresses []string, send Send) (accepted <-chan struct{}) {
+	return sendAlong(branches(addresses), send)
+}
+
+func sendAlong(list [][]string, send Send) <-chan struct{} {
+	accepted := make(chan struct{})
+	var group sync.WaitGroup
+	for _, branch := range list {
+		group.Go(func() { sendAlongBranch(branch, send) })
 	}
+	go func() {
+		group.Wait()
+		close(accepted)
+	}()
+	return accepted
 }
 
 // branches divides addresses into at most fanOut branches.
--- a/internal/sidecar/broadcast/broadcast_test.go
+++ b/internal/sidecar/broadcast/broadcast_test.go
@@ -60,8 +60,9 @@
 						addresses[name] = append(addresses[name], fmt.Sprintf("%d-%d", zone, node))
 					}
 				}
-				ToZones(addresses, "0", n.sendFrom("sender"))
+				accepted := ToZones(addresses, "0", n.sendFrom("sender"))
 				synctest.Wait()
+				g.Expect(accepted).To(BeClosed())
 				want := tc.zones*tc.nodes - len(tc.dead)
 				if len(tc.dead) == maxAttempts {
 					want = tc.nodes // only the sender's zone
--- a/internal/sidecar/quarantine/exchange.go
+++ b/internal/sidecar/quarantine/exchange.go
@@ -28,18 +28,47 @@
 	startupComparePeriod = 10 * time.Second
 	// compareTimeout bounds both messages of a comparison.
 	compareTimeout = 500 * time.Millisecond
+	// deliveryTimeout bounds the waits for nodes that accept a broadcast. It is a third of
+	// broadcast.Timeout, so that a node that waits for those after it still acknowledges in time.
+	deliveryTimeout = 100 * time.Millisecond
 )
 
-// broadcastPending sends pending changes of the evidence to all nodes.
+// broadcastPending sends pending changes of the evidence to all nodes and waits until they have
+// accepted it.
 func (c *Control) broadcastPending() {
 	c.mutex.Lock()
 	message := &wire.Crashes{Digest: int64(c.ledger.Digest()), Evidence: wire.EncodeEvidence(c.pending)}
-	c.pending, c.scheduled = nil, false
+	delivered := c.delivered
+	c.pending, c.scheduled, c.delivered = nil, false, nil
 	c.mutex.Unlock()
 	if len(message.Evidence) == 0 {
 		return
 	}
-	broadcast.ToZones(c.options.Nodes.Addresses(), c.options.Zone, c.sender(message))
+	<-broadcast.ToZones(c.options.Nodes.Addresses(), c.options.Zone, c.sender(message))
+	close(delivered)
+}
+
+// AwaitBroadcast waits until the other nodes have accepted the evidence of the crashes recorded so
+// far. A sender that hears of a crash sends the request again within a millisecond, so a node must
+// not tell it before the nodes that decide on the request know of the crash. Nodes that do not
+// accept it delay the caller by deliveryTimeout at most.
+func (c *Control) AwaitBroadcast(ctx context.Context) {
+	c.mutex.Lock()
+	delivered := c.crashDelivered
+	c.mutex.Unlock()
+	if delivered != nil && c.options.Enabled() {
+		waitFor(ctx, delivered)
+	}
+}
+
+// waitFor waits until done is closed, deliveryTimeout has passed or ctx is done.
+func waitFor(ctx context.Context, done <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(ctx, deliveryTimeout)
+	defer cancel()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
 }
 
 // sender returns a broadcast.Send for a message.
@@ -68,7 +97,7 @@
 }
 
 // ServeHTTP merges the evidence of another node. It answers a comparison with the evidence of
-// this node, and forwards a broadcast.
+// this node, and forwards a broadcast. It acknowledges a broadcast when the nodes after it have.
 func (c *Control) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	message, ok := peer.ReadMessage(w, r, wire.CrashesCodec)
 	if !ok {
@@ -81,7 +110,7 @@
 	}
 	peer.OmitDefaultHeaders(w)
 	w.Header().Set("Content-Length", "0")
-	broadcast.ToNodes(message.Forward, c.sender(message))
+	waitFor(r.Context(), broadcast.ToNodes(message.Forward, c.sender(message)))
 }
 
 // evidenceFor returns a message with all evidence, or with none if the digest of the receiver's
--- a/internal/sidecar/quarantine/quarantine.go
+++ b/internal/sidecar/quarantine/quarantine.go
@@ -40,7 +40,10 @@
 	scheduled bool                     // a broadcast is scheduled
 	held      map[crashes.Content]bool // contents last logged as held back
 	trials    map[crashes.Content]bool // contents with a trial in flight
-	stored    storedEvidence
+	// delivered is closed when the other nodes have accepted the next broadcast; nil if nothing is
+	// pending. crashDelivered is that of the last broadcast with a crash; nil before the first.
+	delivered, crashDelivered chan struct{}
+	stored                    storedEvidence
 }
 
 // Nodes provides the known nodes.
@@ -205,6 +208,12 @@
 	c.updateHeld(changed)
 	c.mutex.Lock()
 	c.pending = append(c.pending, changed...)
+	if c.delivered == nil {
+		c.delivered = make(chan struct{})
+	}
+	if delay == crashBatchDelay {
+		c.crashDelivered = c.delivered
+	}
 	sendScheduled := c.scheduled && delay >= clearBatchDelay
 	c.scheduled = true
 	c.mutex.Unlock()
--- a/internal/sidecar/quarantine/quarantine_test.go
+++ b/internal/sidecar/quarantine/quarantine_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/landingmast/landingmast/internal/core/crashes"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
+	"github.com/landingmast/landingmast/internal/sidecar/headers"
+	"github.com/landingmast/landingmast/internal/sidecar/peer"
 	"github.com/landingmast/landingmast/internal/sidecar/reply"
 	"github.com/landingmast/landingmast/internal/sidecar/storehealth"
 	"github.com/landingmast/landingmast/internal/store"
@@ -169,3 +172,43 @@
 		g.Expect(started.MaySend(r)).To(BeFalse(), "evidence must survive its deletion from the store")
 	})
 }
+
+// silentNode implements Nodes with one other node, which does not respond.
+type silentNode struct{ singleNode }
+
+func (silentNode) Addresses() map[string][]string { return map[string][]string{"a": {"10.0.0.1:1"}} }
+
+// A node must not answer the sender of a crash before its broadcast, and must answer though a node does
+// not respond.
+func TestAwaitBroadcastIsBounded(t *testing.T) {
+	silent := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	for _, tc := range []struct {
+		name    string
+		nodes   Nodes
+		crashes int
+		enabled bool
+		want    time.Duration
+	}{
+		{"no crash", singleNode{}, 0, true, 0},
+		{"no other node", singleNode{}, 1, true, crashBatchDelay},
+		{"silent node", silentNode{}, 1, true, deliveryTimeout},
+		{"mechanism disabled", silentNode{}, 1, false, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				c := newTestControl(tc.nodes, nil)
+				c.options.Peers = peer.NewClient(silent, headers.Names{})
+				c.options.Enabled = func() bool { return tc.enabled }
+				crashTargets(c, requestFor("/a", "caller"), tc.crashes, true)
+				began := time.Now()
+				c.AwaitBroadcast(t.Context())
+				g.Expect(time.Since(began)).To(Equal(tc.want))
+				time.Sleep(time.Second) // for the broadcast to be given up
+			})
+		})
+	}
+}
--- a/internal/testbed/fleet/held_test.go
+++ b/internal/testbed/fleet/held_test.go
@@ -123,6 +123,40 @@
 	})
 }
 
+// A request that is sent again as soon as its sender hears of a crash must be rejected after three
+// crashes, whether its client or the node of its client sends it. Guards against telling the sender of
+// a crash before the other nodes know of it.
+func TestCrashIsKnownWhenItsSenderHearsOfIt(t *testing.T) {
+	for _, tc := range []struct{ name, method, path string }{
+		{"sent again by the client", http.MethodPost, "/order/harmful"},
+		{"sent again by the node", http.MethodGet, "/front/harmful"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				plan := deployment.ThreeTierWithSpares()
+				for index := range plan.Routes {
+					plan.Routes[index].RequestsPerSecond = 0
+				}
+				mesh, err := testbed.New(plan)
+				g.Expect(err).NotTo(HaveOccurred())
+				defer mesh.Close()
+				time.Sleep(testbed.StartupTime)
+				mesh.Judge.ExpectHarmful(tc.path, "")
+				mesh.CrashSet.Add(tc.path, "")
+				for _, machine := range mesh.Machines {
+					if machine.Target.Service == mesh.Machines[0].Target.Service { // one node may try it for another caller
+						sendRequest(mesh, machine, tc.method, tc.path, "")
+					}
+				}
+				crashes, _ := mesh.Judge.HarmfulStats()
+				g.Expect(crashes).To(Equal(judge.HarmfulThreshold))
+			})
+		})
+	}
+}
+
 // costNodes adds a mesh size that is slow under the race detector.
 var costNodes = flag.Int("cost.nodes", 0, "nodes of an additional large mesh in TestCostOfAnEnd; 0: none")
 
