Compare a tenant with all others instead of with a level of the demand

A tenant whose excess was most of the demand was hardly above its share: with 84 equal others, one at 20 times their rate had a ratio of 16.4, at 84 times 1.75, so that its requests went on to displace others (review).

Cause: the level that serves a share of the demand rises with the excess.

Change: the ratio is the slot time by weight over that of all others. The order of refusal by ratio makes the shares max-min. No level, no sorting.

--- a/internal/core/fairshare/fairshare.go
+++ b/internal/core/fairshare/fairshare.go
@@ -1,18 +1,17 @@
-// Package fairshare compares the tenants of a service: how much slot time each of them asks for, relative
-// to its weighted max-min fair share. Tenants that all ask for the same by weight are at 1. A gate keeps a Meter of the calls
-// that reach its target; a gate sees thousands of calls a second, whereas a node at the start of chains
+// Package fairshare compares the tenants of a service: how much slot time each of them asks for by
+// weight, relative to the mean of the others. A gate keeps a Meter of the calls that reach its target; a gate sees thousands of calls a second, whereas a node at the start of chains
 // sees a given tenant every few seconds.
 //
-// The level of a share is relative to what arrives, not to the capacity: nodes refuse requests at the
-// start of their chains, so that what arrives comes down to the capacity, and a level by capacity would
-// be reached by nobody while tenants are still refused for others.
+// The share is relative to what the others ask for, not to the capacity: nodes refuse requests at the
+// start of their chains, so that what arrives comes down to the capacity, and a share of that would be
+// exceeded by nobody while tenants are still refused for others. Tenants whose requests are refused in the
+// order of their ratios until the rest fits get max-min fair shares.
 //
 // The package does no locking and uses no clock or randomness.
 package fairshare
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -22,12 +21,8 @@
 	Window = 2 * time.Second
 	// MaxTenants bounds the tenants that a Meter distinguishes. The least active ones count as one.
 	MaxTenants = 128
-	// servedShare is the part of the slot time asked for that the level would serve. At 0.9 a tenant that
-	// takes 28 of 100 at a service, four times as much by weight as the others, is only at twice its share,
-	// since most of what it takes too much passes for available.
-	servedShare = 0.7
-	// levelInterval is how often the level is computed.
-	levelInterval = 100 * time.Millisecond
+	// totalInterval is how often the sums over all tenants are computed.
+	totalInterval = 100 * time.Millisecond
 	// negligible is the slot time in ns below which a tenant is forgotten.
 	negligible = float64(10 * time.Microsecond)
 )
@@ -35,11 +30,9 @@
 // Meter measures the slot time that tenants ask of one target. It is not safe for concurrent use.
 type Meter struct {
 	tenants map[string]*usage
-	others  usage   // tenants that made room for others, with the sum of their weights
-	level   float64 // slot time per weight of a fair share
-	levelAt time.Duration
-	known   bool // whether level was computed
-	order   []*usage
+	others  usage // tenants that made room for others, with the sum of their weights
+	total   usage // of all tenants, as of the last refresh
+	known   bool  // whether total was computed
 }
 
 // usage is what one tenant asks for.
@@ -113,10 +106,15 @@
 	} else {
 		u = &m.others
 	}
-	if m.level <= 0 || u.weight <= 0 {
+	if u.weight <= 0 {
 		return 0
 	}
-	ratio := max(u.current(now)-own, 0) / (m.level * u.weight)
+	asked := u.current(now)
+	others, weight := max(m.total.current(now)-asked, 0), max(m.total.weight-u.weight, 0)
+	if others < negligible || weight <= 0 {
+		return 1 // there are no others
+	}
+	ratio := max(asked-own, 0) / u.weight / (others / weight)
 	return min(max(ratio, minRatio), maxRatio)
 }
 
@@ -142,50 +140,23 @@
 	u.at = now
 }
 
-// refresh computes the level anew if it is too old, and forgets tenants that were not seen lately.
+// refresh computes the sums anew if they are too old, and forgets tenants that were not seen lately.
 func (m *Meter) refresh(now time.Duration) {
-	if m.known && now-m.levelAt < levelInterval {
+	if m.known && now-m.total.at < totalInterval {
 		return
 	}
-	m.order = m.order[:0]
+	m.total, m.known = usage{at: now}, true
 	for name, u := range m.tenants {
 		if u.slotTime, u.at = u.current(now), now; u.slotTime < negligible {
 			delete(m.tenants, name)
 			continue
 		}
-		m.order = append(m.order, u)
+		m.total.slotTime += u.slotTime
+		m.total.weight += u.weight
 	}
-	if m.others.decay(now); m.others.slotTime >= negligible {
-		m.order = append(m.order, &m.others)
-	} else {
+	if m.others.decay(now); m.others.slotTime < negligible {
 		m.others = usage{at: now}
 	}
-	m.level, m.levelAt, m.known = level(m.order)/servedShare, now, true
-}
-
-// level returns the slot time per weight up to which all that is asked for is served: the level at
-// which servedShare of the slot time is. It sorts the usages.
-func level(usages []*usage) float64 {
-	slices.SortFunc(usages, func(a, b *usage) int {
-		switch {
-		case a.slotTime*b.weight < b.slotTime*a.weight:
-			return -1
-		case a.slotTime*b.weight > b.slotTime*a.weight:
-			return 1
-		}
-		return 0
-	})
-	left, weights := 0.0, 0.0
-	for _, u := range usages {
-		left += servedShare * u.slotTime
-		weights += u.weight
-	}
-	for _, u := range usages {
-		if u.slotTime*weights >= left*u.weight {
-			return left / weights
-		}
-		left -= u.slotTime
-		weights -= u.weight
-	}
-	return 0
+	m.total.slotTime += m.others.slotTime
+	m.total.weight += m.others.weight
 }
