Log the evidence of each change of the target, and the wait for a connection

Nothing in the logs told which evidence had opened or closed the gate of a target: a heartbeat, a health check, a deregistration, a header of a response or another instance at the address. Lines of kind target now have it in source, and a line tells of a heartbeat that is acknowledged without effect. A target that leaves is named. How long an admitted request waits for its connection is in the histogram connection_wait_seconds and in connect_ms of the line run.

A heartbeat of another instance than the one that holds the address used to broadcast the unchanged record; it only writes its line now. What is admitted does not change.

--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -178,8 +178,9 @@
 	quarantine.Request
 	arrivedAt time.Duration
 	instance  string
-	waited    time.Duration
-	exclusive bool // whether the request is the only suspected one at the target
+	waited    time.Duration // for a slot
+	connected time.Duration // wait for a connection to the target
+	exclusive bool          // whether the request is the only suspected one at the target
 }
 
 // remaining returns the time left until the request times out. It checks the node's clock as well
@@ -341,11 +342,20 @@
 	}
 }
 
+// connectMS returns the wait for a connection for the log, in which a reused connection counts as none.
+func connectMS(wait time.Duration) float64 {
+	if wait < time.Millisecond {
+		return 0
+	}
+	return eventlog.Milliseconds(wait)
+}
+
 // recordRun updates the metrics and writes the log event of a request handled at the gate.
 func (i *Ingress) recordRun(req *request, response *reply.Reply) {
 	waited, elapsed := req.waited, i.options.Now()-req.arrivedAt
 	if response.Arrived {
 		i.options.Metrics.SlotWait.Observe(waited.Seconds())
+		i.options.Metrics.ConnectionWait.Observe(req.connected.Seconds())
 		i.options.Metrics.TargetDuration.Observe((elapsed - waited).Seconds())
 	}
 	weight := eventlog.Success
@@ -359,6 +369,6 @@
 		Request: req.Call.RequestID, From: req.Call.From, Service: req.Call.Service, Instance: req.instance, Outcome: string(response.Outcome),
 		Reason: string(response.Reason), Status: response.Status, Importance: req.Call.Importance, WaitMS: eventlog.Milliseconds(waited), TookMS: eventlog.Milliseconds(elapsed),
 		RemainingMS: float64(req.Call.Remaining) / 1000, Running: response.Load.Running, Waiting: response.Load.Waiting, Slots: response.Load.Slots, Retry: req.Call.IsRetry,
-		Pace: response.RunPace,
+		ConnectMS: connectMS(req.connected), Pace: response.RunPace,
 	}, weight)
 }
--- a/internal/sidecar/arrival/send.go
+++ b/internal/sidecar/arrival/send.go
@@ -33,6 +33,10 @@
 	answer, err := gate.Link.Do(ctx, &targetlink.Request{
 		ID: call.RequestID, Method: call.Method, URI: call.URI, Host: call.Host, Header: header,
 		Body: body.Data, Stream: body.Stream, Length: body.Length,
+		BeforeSend: func() error {
+			req.connected = i.options.Now() - sentAt
+			return nil
+		},
 	})
 	if err != nil {
 		return i.classifyError(ctx, gate, req, err)
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -69,6 +69,7 @@
 	Running     int     `json:"running" doc:"requests running at the target on completion"`
 	Waiting     int     `json:"waiting" doc:"requests waiting for a slot on completion"`
 	Slots       int     `json:"slots" doc:"available slots of the target"`
+	ConnectMS   float64 `json:"connect_ms,omitempty" doc:"time spent waiting for a connection to the target; missing: below a millisecond, or none was needed"`
 	Pace        float64 `json:"pace,omitempty" doc:"time that work took at the target while the request ran, as the target states it, relative to the usual; missing: not stated"`
 	Retry       bool    `json:"repeat,omitempty" doc:"whether it, or a request upstream in the call chain, is a retry"`
 }
@@ -141,11 +142,11 @@
 type Target struct {
 	Instance  string  `json:"instance" doc:"instance of the target"`
 	Service   string  `json:"service" doc:"its service"`
-	Change    string  `json:"change" doc:"ready, draining, left, replaced, limited (its responses state a rate limit), limit lifted, leaving (its responses state that it leaves) or state invalid"`
+	Change    string  `json:"change" doc:"ready, draining, left, heartbeat ignored or draining heartbeat ignored (acknowledged without effect), limited (its responses state a rate limit), limit lifted, leaving (its responses state that it leaves) or state invalid"`
 	Slots     int     `json:"slots" doc:"number of slots"`
 	Sequence  int64   `json:"sequence" doc:"sequence number of the heartbeat that reported it"`
 	RateLimit float64 `json:"rate_limit,omitempty" doc:"requests per second, if the change is limited"`
-	Source    string  `json:"source,omitempty" doc:"where the rate limit or the leaving was learned: response (the target's own) or sender (a node that knew it when this one was restarted)"`
+	Source    string  `json:"source,omitempty" doc:"evidence of the change: heartbeat, identification (response to a health check), deregistration, replacement (another instance answered), response (header of a response to a request) or sender (a node that knew the rate limit when this one was restarted); for an ignored heartbeat why: stale (its instance has left, or a newer one has arrived) or conflict (another instance holds the address)"`
 	Error     string  `json:"error,omitempty" doc:"what is wrong with the state in its responses"`
 }
 
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -32,6 +32,8 @@
 	Retries, RetriesDenied *prometheus.CounterVec
 	// SlotWait is the wait for a slot of the target, TargetDuration the time at the target, in seconds.
 	SlotWait, TargetDuration prometheus.Histogram
+	// ConnectionWait is the wait of an admitted request for a connection to the target, in seconds.
+	ConnectionWait prometheus.Histogram
 	// TargetRequests counts requests sent to the target by sender, "local" or "remote".
 	TargetRequests *prometheus.CounterVec
 	// InvalidStates counts responses of targets whose stated rate cannot be read.
@@ -99,6 +101,7 @@
 		Retries:        counters("repeats_total", "Requests sent to a second target.", "service"),
 		RetriesDenied:  counters("repeats_denied_total", "Repeats that the budget did not allow.", "service"),
 		SlotWait:       histogram("slot_wait_seconds", "Wait for a slot of the target."),
+		ConnectionWait: histogram("connection_wait_seconds", "Wait of an admitted request for a connection to the target."),
 		TargetDuration: histogram("target_seconds", "Time of a request at the target."),
 		TargetRequests: counters("target_requests_total", "Requests sent to the target, by where they began.", "sender"),
 		InvalidStates:  counter("target_state_invalid_total", "Answers of targets that name a rate limit which cannot be read."),
@@ -109,7 +112,7 @@
 		SilentNodes:    counter("silent_nodes_total", "Times that another node was taken for dead."),
 		Omitted:        counters("log_lines_omitted_total", "Log lines that were left out.", "kind"),
 	}
-	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Shed, m.ShedOverShare, m.StartWait, m.Returning, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
+	m.registry.MustRegister(m.Requests, m.RequestDuration, m.Shed, m.ShedOverShare, m.StartWait, m.Returning, m.Attempts, m.Retries, m.RetriesDenied, m.SlotWait, m.ConnectionWait, m.TargetDuration, m.TargetRequests, m.InvalidStates, m.Connections, m.StoreCalls, m.Crashes, m.Resumes, m.SilentNodes, m.Omitted)
 	for _, gauge := range []struct {
 		name, help string
 		read       func() float64
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -139,7 +139,7 @@
 	n.heldBack = quarantine.New(n.heldBackOptions())
 	n.liveness = peer.NewLiveness(n.now, n.peers.PingPeer, peer.Events{Unresponsive: n.peerSilent, PingFailed: n.services.Suspect, Recovered: n.peerRecovered})
 	n.target = target.New(target.Options{
-		Now: n.now, OnChange: n.targetChanged, NewLink: n.newLink, Identify: n.identify, SkipDeadlineCheck: !n.policyOn(inTime),
+		Now: n.now, OnChange: n.targetChanged, OnIgnored: n.heartbeatIgnored, NewLink: n.newLink, Identify: n.identify, SkipDeadlineCheck: !n.policyOn(inTime),
 		Restarted:  !settings.FirstStart && n.policyOn(targetState),
 		OnReplaced: func(gate *target.Gate) { n.ingress.InstanceReplaced(gate) },
 	})
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -6,9 +6,11 @@
 	"net/http"
 
 	"github.com/landingmast/landingmast/internal/core/ratelimit"
+	"github.com/landingmast/landingmast/internal/core/roster"
 	"github.com/landingmast/landingmast/internal/core/slots"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/sidecar/metrics"
+	"github.com/landingmast/landingmast/internal/sidecar/target"
 )
 
 // gauges returns the gauge callbacks of the metrics.
@@ -64,19 +66,30 @@
 }
 
 // targetChanged logs a change of the target and propagates it to the other nodes.
-func (n *Node) targetChanged() {
+func (n *Node) targetChanged(change target.Change) {
 	report, _ := n.target.Report()
-	change := "ready"
-	switch {
-	case report.Instance == "":
-		change = "left"
-	case report.Draining:
-		change = "draining"
+	event := eventlog.Target{Instance: report.Instance, Service: report.Service, Change: "ready", Slots: report.Slots, Sequence: report.Sequence, Source: string(change.Source)}
+	if change.Departed != "" && change.Departed != report.Instance {
+		n.events.Add(eventlog.Target{Instance: change.Departed, Change: "left", Source: event.Source}, eventlog.State)
+	}
+	if report.Draining {
+		event.Change = "draining"
+	}
+	if report.Instance != "" {
+		n.events.Add(event, eventlog.State)
 	}
-	n.events.Add(eventlog.Target{Instance: report.Instance, Service: report.Service, Change: change, Slots: report.Slots, Sequence: report.Sequence}, eventlog.State)
 	n.membership.AnnounceLocalRecord()
 }
 
+// heartbeatIgnored logs a heartbeat that was acknowledged without effect.
+func (n *Node) heartbeatIgnored(report roster.Report, reason target.IgnoredReason) {
+	change := "heartbeat ignored"
+	if report.Draining {
+		change = "draining heartbeat ignored"
+	}
+	n.events.Add(eventlog.Target{Instance: report.Instance, Service: report.Service, Change: change, Slots: report.Slots, Sequence: report.Sequence, Source: string(reason)}, eventlog.State)
+}
+
 // peerSilent records that another node is unresponsive.
 func (n *Node) peerSilent(node string) {
 	n.metrics.SilentNodes.Inc()
--- a/internal/sidecar/target/state.go
+++ b/internal/sidecar/target/state.go
@@ -98,7 +98,7 @@
 	}
 	l.mu.Unlock()
 	if marked {
-		l.options.OnChange()
+		l.options.OnChange(Change{Source: SourceResponse})
 	}
 	return marked
 }
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -30,7 +30,9 @@
 	// not respond.
 	Identify func(ctx context.Context) (roster.Report, bool)
 	// OnChange is called when the target is replaced, leaves or changes.
-	OnChange func()
+	OnChange func(Change)
+	// OnIgnored is called with a heartbeat that is acknowledged without effect; may be nil.
+	OnIgnored func(report roster.Report, reason IgnoredReason)
 	// OnReplaced is called with the gate of an instance that another one has replaced; may be nil.
 	OnReplaced func(gate *Gate)
 	// SkipDeadlineCheck admits requests even if they cannot finish before their deadline.
@@ -39,6 +41,33 @@
 	Restarted bool
 }
 
+// Change describes a change of the target.
+type Change struct {
+	Source   Source
+	Departed string // instance that has left or was replaced; empty: none
+}
+
+// Source is the evidence that a change of the target follows from.
+type Source string
+
+// Sources of changes.
+const (
+	SourceHeartbeat      Source = "heartbeat"
+	SourceIdentification Source = "identification" // response to a health check
+	SourceDeregistration Source = "deregistration"
+	SourceResponse       Source = "response" // header of a response to a request
+	SourceReplacement    Source = "replacement"
+)
+
+// IgnoredReason is why a heartbeat was acknowledged without effect.
+type IgnoredReason string
+
+// Reasons for ignoring a heartbeat.
+const (
+	IgnoredStale    IgnoredReason = "stale"    // its instance has left, or a newer heartbeat has arrived
+	IgnoredConflict IgnoredReason = "conflict" // another instance holds the address
+)
+
 // Local is the local target of a node: its identity, gate and connections. It is safe for
 // concurrent use.
 type Local struct {
@@ -276,18 +305,28 @@
 		l.updateGate()
 	}
 	l.mu.Unlock()
-	if verdict == roster.Changed {
-		l.options.OnChange()
+	switch verdict {
+	case roster.Changed:
+		l.options.OnChange(Change{Source: SourceHeartbeat})
+	case roster.Stale:
+		l.ignored(report, IgnoredStale)
 	}
 	return nil
 }
 
+func (l *Local) ignored(report roster.Report, reason IgnoredReason) {
+	if l.options.OnIgnored != nil {
+		l.options.OnIgnored(report, reason)
+	}
+}
+
 // resolveInstance identifies the target when a heartbeat conflicts with the known instance.
 func (l *Local) resolveInstance(report roster.Report) error {
 	ctx, cancel := context.WithTimeout(context.Background(), IdentifyTimeout)
 	defer cancel()
 	found, known := l.options.Identify(ctx)
 	l.mu.Lock()
+	previous := l.roster.Current().Instance
 	switch {
 	case known && found.Instance == report.Instance, !known && (l.options.Now()-l.lastHeartbeat > heartbeatTimeout || l.roster.Current().Draining):
 		l.roster.Replace(report)
@@ -296,9 +335,13 @@
 	case !known:
 		l.mu.Unlock()
 		return failure.New(failure.Unavailable, "send the heartbeat again", "cannot determine which instance holds the target's address")
+	default:
+		l.mu.Unlock()
+		l.ignored(report, IgnoredConflict)
+		return nil
 	}
 	l.mu.Unlock()
-	l.options.OnChange()
+	l.options.OnChange(Change{Source: SourceHeartbeat, Departed: previous})
 	return nil
 }
 
@@ -313,11 +356,17 @@
 	l.lastHeartbeat = l.options.Now()
 	l.updateGate()
 	l.mu.Unlock()
-	l.options.OnChange()
+	l.options.OnChange(Change{Source: SourceIdentification})
 }
 
 // Leave records that an instance leaves permanently.
 func (l *Local) Leave(instance string) error {
+	l.depart(instance, SourceDeregistration)
+	return nil
+}
+
+// depart records that an instance leaves permanently and closes its gate.
+func (l *Local) depart(instance string, source Source) {
 	l.mu.Lock()
 	left := l.roster.Depart(instance)
 	if left && l.gate != nil {
@@ -327,9 +376,8 @@
 	}
 	l.mu.Unlock()
 	if left {
-		l.options.OnChange()
+		l.options.OnChange(Change{Source: source, Departed: instance})
 	}
-	return nil
 }
 
 // Close closes the connections to the target.
@@ -348,7 +396,7 @@
 		l.notifyReplaced()
 	}
 	l.mu.Unlock()
-	_ = l.Leave(instance)
+	l.depart(instance, SourceReplacement)
 }
 
 // notifyReplaced reports the gate of an instance that was replaced. mu must be held.
--- a/internal/sidecar/target/target_test.go
+++ b/internal/sidecar/target/target_test.go
@@ -29,7 +29,7 @@
 			g := NewWithT(t)
 			now, responds := time.Second, true
 			target := New(Options{
-				Now: func() time.Duration { return now }, OnChange: func() {},
+				Now: func() time.Duration { return now }, OnChange: func(Change) {},
 				NewLink: func() *targetlink.Link { return targetlink.New(targetlink.Options{}) },
 				Identify: func(context.Context) (roster.Report, bool) {
 					return roster.Report{Instance: "new", Service: "s", Slots: 10}, responds
@@ -53,7 +53,7 @@
 
 func newLocal(now *time.Duration, restarted bool) *Local {
 	return New(Options{
-		Now: func() time.Duration { return *now }, OnChange: func() {}, Restarted: restarted,
+		Now: func() time.Duration { return *now }, OnChange: func(Change) {}, Restarted: restarted,
 		NewLink: func() *targetlink.Link { return targetlink.New(targetlink.Options{}) },
 		Identify: func(context.Context) (roster.Report, bool) {
 			return roster.Report{Instance: "new", Service: "s", Slots: 10}, true
--- a/internal/sidecar/targetlink/link.go
+++ b/internal/sidecar/targetlink/link.go
@@ -42,6 +42,9 @@
 	Body   []byte      // complete body, if Stream is nil
 	Stream io.Reader   // streamed body
 	Length int64       // length of Stream; -1 if unknown
+	// BeforeSend is called when there is a connection. If it returns an error, nothing is sent and Do
+	// returns that error with type ErrNotSent. It may be nil.
+	BeforeSend func() error
 }
 
 // Response is a response. Body must be closed.
@@ -123,6 +126,12 @@
 	if err != nil {
 		return nil, errors.WithType(err, ErrNotSent)
 	}
+	if request.BeforeSend != nil {
+		if err := request.BeforeSend(); err != nil {
+			l.putIdle(conn, defaultIdleTimeout)
+			return nil, errors.WithType(err, ErrNotSent)
+		}
+	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	done, err := conn.send(request)
 	if err != nil {
