Failing tests: a target that leaves gets requests after its node restarts

The simulated target can deregister without having reported the draining state, after which its health checks succeed until it ends, and it can send a heartbeat that the network has delayed. A killed in-process node reaches nobody any more: before, it deregistered from the store and broadcast that it leaves, which a process that gets SIGKILL does not.

--- a/internal/testbed/machine.go
+++ b/internal/testbed/machine.go
@@ -22,10 +22,11 @@
 	Target *target.Target
 
 	outOfRotation atomic.Bool        // clients send no new requests from this machine
-	mu            sync.Mutex         // guards stop, abort, stopped and node
+	mu            sync.Mutex         // guards stop, abort, stopped, killed and node
 	stop          context.CancelFunc // starts a graceful shutdown of an in-process node
 	abort         context.CancelFunc // aborts the graceful shutdown
 	stopped       chan struct{}      // closed when the node has stopped
+	killed        *atomic.Bool       // cuts an in-process node off
 	firstStart    bool               // the node has not been started before
 	ignoresState  bool               // the node does not follow what targets state
 	node          *sidecar.Node
--- a/internal/testbed/nodes.go
+++ b/internal/testbed/nodes.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/landingmast/landingmast/internal/sidecar"
 	"github.com/landingmast/landingmast/internal/sidecar/settings"
@@ -53,11 +54,13 @@
 	if output == nil {
 		output = io.Discard
 	}
-	store := platform.NewStore(StoreAddress, p.network.Dialer(m.IP))
+	killed := &atomic.Bool{}
+	dial := p.dialer(m.IP, killed)
+	store := platform.NewStore(StoreAddress, dial)
 	node, err := sidecar.New(chosen, sidecar.Options{
 		Headers: platform.Headers(), Store: store, ConfigurationKey: platform.ConfigurationKey, RecordPrefix: platform.RecordPrefix, NodePrefix: platform.NodePrefix, QuotaPrefix: platform.QuotaPrefix, CrashKey: platform.CrashesKey,
 		ParseIntent: platform.ParseConfiguration, Control: func(targets *sidecar.Targets) http.Handler { return platform.HeartbeatHandler(targets) },
-		Ready: platform.ReadinessHandler, Output: output, Listen: p.network.Listen, Dial: p.network.Dialer(m.IP), Clock: m.clock,
+		Ready: platform.ReadinessHandler, Output: output, Listen: p.network.Listen, Dial: dial, Clock: m.clock,
 	})
 	if err != nil {
 		return err
@@ -66,7 +69,7 @@
 	abortCtx, abort := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	m.mu.Lock()
-	m.node, m.stop, m.abort, m.stopped = node, stop, abort, stopped
+	m.node, m.stop, m.abort, m.stopped, m.killed = node, stop, abort, stopped, killed
 	m.mu.Unlock()
 	go func() {
 		defer close(stopped)
@@ -76,6 +79,17 @@
 	return nil
 }
 
+// dialer returns the dial function of a process, which fails once the process is killed.
+func (p *inProcess) dialer(ip string, killed *atomic.Bool) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dial := p.network.Dialer(ip)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if killed.Load() {
+			return nil, net.ErrClosed
+		}
+		return dial(ctx, network, address)
+	}
+}
+
 // Reload implements Nodes.
 func (p *inProcess) Reload(m *Machine, changed *settings.Settings) {
 	m.mu.Lock()
@@ -92,14 +106,16 @@
 	<-stopped
 }
 
-// Kill implements Nodes.
+// Kill implements Nodes. The code of a node that runs afterwards cannot reach any other process.
 func (p *inProcess) Kill(m *Machine) {
 	m.mu.Lock()
-	stop, abort, stopped := m.stop, m.abort, m.stopped
+	stop, abort, stopped, killed := m.stop, m.abort, m.stopped, m.killed
 	m.mu.Unlock()
 	if stop == nil {
 		return
 	}
+	killed.Store(true)
+	p.network.Reset(m.IP, nil)
 	abort()
 	stop()
 	<-stopped
--- a/internal/testbed/target/target.go
+++ b/internal/testbed/target/target.go
@@ -74,6 +74,7 @@
 	leaving    bool    // stated in responses although heartbeats report ready
 	statesPace bool    // states its pace as the fourth figure of its load
 	draining   bool
+	departed   bool // deregistered, and sends no heartbeats
 	stopped    bool // not listening
 	conns      map[net.Conn]bool
 	listener   net.Listener
@@ -93,7 +94,7 @@
 	t.mu.Lock()
 	t.instance = "i-" + strconv.FormatUint(rand.Uint64(), 36)
 	t.listener, t.done, t.conns = listener, make(chan struct{}), map[net.Conn]bool{}
-	t.running, t.sequence, t.draining, t.stopped = 0, 0, false, false
+	t.running, t.sequence, t.draining, t.departed, t.stopped = 0, 0, false, false, false
 	t.limited, t.leaving, t.statesPace, t.requests = false, false, false, 0
 	t.httpClient = &http.Client{Transport: &http.Transport{DialContext: t.Dial, MaxIdleConnsPerHost: 64}}
 	t.mu.Unlock()
@@ -199,9 +200,45 @@
 	t.Stop()
 }
 
+// Depart deregisters from the node without having reported the draining state, keeps serving for the
+// given time and stops. Health checks still succeed meanwhile.
+func (t *Target) Depart(serve time.Duration) {
+	t.mu.Lock()
+	t.departed = true
+	t.mu.Unlock()
+	end := time.Now().Add(departurePatience)
+	acknowledged := t.callControl(http.MethodDelete, nil)
+	for ; !acknowledged && time.Now().Before(end); acknowledged = t.callControl(http.MethodDelete, nil) {
+		time.Sleep(200 * time.Millisecond)
+	}
+	if acknowledged {
+		t.Judge.Draining(t.Instance())
+	}
+	time.Sleep(serve)
+	t.Stop()
+}
+
+// departurePatience is how long a target tries to deregister before it ends without acknowledgement.
+const departurePatience = 5 * time.Second
+
+// DelayHeartbeat takes a heartbeat that reports the current state, and returns a function that sends it
+// as if the network had delayed it.
+func (t *Target) DelayHeartbeat() (deliver func()) {
+	body := t.nextHeartbeat()
+	return func() { t.callControl(http.MethodPut, body) }
+}
+
+func (t *Target) hasDeparted() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.departed
+}
+
 func (t *Target) heartbeatLoop() {
 	for {
-		t.heartbeat()
+		if !t.hasDeparted() {
+			t.heartbeat()
+		}
 		select {
 		case <-t.done:
 			return
@@ -212,7 +249,13 @@
 
 // heartbeat sends a heartbeat and reports whether the node acknowledged it.
 func (t *Target) heartbeat() bool {
+	return t.callControl(http.MethodPut, t.nextHeartbeat())
+}
+
+// nextHeartbeat returns the body of the next heartbeat.
+func (t *Target) nextHeartbeat() []byte {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.sequence++
 	state := "ready"
 	if t.draining {
@@ -223,8 +266,7 @@
 		"info":    map[string]any{"service": t.Service, "version": "v1", "zone": t.Zone, "slots": t.Slots},
 		"status":  map[string]any{"state": state, "sequence": t.sequence, "cold_remaining": "0ms"},
 	})
-	t.mu.Unlock()
-	return t.callControl(http.MethodPut, body)
+	return body
 }
 
 // callControl calls the control endpoint of the node and reports whether it returned 200.
