Acknowledge that a target leaves once the store has it

What callers saw: requests reach a target up to 12 s after the node beside it has acknowledged that it leaves, if the node is restarted while the target serves on. A target drops them when it ends, and a request that may run at most once then ends with 502.

Cause: the acknowledgement was kept in the memory of the process. The next process believed the health check of the target, which succeeds until the end where the target has deregistered without having reported the draining state, or the first heartbeat, which the network may have delayed.

Change: package departures writes the instance to a key of the node in the store, under the lease of its record, before the announcement is acknowledged; the gate closes before that, as it did. A process that starts reads the key first. With the key it knows which instances have left and may identify the target by a health check; without it, or while the store does not answer, only heartbeats count. A missing key is written once a heartbeat has told which instance is there, so that a second restart does not take a key without the departure for a complete one. Writes are conditional on the revision, so that one that the store applies late cannot remove an instance. Nodes of the release before know nothing of the key; after one of them a process finds none and waits for a heartbeat.

Why it works: no process can open the gate by evidence that is older than the acknowledgement, as long as the store keeps the key; without it, an instance that has deregistered sends no heartbeats.

--- a/cmd/landingmastd/sidecar.go
+++ b/cmd/landingmastd/sidecar.go
@@ -72,7 +72,7 @@
 	}
 	node, err := sidecar.New(loaded, sidecar.Options{
 		Headers: platform.Headers(), Store: platform.NewStore(loaded.Store.Address, peer.DialKeepAlive),
-		ConfigurationKey: platform.ConfigurationKey, RecordPrefix: platform.RecordPrefix, NodePrefix: platform.NodePrefix,
+		ConfigurationKey: platform.ConfigurationKey, RecordPrefix: platform.RecordPrefix, NodePrefix: platform.NodePrefix, DeparturePrefix: platform.DeparturePrefix,
 		QuotaPrefix: platform.QuotaPrefix, CrashKey: platform.CrashesKey, ParseIntent: platform.ParseConfiguration,
 		Control: func(targets *sidecar.Targets) http.Handler { return platform.HeartbeatHandler(targets) },
 		Ready:   platform.ReadinessHandler, Output: os.Stdout, Clock: source,
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -1,6 +1,7 @@
 // Package roster tracks which target instance runs next to a node. Heartbeats may be late or come
-// from an earlier or a new instance at the same address; an instance that has left is never
-// admitted again. The package uses no clocks or locks.
+// from an earlier or a new instance at the same address; an instance that has announced that it
+// leaves is never ready again, and one that has left is never admitted again. The package uses no
+// clocks or locks.
 package roster
 
 import "time"
@@ -35,31 +36,29 @@
 
 // Roster is the state of the target next to a node. It is not safe for concurrent use.
 type Roster struct {
-	current       Report
-	departed      map[string]bool
-	departedOrder []string // oldest first
+	current  Report
+	leaving  instanceSet // have announced that they leave
+	departed instanceSet // have left for good
 }
 
-// maxDeparted limits the number of departed instances that are remembered.
-const maxDeparted = 256
-
 // New returns an empty roster.
-func New() *Roster { return &Roster{departed: map[string]bool{}} }
+func New() *Roster { return &Roster{leaving: newInstanceSet(), departed: newInstanceSet()} }
 
 // Current returns the latest report of the current target; its Instance is empty if there is none.
 func (r *Roster) Current() Report { return r.current }
 
 // HasDeparted reports whether an instance has left for good.
-func (r *Roster) HasDeparted(instance string) bool { return r.departed[instance] }
+func (r *Roster) HasDeparted(instance string) bool { return r.departed.has(instance) }
 
 // Vacated reports that the last target has left and no other has arrived.
-func (r *Roster) Vacated() bool { return r.current.Instance == "" && len(r.departed) > 0 }
+func (r *Roster) Vacated() bool { return r.current.Instance == "" && !r.departed.empty() }
 
 // Heartbeat applies a heartbeat and returns its outcome.
 func (r *Roster) Heartbeat(report Report) Result {
-	if r.departed[report.Instance] {
+	if r.departed.has(report.Instance) {
 		return Stale
 	}
+	report.Draining = report.Draining || r.leaving.has(report.Instance)
 	if r.current.Instance == "" {
 		r.current = report
 		return Changed
@@ -83,6 +82,13 @@
 	return Unchanged
 }
 
+// MarkLeaving records that an instance has announced that it leaves, whether it is the current one or
+// not, and reports whether the state of the current one changes.
+func (r *Roster) MarkLeaving(instance string) bool {
+	r.leaving.add(instance)
+	return r.MarkDraining(instance)
+}
+
 // MarkDraining records that an instance is draining, and reports whether it is the current one and
 // this was not known.
 func (r *Roster) MarkDraining(instance string) bool {
@@ -96,30 +102,18 @@
 // Replace makes another instance the current one; the previous one has departed.
 func (r *Roster) Replace(report Report) {
 	if r.current.Instance != "" && r.current.Instance != report.Instance {
-		r.markDeparted(r.current.Instance)
+		r.departed.add(r.current.Instance)
 	}
-	report.Draining = report.Draining || r.current.Draining && r.current.Instance == report.Instance
+	report.Draining = report.Draining || r.leaving.has(report.Instance) || r.current.Draining && r.current.Instance == report.Instance
 	r.current = report
 }
 
 // Depart records that an instance has left for good and reports whether it was the current one.
 func (r *Roster) Depart(instance string) bool {
-	r.markDeparted(instance)
+	r.departed.add(instance)
 	if r.current.Instance != instance {
 		return false
 	}
 	r.current = Report{}
 	return true
 }
-
-func (r *Roster) markDeparted(instance string) {
-	if r.departed[instance] {
-		return
-	}
-	r.departed[instance] = true
-	r.departedOrder = append(r.departedOrder, instance)
-	if len(r.departedOrder) > maxDeparted {
-		delete(r.departed, r.departedOrder[0])
-		r.departedOrder = r.departedOrder[1:]
-	}
-}
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -45,9 +45,9 @@
 	g := NewWithT(t)
 	r := New()
 	for range 3 {
-		for number := range maxDeparted {
+		for number := range maxInstances {
 			r.Depart(string(rune('a' + number)))
 		}
 	}
-	g.Expect(len(r.departed)).To(BeNumerically("<=", maxDeparted))
+	g.Expect(len(r.departed.members)).To(BeNumerically("<=", maxInstances))
 }
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -146,7 +146,7 @@
 	Slots     int     `json:"slots" doc:"number of slots"`
 	Sequence  int64   `json:"sequence" doc:"sequence number of the heartbeat that reported it"`
 	RateLimit float64 `json:"rate_limit,omitempty" doc:"requests per second, if the change is limited"`
-	Source    string  `json:"source,omitempty" doc:"evidence of the change: heartbeat, identification (response to a health check), deregistration, replacement (another instance answered), response (header of a response to a request) or sender (a node that knew the rate limit when this one was restarted); for an ignored heartbeat why: stale (its instance has left, or a newer one has arrived) or conflict (another instance holds the address)"`
+	Source    string  `json:"source,omitempty" doc:"evidence of the change: heartbeat, identification (response to a health check), deregistration, replacement (another instance answered), response (header of a response to a request) store (announced to an earlier process of this node) or sender (a node that knew the rate limit when this one was restarted); for an ignored heartbeat why: stale (its instance has left, or a newer one has arrived) or conflict (another instance holds the address)"`
 	Error     string  `json:"error,omitempty" doc:"what is wrong with the state in its responses"`
 }
 
@@ -188,11 +188,11 @@
 
 // Node reports a change in the state of the process.
 type Node struct {
-	Change      string  `json:"change" doc:"started, reloaded, reload refused, woke (resumed after a suspension of the machine), stopping, stopped or panic"`
+	Change      string  `json:"change" doc:"started, reloaded, reload refused, woke (resumed after a suspension of the machine), stopping, stopped, departures unknown (the store does not tell which instances of the target have left, so that only heartbeats count) or panic"`
 	Incarnation string  `json:"incarnation,omitempty" doc:"incarnation of the process"`
 	InFlight    int64   `json:"in_flight,omitempty" doc:"requests in flight"`
 	TookMS      float64 `json:"took_ms,omitempty" doc:"duration of the shutdown or of the suspension"`
-	Error       string  `json:"error,omitempty" doc:"reload error or panic message"`
+	Error       string  `json:"error,omitempty" doc:"reload error, error of the store or panic message"`
 }
 
 // Omitted reports the number of lines of a kind dropped since the previous report.
--- a/internal/sidecar/hop_bench_test.go
+++ b/internal/sidecar/hop_bench_test.go
@@ -210,7 +210,7 @@
 	client := platform.NewStore(chosen.Store.Address, (&net.Dialer{}).DialContext)
 	var targets *sidecar.Targets
 	node, err := sidecar.New(chosen, sidecar.Options{
-		Headers: platform.Headers(), Store: client, ConfigurationKey: platform.ConfigurationKey, RecordPrefix: platform.RecordPrefix,
+		Headers: platform.Headers(), Store: client, ConfigurationKey: platform.ConfigurationKey, RecordPrefix: platform.RecordPrefix, DeparturePrefix: platform.DeparturePrefix,
 		NodePrefix: platform.NodePrefix, QuotaPrefix: platform.QuotaPrefix, CrashKey: platform.CrashesKey, ParseIntent: platform.ParseConfiguration,
 		Control: func(local *sidecar.Targets) http.Handler { targets = local; return http.NotFoundHandler() },
 		Ready:   platform.ReadinessHandler, Output: io.Discard, Clock: clk,
--- a/internal/sidecar/identify.go
+++ b/internal/sidecar/identify.go
@@ -66,9 +66,13 @@
 )
 
 // discoverTarget identifies a target that kept running while the node restarted, as its next
-// heartbeat may be seconds away.
+// heartbeat may be seconds away. A target that has announced that it leaves may still respond, so
+// that a response is used only if the departures are known.
 func (n *Node) discoverTarget(ctx context.Context) {
 	wait.Sleep(ctx, discoveryDelay)
+	if n.departures.AwaitLoad(); !n.departures.Complete() {
+		return
+	}
 	for n.configuration.Load() == nil && ctx.Err() == nil {
 		wait.Sleep(ctx, configurationPollInterval)
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -23,6 +23,7 @@
 	"github.com/landingmast/landingmast/internal/sidecar/admission"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
 	"github.com/landingmast/landingmast/internal/sidecar/configuration"
+	"github.com/landingmast/landingmast/internal/sidecar/departures"
 	"github.com/landingmast/landingmast/internal/sidecar/entry"
 	"github.com/landingmast/landingmast/internal/sidecar/eventlog"
 	"github.com/landingmast/landingmast/internal/sidecar/follower"
@@ -53,6 +54,7 @@
 	NodePrefix       string      // prefix of node records, below RecordPrefix
 	QuotaPrefix      string      // prefix of quota keepers, below RecordPrefix
 	CrashKey         string      // key of the crash evidence, below RecordPrefix
+	DeparturePrefix  string      // prefix of the departures of the nodes' targets, not below RecordPrefix
 	ParseIntent      configuration.ParseFunc
 	Control          func(targets *Targets) http.Handler  // serves target heartbeats
 	Ready            func(ready func() bool) http.Handler // serves the readiness check
@@ -78,6 +80,7 @@
 	services        *services.Services
 	admission       *admission.Control
 	target          *target.Local
+	departures      *departures.Recorder
 	ingress         *arrival.Ingress
 	egress          *entry.Egress
 	peers           *peer.Client
@@ -138,9 +141,11 @@
 	n.quotas = quotas.NewLimiter(n.quotaOptions(), n.keepers, n.quotaServer)
 	n.heldBack = quarantine.New(n.heldBackOptions())
 	n.liveness = peer.NewLiveness(n.now, n.peers.PingPeer, peer.Events{Unresponsive: n.peerSilent, PingFailed: n.services.Suspect, Recovered: n.peerRecovered})
+	n.departures = departures.New(n.departureOptions())
 	n.target = target.New(target.Options{
 		Now: n.now, OnChange: n.targetChanged, OnIgnored: n.heartbeatIgnored, NewLink: n.newLink, Identify: n.identify, SkipDeadlineCheck: !n.policyOn(inTime),
 		Restarted:  !settings.FirstStart && n.policyOn(targetState),
+		Departures: n.departures,
 		OnReplaced: func(gate *target.Gate) { n.ingress.InstanceReplaced(gate) },
 	})
 	n.ingress = arrival.New(n.arrivalOptions())
@@ -288,6 +293,7 @@
 	defer stop()
 	if n.store != nil {
 		n.background.Go(func() { n.registration.Run(background) })
+		n.background.Go(func() { n.loadDepartures(background) })
 		n.background.Go(func() { n.follower.Run(background) })
 		n.background.Go(func() { n.fetchConfiguration(background) })
 		n.background.Go(func() { n.freshness.Run(background) })
--- a/internal/sidecar/options.go
+++ b/internal/sidecar/options.go
@@ -10,6 +10,7 @@
 	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/pipeline"
 	"github.com/landingmast/landingmast/internal/sidecar/arrival"
+	"github.com/landingmast/landingmast/internal/sidecar/departures"
 	"github.com/landingmast/landingmast/internal/sidecar/entry"
 	"github.com/landingmast/landingmast/internal/sidecar/follower"
 	"github.com/landingmast/landingmast/internal/sidecar/membership"
@@ -114,10 +115,27 @@
 		Settings: n.settings, Store: n.store, Health: n.storeHealth, Probe: func(ctx context.Context) bool { return n.storeHealth.Probe(ctx, n.store) },
 		RecordPrefix: n.options.RecordPrefix, NodePrefix: n.options.NodePrefix,
 		Members: n.membership, ApplyOther: n.applyStoredItem, SyncWithPeers: n.exchangeWithPeers, OnListed: n.follower.JoinElection,
-		TargetLeft: func() bool { return n.target.TargetLeft() },
+		TargetLeft:   func() bool { return n.target.TargetLeft() },
+		OnRegistered: func() { n.departures.Wake() },
 	}
 }
 
+func (n *Node) departureOptions() departures.Options {
+	return departures.Options{
+		Store: n.store, Key: n.options.DeparturePrefix + n.settings().Node, Health: n.storeHealth, Events: n.events,
+		FirstStart: n.settings().FirstStart, Lease: n.registration.Lease, OnLeaseExpired: n.registration.RenewNow,
+		OnLoaded: func(instances []string) { n.target.Restore(instances) }, Nodes: n.membership.PeerCount,
+	}
+}
+
+// loadDepartures loads and keeps the departures of the target.
+func (n *Node) loadDepartures(ctx context.Context) {
+	if !n.settings().FirstStart {
+		n.departures.Load(ctx)
+	}
+	n.departures.Run(ctx)
+}
+
 // applyStoredItem applies the crash evidence and ignores other items.
 func (n *Node) applyStoredItem(item *store.Item) {
 	if item.Key == n.options.CrashKey {
--- a/internal/sidecar/registration/registration.go
+++ b/internal/sidecar/registration/registration.go
@@ -79,6 +79,7 @@
 	SyncWithPeers func(ctx context.Context) // exchanges state with other nodes after they are known
 	OnListed      func()                    // called once, after peer discovery
 	TargetLeft    func() bool               // reports whether the target has left permanently
+	OnRegistered  func()                    // called when the record is in the store; may be nil
 }
 
 // New returns a Registration that holds no lease yet.
@@ -98,6 +99,14 @@
 	return r.writeFailed.Load() || r.options.Health.Unavailable()
 }
 
+// Lease returns the lease of the record, or 0 if none is held.
+func (r *Registration) Lease() int64 {
+	if lease := r.lease.Load(); lease != nil {
+		return lease.ID
+	}
+	return 0
+}
+
 // Run discovers the other nodes, then keeps the local record and its lease until ctx is done.
 func (r *Registration) Run(ctx context.Context) {
 	if r.options.Settings().FirstStart {
@@ -191,6 +200,9 @@
 		r.writeFailed.Store(err != nil)
 		if err == nil {
 			r.clearLost()
+			if r.options.OnRegistered != nil {
+				r.options.OnRegistered()
+			}
 			return
 		}
 		r.waitForStore(ctx)
--- a/internal/sidecar/target/state.go
+++ b/internal/sidecar/target/state.go
@@ -99,6 +99,7 @@
 	l.mu.Unlock()
 	if marked {
 		l.options.OnChange(Change{Source: SourceResponse})
+		go func() { _ = l.recordDeparture(instance) }() // nobody waits for it; the recorder keeps trying
 	}
 	return marked
 }
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -35,12 +35,24 @@
 	OnIgnored func(report roster.Report, reason IgnoredReason)
 	// OnReplaced is called with the gate of an instance that another one has replaced; may be nil.
 	OnReplaced func(gate *Gate)
+	// Departures keeps the instances that have announced that they leave; may be nil.
+	Departures Departures
 	// SkipDeadlineCheck admits requests even if they cannot finish before their deadline.
 	SkipDeadlineCheck bool
 	// Restarted means that an earlier process of the node may have known what the target states.
 	Restarted bool
 }
 
+// Departures keeps the instances that have announced that they leave for later processes of the node.
+type Departures interface {
+	// AwaitLoad waits until the departures recorded by earlier processes have been loaded, or cannot be.
+	AwaitLoad()
+	// Record records an instance and reports whether later processes will know it.
+	Record(instance string) bool
+	// Confirm reports that a heartbeat of the instance at the address has arrived.
+	Confirm()
+}
+
 // Change describes a change of the target.
 type Change struct {
 	Source   Source
@@ -57,6 +69,7 @@
 	SourceDeregistration Source = "deregistration"
 	SourceResponse       Source = "response" // header of a response to a request
 	SourceReplacement    Source = "replacement"
+	SourceStore          Source = "store" // announced to an earlier process of the node
 )
 
 // IgnoredReason is why a heartbeat was acknowledged without effect.
@@ -294,6 +307,32 @@
 // Heartbeat processes a heartbeat. If it returns an error, the heartbeat must not be
 // acknowledged.
 func (l *Local) Heartbeat(report roster.Report) error {
+	l.awaitDepartures()
+	if err := l.applyHeartbeat(report); err != nil {
+		return err
+	}
+	if report.Draining {
+		return l.recordDeparture(report.Instance)
+	}
+	return nil
+}
+
+func (l *Local) awaitDepartures() {
+	if l.options.Departures != nil {
+		l.options.Departures.AwaitLoad()
+	}
+}
+
+// recordDeparture records that an instance has announced that it leaves. The announcement must not be
+// acknowledged if it returns an error.
+func (l *Local) recordDeparture(instance string) error {
+	if l.options.Departures == nil || l.options.Departures.Record(instance) {
+		return nil
+	}
+	return failure.New(failure.Unavailable, "send it again", "the store has not confirmed the departure of the target")
+}
+
+func (l *Local) applyHeartbeat(report roster.Report) error {
 	l.mu.Lock()
 	verdict := l.roster.Heartbeat(report)
 	if verdict == roster.Conflict {
@@ -305,6 +344,9 @@
 		l.updateGate()
 	}
 	l.mu.Unlock()
+	if verdict != roster.Stale && l.options.Departures != nil {
+		l.options.Departures.Confirm()
+	}
 	switch verdict {
 	case roster.Changed:
 		l.options.OnChange(Change{Source: SourceHeartbeat})
@@ -347,6 +389,7 @@
 
 // SetIdentified sets the target from an identification response if no heartbeat has arrived yet.
 func (l *Local) SetIdentified(report roster.Report) {
+	l.awaitDepartures()
 	l.mu.Lock()
 	if l.roster.Current().Instance != "" || l.roster.HasDeparted(report.Instance) {
 		l.mu.Unlock()
@@ -359,10 +402,27 @@
 	l.options.OnChange(Change{Source: SourceIdentification})
 }
 
-// Leave records that an instance leaves permanently.
+// Leave records that an instance leaves permanently. If it returns an error, this must not be
+// acknowledged.
 func (l *Local) Leave(instance string) error {
 	l.depart(instance, SourceDeregistration)
-	return nil
+	return l.recordDeparture(instance)
+}
+
+// Restore records instances that have announced to an earlier process that they leave.
+func (l *Local) Restore(instances []string) {
+	l.mu.Lock()
+	changed := false
+	for _, instance := range instances {
+		changed = l.roster.MarkLeaving(instance) || changed
+	}
+	if changed {
+		l.updateGate()
+	}
+	l.mu.Unlock()
+	if changed {
+		l.options.OnChange(Change{Source: SourceStore})
+	}
 }
 
 // depart records that an instance leaves permanently and closes its gate.
--- a/internal/testbed/nodes.go
+++ b/internal/testbed/nodes.go
@@ -58,7 +58,7 @@
 	dial := p.dialer(m.IP, killed)
 	store := platform.NewStore(StoreAddress, dial)
 	node, err := sidecar.New(chosen, sidecar.Options{
-		Headers: platform.Headers(), Store: store, ConfigurationKey: platform.ConfigurationKey, RecordPrefix: platform.RecordPrefix, NodePrefix: platform.NodePrefix, QuotaPrefix: platform.QuotaPrefix, CrashKey: platform.CrashesKey,
+		Headers: platform.Headers(), Store: store, ConfigurationKey: platform.ConfigurationKey, RecordPrefix: platform.RecordPrefix, NodePrefix: platform.NodePrefix, DeparturePrefix: platform.DeparturePrefix, QuotaPrefix: platform.QuotaPrefix, CrashKey: platform.CrashesKey,
 		ParseIntent: platform.ParseConfiguration, Control: func(targets *sidecar.Targets) http.Handler { return platform.HeartbeatHandler(targets) },
 		Ready: platform.ReadinessHandler, Output: output, Listen: p.network.Listen, Dial: dial, Clock: m.clock,
 	})
