An announcement that a target leaves is final, in whichever order it arrives

What callers would see: requests that reach a target after its announcement was acknowledged, without a restart of its node.

Cause, the same class: a decision on older evidence undoes what was acknowledged meanwhile, in four places. A heartbeat that says draining with an old sequence number was acknowledged and ignored. One of an instance that is not the known one was acknowledged and left no trace. The lock is released while a conflicting instance is identified; a DELETE that came meanwhile was not looked at again, and the instance was admitted. A heartbeat that was identified late replaced a newer one of the same instance.

Change: the roster keeps all instances that have announced that they leave, current or not; a late draining heartbeat drains; Replace refuses an instance that has left, and applies the order of heartbeats to the current one.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -58,7 +58,10 @@
 	if r.departed.has(report.Instance) {
 		return Stale
 	}
-	report.Draining = report.Draining || r.leaving.has(report.Instance)
+	if report.Draining {
+		r.leaving.add(report.Instance)
+	}
+	report.Draining = r.leaving.has(report.Instance)
 	if r.current.Instance == "" {
 		r.current = report
 		return Changed
@@ -71,6 +74,9 @@
 
 func (r *Roster) update(report Report) Result {
 	if report.Sequence <= r.current.Sequence && r.current.Sequence > 0 {
+		if report.Draining && r.MarkDraining(report.Instance) {
+			return Changed // draining is final, whenever it arrives
+		}
 		return Stale
 	}
 	report.Draining = report.Draining || r.current.Draining
@@ -99,13 +105,20 @@
 	return true
 }
 
-// Replace makes another instance the current one; the previous one has departed.
-func (r *Roster) Replace(report Report) {
-	if r.current.Instance != "" && r.current.Instance != report.Instance {
-		r.departed.add(r.current.Instance)
+// Replace makes another instance the current one; the previous one has departed. It returns false and
+// changes nothing if the instance has departed itself.
+func (r *Roster) Replace(report Report) bool {
+	if r.departed.has(report.Instance) {
+		return false
 	}
-	report.Draining = report.Draining || r.leaving.has(report.Instance) || r.current.Draining && r.current.Instance == report.Instance
+	report.Draining = report.Draining || r.leaving.has(report.Instance)
+	if r.current.Instance == report.Instance {
+		r.update(report)
+		return true
+	}
+	r.departed.add(r.current.Instance)
 	r.current = report
+	return true
 }
 
 // Depart records that an instance has left for good and reports whether it was the current one.
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -344,8 +344,8 @@
 		l.updateGate()
 	}
 	l.mu.Unlock()
-	if verdict != roster.Stale && l.options.Departures != nil {
-		l.options.Departures.Confirm()
+	if verdict != roster.Stale {
+		l.confirm()
 	}
 	switch verdict {
 	case roster.Changed:
@@ -369,24 +369,35 @@
 	found, known := l.options.Identify(ctx)
 	l.mu.Lock()
 	previous := l.roster.Current().Instance
+	silent := l.options.Now()-l.lastHeartbeat > heartbeatTimeout || l.roster.Current().Draining
 	switch {
-	case known && found.Instance == report.Instance, !known && (l.options.Now()-l.lastHeartbeat > heartbeatTimeout || l.roster.Current().Draining):
-		l.roster.Replace(report)
-		l.lastHeartbeat = l.options.Now()
-		l.updateGate()
-	case !known:
+	case known && found.Instance != report.Instance:
+		l.mu.Unlock()
+		l.ignored(report, IgnoredConflict)
+		return nil
+	case !known && !silent:
 		l.mu.Unlock()
 		return failure.New(failure.Unavailable, "send the heartbeat again", "cannot determine which instance holds the target's address")
-	default:
+	case !l.roster.Replace(report): // it has left while it was identified
 		l.mu.Unlock()
-		l.ignored(report, IgnoredConflict)
+		l.ignored(report, IgnoredStale)
 		return nil
 	}
+	l.lastHeartbeat = l.options.Now()
+	l.updateGate()
 	l.mu.Unlock()
+	l.confirm()
 	l.options.OnChange(Change{Source: SourceHeartbeat, Departed: previous})
 	return nil
 }
 
+// confirm reports that a heartbeat of the instance at the address has arrived.
+func (l *Local) confirm() {
+	if l.options.Departures != nil {
+		l.options.Departures.Confirm()
+	}
+}
+
 // SetIdentified sets the target from an identification response if no heartbeat has arrived yet.
 func (l *Local) SetIdentified(report roster.Report) {
 	l.awaitDepartures()
--- a/internal/sidecar/target/target_test.go
+++ b/internal/sidecar/target/target_test.go
@@ -120,3 +120,39 @@
 		g.Expect(gate.State().RateLimit).To(Equal(rate))
 	}
 }
+
+// An instance that deregisters while it is being identified must not be admitted afterwards.
+func TestDepartureDuringIdentificationIsKept(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		announce func(target *Local)
+	}{
+		{"deregistered", func(target *Local) { _ = target.Leave("new") }},
+		{"draining", func(target *Local) {
+			_ = target.Heartbeat(roster.Report{Instance: "new", Service: "s", Slots: 10, Sequence: 2, Draining: true})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var target *Local
+			identifying := false
+			target = New(Options{
+				Now: func() time.Duration { return time.Second }, OnChange: func(Change) {},
+				NewLink: func() *targetlink.Link { return targetlink.New(targetlink.Options{}) },
+				Identify: func(context.Context) (roster.Report, bool) {
+					if !identifying {
+						identifying = true
+						tc.announce(target)
+					}
+					return roster.Report{Instance: "new", Service: "s", Slots: 10}, true
+				},
+			})
+			g.Expect(target.Heartbeat(roster.Report{Instance: "old", Service: "s", Slots: 10, Sequence: 1})).To(Succeed())
+			g.Expect(target.Heartbeat(roster.Report{Instance: "new", Service: "s", Slots: 10, Sequence: 1})).To(Succeed())
+			if gate := target.Current(); gate != nil && gate.Instance == "new" {
+				_, draining := gate.Load()
+				g.Expect(draining).To(BeTrue())
+			}
+		})
+	}
+}
