Refuse admitted requests that still wait for a connection when their target leaves

What callers would see: a request reaches a target up to 3 s after its announcement was acknowledged.

Cause: the gate decides when a request is admitted. The request may then wait for a connection, on a real network for seconds if the target's accept queue is full and the opening packet is repeated. Nothing looked at the gate again before the first byte.

Change: a request is abandoned when the gate drains before it has a connection, or between that and the first byte, and refused as not run, so that it goes to another target at once. The counter of requests sent to the target leaves these out.

Evidence: the simulated network can delay new connections to an address.

Not covered: a request whose bytes lie in the target's socket buffer before it announces that it leaves.

--- a/internal/sidecar/arrival/send.go
+++ b/internal/sidecar/arrival/send.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 	"github.com/landingmast/landingmast/internal/core/outcome"
+	"github.com/landingmast/landingmast/internal/core/slots"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
 	"github.com/landingmast/landingmast/internal/sidecar/reply"
 	"github.com/landingmast/landingmast/internal/sidecar/target"
@@ -29,13 +30,13 @@
 		header.Set(names.Tenant, call.Tenant)
 	}
 	sentAt := i.options.Now()
-	i.options.Metrics.TargetRequests.WithLabelValues(i.senderLabel(call)).Inc()
 	answer, err := gate.Link.Do(ctx, &targetlink.Request{
 		ID: call.RequestID, Method: call.Method, URI: call.URI, Host: call.Host, Header: header,
 		Body: body.Data, Stream: body.Stream, Length: body.Length,
-		BeforeSend: func() error {
+		Abandon: gate.Drained(),
+		BeforeSend: func() {
 			req.connected = i.options.Now() - sentAt
-			return nil
+			i.options.Metrics.TargetRequests.WithLabelValues(i.senderLabel(call)).Inc()
 		},
 	})
 	if err != nil {
@@ -47,6 +48,8 @@
 
 func (i *Ingress) classifyError(ctx context.Context, gate *target.Gate, req *request, err error) *reply.Reply {
 	switch {
+	case errors.Is(err, targetlink.ErrAbandoned):
+		return reply.NotRun(outcome.Reason(slots.ReasonDraining))
 	case errors.Is(err, targetlink.ErrNotSent):
 		i.handleUnreachable(gate, err)
 		return reply.NotRun(outcome.ReasonUnreachable)
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -121,6 +121,9 @@
 
 	holdersDueAt atomic.Int64 // ns; see DueHolders
 
+	drained   chan struct{} // closed by drain
+	drainOnce sync.Once
+
 	Unanswered Unanswered // runs without a response
 }
 
@@ -136,7 +139,7 @@
 func newGate(now func() time.Duration, report roster.Report, link *targetlink.Link) *Gate {
 	return &Gate{
 		now: now, Instance: report.Instance, Service: report.Service, Link: link,
-		core: slots.New(report.Slots), stated: ratelimit.NewStated(), waiting: map[uint64]chan slots.Decision{}, Unanswered: Unanswered{suspectSlot: make(chan struct{}, 1)},
+		core: slots.New(report.Slots), stated: ratelimit.NewStated(), waiting: map[uint64]chan slots.Decision{}, drained: make(chan struct{}), Unanswered: Unanswered{suspectSlot: make(chan struct{}, 1)},
 	}
 }
 
@@ -211,8 +214,12 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	g.apply(now, g.core.Drain(now))
+	g.drainOnce.Do(func() { close(g.drained) })
 }
 
+// Drained returns a channel that is closed when the target accepts no new requests.
+func (g *Gate) Drained() <-chan struct{} { return g.drained }
+
 // Load returns the load of the target and whether it is draining.
 func (g *Gate) Load() (slots.Load, bool) {
 	g.mu.Lock()
--- a/internal/sidecar/targetlink/link.go
+++ b/internal/sidecar/targetlink/link.go
@@ -25,6 +25,8 @@
 const (
 	// ErrNotSent means that no connection could be opened and nothing was sent.
 	ErrNotSent = errors.ConstError("no connection to the target (remedy: check that it is listening)")
+	// ErrAbandoned means that the request was abandoned while it waited for a connection: nothing was sent.
+	ErrAbandoned = errors.ConstError("request was abandoned before it was sent (remedy: send it to another target)")
 	// ErrNoResponse means that the connection failed before a response: the request may have run.
 	ErrNoResponse = errors.ConstError("connection to the target failed before a response (remedy: none; the request may have run)")
 	// ErrInvalidResponse means that the response is invalid or not for this request: the request
@@ -42,9 +44,10 @@
 	Body   []byte      // complete body, if Stream is nil
 	Stream io.Reader   // streamed body
 	Length int64       // length of Stream; -1 if unknown
-	// BeforeSend is called when there is a connection. If it returns an error, nothing is sent and Do
-	// returns that error with type ErrNotSent. It may be nil.
-	BeforeSend func() error
+	// Abandon ends the wait for a connection when it is closed; Do then returns ErrAbandoned. It may be nil.
+	Abandon <-chan struct{}
+	// BeforeSend is called when there is a connection, unless the request is abandoned. It may be nil.
+	BeforeSend func()
 }
 
 // Response is a response. Body must be closed.
@@ -122,15 +125,18 @@
 // Do sends a request and reads the response headers. Cancellation of ctx closes the
 // connection, also while the response body is read.
 func (l *Link) Do(ctx context.Context, request *Request) (*Response, error) {
-	conn, err := l.acquire(ctx)
-	if err != nil {
+	conn, err := l.acquire(ctx, request.Abandon)
+	switch {
+	case isClosed(request.Abandon):
+		if err == nil {
+			_ = conn.Close()
+		}
+		return nil, ErrAbandoned
+	case err != nil:
 		return nil, errors.WithType(err, ErrNotSent)
 	}
 	if request.BeforeSend != nil {
-		if err := request.BeforeSend(); err != nil {
-			l.putIdle(conn, defaultIdleTimeout)
-			return nil, errors.WithType(err, ErrNotSent)
-		}
+		request.BeforeSend()
 	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	done, err := conn.send(request)
@@ -173,8 +179,18 @@
 	return defaultIdleTimeout
 }
 
-// acquire returns an open idle connection, or a new one.
-func (l *Link) acquire(ctx context.Context) (*connection, error) {
+// isClosed reports whether a channel is closed; nil is not.
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
+// acquire returns an open idle connection, or a new one unless abandon is closed before it is open.
+func (l *Link) acquire(ctx context.Context, abandon <-chan struct{}) (*connection, error) {
 	for {
 		conn := l.takeIdle()
 		if conn == nil {
@@ -185,6 +201,18 @@
 		}
 		_ = conn.Close()
 	}
+	if abandon == nil {
+		return l.dial(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-abandon:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	return l.dial(ctx)
 }
 
--- a/internal/sidecar/targetlink/link_test.go
+++ b/internal/sidecar/targetlink/link_test.go
@@ -218,3 +218,45 @@
 	stopped := New(Options{Address: listener.Addr().String(), EchoHeader: echo})
 	g.Expect(errors.Is(stopped.Probe(context.Background()), syscall.ECONNREFUSED)).To(BeTrue())
 }
+
+// A request must not be sent once it is abandoned, whether its connection is still being opened or
+// comes from the pool.
+func TestAbandonedRequestIsNotSent(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		idle bool // a connection is idle
+	}{
+		{"waits for a connection", false},
+		{"idle connection", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var received atomic.Int32
+			link, _ := startTarget(t, func(_ net.Conn, reader *bufio.Reader) {
+				if readRequestID(reader) != "" {
+					received.Add(1)
+				}
+			})
+			dialing, abandon := make(chan struct{}), make(chan struct{})
+			if tc.idle {
+				g.Expect(link.Probe(t.Context())).To(Succeed())
+				close(abandon)
+			} else {
+				link.options.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+					close(dialing)
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				go func() { <-dialing; close(abandon) }()
+			}
+			request := newRequest("r1")
+			request.Abandon = abandon
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := link.Do(ctx, request)
+			g.Expect(errors.Is(err, ErrAbandoned)).To(BeTrue())
+			g.Expect(ctx.Err()).NotTo(HaveOccurred())
+			g.Consistently(received.Load, 50*time.Millisecond).Should(BeZero())
+		})
+	}
+}
--- a/internal/testbed/fleet/leaving_test.go
+++ b/internal/testbed/fleet/leaving_test.go
@@ -128,3 +128,30 @@
 		}
 	}
 }
+
+// A request that is admitted before its target announces that it leaves must not reach it seconds
+// later. Guards against requests that wait for a connection meanwhile.
+func TestRequestThatWaitsForAConnectionIsNotSentToALeavingTarget(t *testing.T) {
+	for _, tc := range leavings {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			plan := deployment.ThreeTier()
+			for index := range plan.Routes {
+				plan.Routes[index].Timeout, plan.Routes[index].Deadline = 5*time.Second, 6*time.Second
+			}
+			mesh := runMesh(t, plan, 10*time.Second, func(mesh *testbed.Mesh) {
+				time.Sleep(2 * time.Second)
+				leaving := targetsOf(mesh, "front")[:2]
+				for _, machine := range leaving {
+					mesh.Network.DelayAccepts(machine.Target.Address, 3*time.Second)
+					mesh.Network.ResetTo(machine.Target.Address)
+				}
+				time.Sleep(600 * time.Millisecond)
+				go tc.leave(leaving[0])
+				tc.leave(leaving[1])
+			})
+			g.Expect(mesh.Judge.Violations()).To(BeEmpty())
+		})
+	}
+}
--- a/internal/testbed/memnet/memnet.go
+++ b/internal/testbed/memnet/memnet.go
@@ -16,9 +16,10 @@
 type Network struct {
 	delay        func(from, to string) time.Duration
 	mu           sync.Mutex
-	listeners    map[string]*listener // by IP:port
-	blockedLinks map[direction]bool   // links that deliver nothing
-	isolated     map[string]bool      // hosts that neither send nor receive
+	listeners    map[string]*listener     // by IP:port
+	blockedLinks map[direction]bool       // links that deliver nothing
+	isolated     map[string]bool          // hosts that neither send nor receive
+	acceptDelays map[string]time.Duration // added to new connections, by address
 	conns        map[*conn]bool
 	nextPort     int
 	closed       bool
@@ -29,7 +30,7 @@
 
 // New returns a network. delay returns the one-way latency between two hosts.
 func New(delay func(from, to string) time.Duration) *Network {
-	return &Network{delay: delay, listeners: map[string]*listener{}, blockedLinks: map[direction]bool{}, isolated: map[string]bool{}, conns: map[*conn]bool{}, nextPort: 30000}
+	return &Network{delay: delay, listeners: map[string]*listener{}, blockedLinks: map[direction]bool{}, isolated: map[string]bool{}, acceptDelays: map[string]time.Duration{}, conns: map[*conn]bool{}, nextPort: 30000}
 }
 
 // address is an IP:port.
@@ -112,7 +113,7 @@
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: address(to), Err: err}
 		}
 	}
-	if err := sleep(ctx, 2*n.delay(from, host)); err != nil {
+	if err := sleep(ctx, 2*n.delay(from, host)+n.acceptDelay(to)); err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: address(to), Err: err}
 	}
 	n.mu.Lock()
@@ -132,6 +133,20 @@
 	}
 }
 
+// DelayAccepts delays new connections to an address, as a full accept queue does, whose clients repeat
+// the opening packet after seconds.
+func (n *Network) DelayAccepts(to string, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.acceptDelays[to] = delay
+}
+
+func (n *Network) acceptDelay(to string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.acceptDelays[to]
+}
+
 // sleep waits for the given time or until ctx is done.
 func sleep(ctx context.Context, span time.Duration) error {
 	timer := time.NewTimer(span)
@@ -195,6 +210,15 @@
 	}
 }
 
+// ResetTo resets the connections to an address.
+func (n *Network) ResetTo(to string) {
+	for _, end := range n.connsOf("") {
+		if end.remote == address(to) {
+			end.reset()
+		}
+	}
+}
+
 // connsOf returns the connection endpoints on a host; an empty host selects all.
 func (n *Network) connsOf(host string) []*conn {
 	n.mu.Lock()
