--- a/internal/testbed/fleet/alone_test.go
+++ b/internal/testbed/fleet/alone_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,7 +55,7 @@
 // srv_grey_shed case also guards against routing that ignores declined requests; see
 // docs/incidents/declining-target.md.
 func TestEveryTroubleAlone(t *testing.T) {
-	for _, kind := range append(trouble.All(), trouble.Statements()...) {
+	for _, kind := range slices.Concat(trouble.All(), trouble.Statements(), trouble.Departures(trouble.KillOrStop, trouble.MinServe)) {
 		t.Run(kind.Name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
--- a/internal/testbed/soak/troubles.go
+++ b/internal/testbed/soak/troubles.go
@@ -46,6 +46,7 @@
 		})
 	}
 	actors.Go(func() { s.runStatements(ctx, rand.New(rand.NewPCG(seed, statementActor))) })
+	actors.Go(func() { s.runDepartures(ctx, rand.New(rand.NewPCG(seed, departureActor))) })
 	actors.Wait()
 	clients.Wait()
 	names := make([]string, 0, len(counts))
@@ -69,6 +70,44 @@
 	}
 }
 
+// departureActor is the random stream of runDepartures.
+const departureActor = 2 << 32
+
+// minServe is how long a leaving target serves on at least, which exceeds what the judge allows for
+// after a disturbance.
+const minServe = testbed.DrainGracePeriod + judge.FaultRecovery + lateTolerance + time.Second
+
+// runDepartures has targets leave while their nodes are restarted or suspended, beside the other faults.
+func (s *soak) runDepartures(ctx context.Context, random *rand.Rand) {
+	kinds := trouble.Departures(s.disturbNode, minServe)
+	for ctx.Err() == nil {
+		kinds[random.IntN(len(kinds))].Inject(s.mesh, random)
+		time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+	}
+}
+
+// disturbNode kills, stops or suspends the node of a machine, unless another fault holds the machine.
+func (s *soak) disturbNode(machine *testbed.Machine, random *rand.Rand) {
+	way, span := random.IntN(4), time.Duration(random.IntN(2000))*time.Millisecond
+	release, reserved := s.reserve(machine)
+	if !reserved {
+		return
+	}
+	defer release()
+	over := s.reportDisturbed(machine)
+	defer over()
+	switch way {
+	case 0:
+		machine.Stop()
+		restart(machine)
+	case 1:
+		s.pause(machine, span)
+	default:
+		machine.Kill()
+		restart(machine)
+	}
+}
+
 // readyTimeout is how long machines may take to become ready after the last fault.
 const readyTimeout = 20 * time.Second
 
--- a/internal/testbed/trouble/scenario.go
+++ b/internal/testbed/trouble/scenario.go
@@ -20,6 +20,8 @@
 	Harmful []harmfulRequest
 	// Statements are faults that overlap with Faults.
 	Statements []ScheduledFault
+	// Departures are faults that overlap with Faults.
+	Departures []ScheduledFault
 	Duration   time.Duration // how long clients send requests
 }
 
@@ -51,6 +53,7 @@
 	}
 	day.drawHarmful(rand.New(rand.NewPCG(seed, 8)))
 	day.drawStatements(rand.New(rand.NewPCG(seed, 9)))
+	day.drawDepartures(rand.New(rand.NewPCG(seed, 10)))
 	return day
 }
 
@@ -84,6 +87,16 @@
 	}
 }
 
+// drawDepartures generates zero to two faults of targets that leave.
+func (s *Scenario) drawDepartures(random *rand.Rand) {
+	all := Departures(KillOrStop, MinServe)
+	for range random.IntN(3) {
+		s.Departures = append(s.Departures, ScheduledFault{
+			Start: time.Duration(random.Int64N(int64(scenarioDuration / 2))), Kind: all[random.IntN(len(all))],
+		})
+	}
+}
+
 // sendHarmful repeatedly sends a harmful request for the given time.
 func sendHarmful(m *testbed.Mesh, number int, req harmfulRequest, span time.Duration) {
 	route := m.Plan.Routes[req.route]
@@ -151,6 +164,14 @@
 			statement.Inject(mesh, rand.New(rand.NewPCG(s.Seed, uint64(len(s.Faults)+index))))
 		})
 	}
+	for index, departure := range s.Departures {
+		group.Go(func() {
+			time.Sleep(departure.Start)
+			semaphore <- struct{}{}
+			defer func() { <-semaphore }()
+			departure.Inject(mesh, rand.New(rand.NewPCG(s.Seed, uint64(len(s.Faults)+len(s.Statements)+index))))
+		})
+	}
 	for number, harmful := range s.Harmful {
 		group.Go(func() { sendHarmful(mesh, number, harmful, s.Duration) })
 	}
@@ -164,6 +185,9 @@
 	for _, fault := range s.Faults {
 		text += fmt.Sprintf(" %s at %.1fs;", fault.Name, fault.Start.Seconds())
 	}
+	for _, departure := range s.Departures {
+		text += fmt.Sprintf(" %s at %.1fs;", departure.Name, departure.Start.Seconds())
+	}
 	for _, statement := range s.Statements {
 		text += fmt.Sprintf(" %s at %.1fs;", statement.Name, statement.Start.Seconds())
 	}
