Test that a stated leaving outlives a restart of all nodes

A target that states in its responses that it leaves, while its heartbeats report ready, was used again when the memory of all nodes was gone.

--- a/internal/testbed/fleet/leaving_test.go
+++ b/internal/testbed/fleet/leaving_test.go
@@ -155,3 +155,22 @@
 		})
 	}
 }
+
+// What a target has stated in its responses must outlive all processes too, although its heartbeats still
+// report that it is ready.
+func TestStatedLeavingOutlivesARestartOfAllNodes(t *testing.T) {
+	g := NewWithT(t)
+	received := 0
+	mesh := runMesh(t, deployment.ThreeTier(), 14*time.Second, func(mesh *testbed.Mesh) {
+		time.Sleep(2 * time.Second)
+		leaving := targetsOf(mesh, "deep")[0].Target
+		go leaving.Leave(10 * time.Second)
+		time.Sleep(4 * time.Second)
+		testbed.KillAndRestart(mesh.Machines)
+		before := leaving.Requests()
+		time.Sleep(5 * time.Second)
+		received = leaving.Requests() - before
+	})
+	g.Expect(mesh.Judge.Violations()).To(BeEmpty())
+	g.Expect(received).To(BeZero())
+}
