--- a/internal/testbed/fleet/judges_test.go
+++ b/internal/testbed/fleet/judges_test.go
@@ -65,6 +65,23 @@
 			mesh.Judge.Restarted("10.1.0.1")
 			sendToStating(mesh.Judge, judge.Statement{}, 0, 1)
 		}},
+		{"a request soon after the drain of its target was acknowledged", "", func(mesh *testbed.Mesh) {
+			reachDraining(mesh.Judge, testbed.DrainGracePeriod, false)
+		}},
+		{"a request after the drain of its target was acknowledged", "DRAIN", func(mesh *testbed.Mesh) {
+			reachDraining(mesh.Judge, testbed.DrainGracePeriod+time.Millisecond, false)
+		}},
+		{"the same, after its node was restarted", "DRAIN", func(mesh *testbed.Mesh) {
+			reachDraining(mesh.Judge, testbed.DrainGracePeriod+time.Millisecond, true)
+		}},
+		{"the same, where the node is of an earlier release", "", func(mesh *testbed.Mesh) {
+			mesh.Judge.ForgetsDepartures("10.1.0.2")
+			reachDraining(mesh.Judge, testbed.DrainGracePeriod+time.Millisecond, true)
+		}},
+		{"a node of an earlier release that was not restarted", "DRAIN", func(mesh *testbed.Mesh) {
+			mesh.Judge.ForgetsDepartures("10.1.0.2")
+			reachDraining(mesh.Judge, testbed.DrainGracePeriod+time.Millisecond, false)
+		}},
 		{"a configuration that no watch delivers", "CONFIG", func(mesh *testbed.Mesh) {
 			mesh.Store.HideEvents()
 			mesh.Configure(nil)
@@ -132,6 +149,18 @@
 	}
 }
 
+// reachDraining reports a request that reaches a target a while after its drain was acknowledged.
+func reachDraining(j *judge.Judge, wait time.Duration, restarted bool) {
+	at := judge.Endpoint{Service: "deep", IP: "10.1.0.2", Instance: "i-draining"}
+	j.Draining(at.Instance)
+	time.Sleep(wait)
+	if restarted {
+		j.Restarted(at.IP)
+	}
+	j.Expect("late", "10.1.0.1", "/deep/x", "deep", "front", false, 1)
+	j.RunStarted(at, newRequest("/deep/x", "late"), nil)
+}
+
 // newRequest returns a request as a target receives it.
 func newRequest(path, id string) *http.Request {
 	request, _ := http.ReadRequest(bufio.NewReader(strings.NewReader("GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nX-Caller-Service: front\r\n\r\n")))
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -79,6 +79,11 @@
 	}
 	defer closeAll()
 	soak.mesh = mesh
+	for _, machine := range mesh.Machines {
+		if soak.runsPrevious(machine.Index) {
+			mesh.Judge.ForgetsDepartures(machine.IP)
+		}
+	}
 	mesh.Judge.LateTolerance = lateTolerance
 	time.Sleep(testbed.StartupTime)
 	injected := soak.runFaults(*soakFor, seed, *soakActors)
