--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -74,7 +74,7 @@
 
 func (r *Roster) update(report Report) Result {
 	if report.Sequence <= r.current.Sequence && r.current.Sequence > 0 {
-		if report.Draining && r.MarkDraining(report.Instance) {
+		if report.Draining && r.MarkLeaving(report.Instance) {
 			return Changed // draining is final, whenever it arrives
 		}
 		return Stale
@@ -92,12 +92,6 @@
 // not, and reports whether the state of the current one changes.
 func (r *Roster) MarkLeaving(instance string) bool {
 	r.leaving.add(instance)
-	return r.MarkDraining(instance)
-}
-
-// MarkDraining records that an instance is draining, and reports whether it is the current one and
-// this was not known.
-func (r *Roster) MarkDraining(instance string) bool {
 	if instance == "" || r.current.Instance != instance || r.current.Draining {
 		return false
 	}
--- a/internal/sidecar/target/state.go
+++ b/internal/sidecar/target/state.go
@@ -92,7 +92,7 @@
 // heartbeat of a draining target. It reports whether this was not known.
 func (l *Local) MarkLeaving(instance string) bool {
 	l.mu.Lock()
-	marked := l.roster.MarkDraining(instance)
+	marked := l.roster.MarkLeaving(instance)
 	if marked {
 		l.updateGate()
 	}
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -24,9 +24,6 @@
 	soakFolder   = flag.String("soak.folder", "", "directory for settings and logs; empty: kept only when a run fails")
 )
 
-// lateTolerance is added to time limits, because all processes of a run share the CPU of one host.
-const lateTolerance = 3 * time.Second
-
 // Real landingmastd processes must keep the rules under concurrent seeded faults and serve requests
 // normally afterwards.
 func TestSoak(t *testing.T) {
--- a/internal/testbed/soak/troubles.go
+++ b/internal/testbed/soak/troubles.go
@@ -70,6 +70,9 @@
 	}
 }
 
+// lateTolerance is added to time limits, because all processes of a run share the CPU of one host.
+const lateTolerance = 3 * time.Second
+
 // departureActor is the random stream of runDepartures.
 const departureActor = 2 << 32
 
