Test clock that timers of a gate may read

The gate's queue is full at the end of that test, and its timer runs in real time, so that the race needs a process that is slower than 100 ms. Only tests change; what they check does not.

--- a/internal/sidecar/target/holders_test.go
+++ b/internal/sidecar/target/holders_test.go
@@ -13,14 +13,14 @@
 // begins must be stated without waiting for that long.
 func TestHoldersAreStatedInAShortageOnly(t *testing.T) {
 	g := NewWithT(t)
-	now := time.Second
-	local := newLocal(&now, false)
+	clock := newManualClock()
+	local := newLocal(clock, false)
 	g.Expect(local.Heartbeat(roster.Report{Instance: "new", Service: "s", Slots: 10, Sequence: 1})).To(Succeed())
 	gate := local.Current()
 	statedWithin := func(span time.Duration, arrive func()) (at []time.Duration) {
-		for end := now + span; now < end; now += 10 * time.Millisecond {
+		for end := clock.Now() + span; clock.Now() < end; clock.Advance(10 * time.Millisecond) {
 			if holders, due := gate.DueHolders(); due {
-				at = append(at, now)
+				at = append(at, clock.Now())
 				g.Expect(holders.Load.Offered).To(BeNumerically(">", scarceLoad))
 				g.Expect(holders.Routes).To(Equal([]slots.Holder{{Name: "read", Running: 9, Waiting: 72}}))
 				g.Expect(holders.Tenants).To(Equal([]slots.Holder{{Name: "t", Running: 9, Waiting: 72}}))
@@ -29,7 +29,9 @@
 		}
 		return at
 	}
-	request := func() *slots.Request { return &slots.Request{Class: "read", Tenant: "t", Deadline: now + time.Hour} }
+	request := func() *slots.Request {
+		return &slots.Request{Class: "read", Tenant: "t", Deadline: clock.Now() + time.Hour}
+	}
 	quiet := func() { // 20 ms are assumed for each: 0.2 of what 9 slots provide
 		served := request()
 		gate.submit(served)
@@ -39,7 +41,7 @@
 	for range 9 + 72 { // fill the slots and the queue
 		gate.submit(request())
 	}
-	began := now
+	began := clock.Now()
 	stated := statedWithin(10*time.Second, func() {
 		for range 10 {
 			gate.submit(request())
--- a/internal/sidecar/target/target_test.go
+++ b/internal/sidecar/target/target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,9 +52,24 @@
 	}
 }
 
-func newLocal(now *time.Duration, restarted bool) *Local {
+// manualClock is a clock that only tests advance. The timers of a gate read it concurrently.
+type manualClock struct{ ns atomic.Int64 }
+
+func newManualClock() *manualClock {
+	clock := &manualClock{}
+	clock.Advance(time.Second)
+	return clock
+}
+
+// Now returns the time.
+func (c *manualClock) Now() time.Duration { return time.Duration(c.ns.Load()) }
+
+// Advance moves the clock forward.
+func (c *manualClock) Advance(span time.Duration) { c.ns.Add(int64(span)) }
+
+func newLocal(clock *manualClock, restarted bool) *Local {
 	return New(Options{
-		Now: func() time.Duration { return *now }, OnChange: func(Change) {}, Restarted: restarted,
+		Now: clock.Now, OnChange: func(Change) {}, Restarted: restarted,
 		NewLink: func() *targetlink.Link { return targetlink.New(targetlink.Options{}) },
 		Identify: func(context.Context) (roster.Report, bool) {
 			return roster.Report{Instance: "new", Service: "s", Slots: 10}, true
@@ -64,8 +80,8 @@
 // What an earlier instance at the address states must not change its successor.
 func TestLeavingOfAnEarlierInstanceIsIgnored(t *testing.T) {
 	g := NewWithT(t)
-	now := time.Second
-	target := newLocal(&now, false)
+	clock := newManualClock()
+	target := newLocal(clock, false)
 	g.Expect(target.Heartbeat(roster.Report{Instance: "old", Service: "s", Slots: 10, Sequence: 1})).To(Succeed())
 	g.Expect(target.Heartbeat(roster.Report{Instance: "new", Service: "s", Slots: 10, Sequence: 1})).To(Succeed())
 	g.Expect(target.MarkLeaving("old")).To(BeFalse())
@@ -78,8 +94,8 @@
 // A heartbeat that reports ready does not undo what the target's responses state.
 func TestHeartbeatDoesNotUndoLeaving(t *testing.T) {
 	g := NewWithT(t)
-	now := time.Second
-	target := newLocal(&now, false)
+	clock := newManualClock()
+	target := newLocal(clock, false)
 	for sequence := range int64(3) {
 		g.Expect(target.Heartbeat(roster.Report{Instance: "new", Service: "s", Slots: 10, Sequence: sequence + 1})).To(Succeed())
 		target.MarkLeaving("new")
@@ -91,14 +107,14 @@
 // A restarted node takes a rate from senders only until the target itself responds.
 func TestAdoptedRateGivesWayToTheTargets(t *testing.T) {
 	g := NewWithT(t)
-	now := time.Second
-	target := newLocal(&now, true)
+	clock := newManualClock()
+	target := newLocal(clock, true)
 	g.Expect(target.Heartbeat(roster.Report{Instance: "new", Service: "s", Slots: 10, Sequence: 1})).To(Succeed())
 	gate := target.Current()
 	g.Expect(gate.AdoptRate(3.6)).To(BeTrue())
 	g.Expect(gate.State().RateLimit).To(Equal(3.6))
-	now += time.Second
-	g.Expect(gate.ObserveRate(now-time.Millisecond, 8.9)).To(BeTrue())
+	clock.Advance(time.Second)
+	g.Expect(gate.ObserveRate(clock.Now()-time.Millisecond, 8.9)).To(BeTrue())
 	g.Expect(gate.AdoptRate(3.6)).To(BeFalse())
 	rate, _ := gate.RateLimit()
 	g.Expect(rate).To(Equal(8.9))
@@ -108,14 +124,14 @@
 // longer stated, since a response that stated it was passed on after the limit was lifted.
 func TestLiftedLimitIsTold(t *testing.T) {
 	g := NewWithT(t)
-	now := time.Second
-	target := newLocal(&now, false)
+	clock := newManualClock()
+	target := newLocal(clock, false)
 	g.Expect(target.Heartbeat(roster.Report{Instance: "new", Service: "s", Slots: 10, Sequence: 1})).To(Succeed())
 	gate := target.Current()
 	g.Expect(gate.State()).To(BeNil())
 	for _, rate := range []float64{3.6, ratelimit.Unlimited} {
-		now += time.Second
-		g.Expect(gate.ObserveRate(now-time.Millisecond, rate)).To(BeTrue())
+		clock.Advance(time.Second)
+		g.Expect(gate.ObserveRate(clock.Now()-time.Millisecond, rate)).To(BeTrue())
 		g.Expect(gate.State()).NotTo(BeNil())
 		g.Expect(gate.State().RateLimit).To(Equal(rate))
 	}
