Review: a planned stop closes connections of requests that wait

Cause: at the end of its grace a node closes its servers without an answer to requests that wait for a slot elsewhere.

--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -12,13 +12,12 @@
 	"time"
 )
 
-// clientTransport keeps connections for many requests, as some clients do.
+// clientTransport opens a connection for each request, so that it never sends one again by itself.
 var clientTransport = &http.Transport{
-	MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
-	DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	DisableKeepAlives: true, DisableCompression: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 }
 
-var errLeft = errors.New("the client left")
+var errNotAcknowledged = errors.New("the leaving of the target was not acknowledged")
 
 // send sends a request to a node's outbound address and reads the whole answer. The client leaves after
 // the timeout; X-Deadline-Ms says how long it waits.
@@ -34,7 +33,6 @@
 	if body == nil {
 		request.Body = nil
 	}
-	request.GetBody = nil // the transport must not send a request again by itself
 	request.Host = Host
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -15,7 +15,10 @@
 )
 
 var cases = map[string]func(w *World, trouble bool) (broken []string, err error){
-	"twice": playTwice,
+	"twice":   playTwice,
+	"leaving": playLeaving,
+	"stop":    playStop,
+	"foreign": playForeignBeat,
 }
 
 // note writes a line to the record and to standard output.
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -20,6 +20,7 @@
 	leases    map[int64]*lease
 	nextLease int64
 	changed   chan struct{}
+	down      bool
 }
 
 type item struct {
@@ -47,6 +48,9 @@
 	for range time.Tick(50 * time.Millisecond) {
 		s.mu.Lock()
 		for id, l := range s.leases {
+			if s.down { // leases wait while the store is down
+				l.ends = l.ends.Add(50 * time.Millisecond)
+			}
 			if time.Now().After(l.ends) {
 				s.endLease(id)
 			}
@@ -110,7 +114,26 @@
 	return keys
 }
 
+// SetDown makes the store answer 503 to every call; waiting watches are cut when it begins.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isDown() {
+		answer(w, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
 	path := r.URL.Path
 	switch {
 	case r.Method == http.MethodGet && path == "/-/kv-key":
@@ -190,6 +213,9 @@
 		}
 		select {
 		case <-changed:
+			if s.isDown() {
+				panic(http.ErrAbortHandler)
+			}
 		case <-timer.C:
 			answer(w, http.StatusOK, map[string]any{"events": found, "at": at})
 			return
