--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(w *World, trouble bool) (broken []string, err error){
 	"twice":   playTwice,
 	"leaving": playLeaving,
+	"chaos":   playChaos,
 	"stop":    playStop,
 	"foreign": playForeignBeat,
 }
--- a/review/standins/target.go
+++ b/review/standins/target.go
@@ -35,6 +35,9 @@
 	// CopyShare of the answers are sent a second time, after 10 to 40 ms ("garble", how "extra late").
 	CopyShare func() float64
 
+	// Chaos is the share of each of several faults.
+	Chaos float64
+
 	record *Record
 
 	mu       sync.Mutex
@@ -128,11 +131,47 @@
 		if err != nil {
 			return
 		}
+		if t.Chaos > 0 && request.ContentLength > 20000 && rand.Float64() < t.Chaos && request.Header.Get("X-Request-Id") != "" {
+			id := request.Header.Get("X-Request-Id")
+			t.record.Add("target %s rejects %s before it is in", t.ID, id)
+			_ = conn.send(message(http.StatusServiceUnavailable, id, "X-Not-Executed: 1\r\n", nil))
+			time.Sleep(200 * time.Millisecond)
+			rest, err := io.ReadAll(request.Body)
+			t.check(id, rest, err == nil)
+			if err != nil {
+				return
+			}
+			continue
+		}
 		body, err := io.ReadAll(request.Body)
+		t.check(request.Header.Get("X-Request-Id"), body, err == nil)
 		if err != nil {
 			return
 		}
-		if conn.send(t.answer(conn, request, body)) != nil {
+		answer := t.answer(conn, request, body)
+		if t.Chaos > 0 && bytes.Contains(answer, []byte("Signature")) {
+			switch draw := rand.Float64() / t.Chaos; {
+			case draw < 1:
+				return // the answer is lost
+			case draw < 2:
+				_ = conn.send(answer[:len(answer)-10])
+				return
+			case draw < 3:
+				_ = conn.send([]byte("\x00\x01 no answer\r\n\r\n"))
+				return
+			case draw < 4:
+				head, content, _ := bytes.Cut(answer, []byte("\r\n\r\n"))
+				lines := []string{}
+				for _, line := range strings.Split(string(head), "\r\n") {
+					if !strings.HasPrefix(line, "Content-Length") && !strings.HasPrefix(line, "Keep-Alive") {
+						lines = append(lines, line)
+					}
+				}
+				_ = conn.send(append([]byte(strings.Join(lines, "\r\n")+"\r\n\r\n"), content...))
+				return
+			}
+		}
+		if conn.send(answer) != nil {
 			return
 		}
 	}
@@ -180,6 +219,22 @@
 	return done
 }
 
+// check checks that the bytes of a body are those that the client with this id sends.
+func (t *Target) check(id string, body []byte, whole bool) {
+	for index := range body {
+		if id == "" || strings.Contains(id, "identify") || strings.Contains(id, "nobody") {
+			return
+		}
+		if body[index] != id[index%len(id)] {
+			t.record.Add("BODY target %s: %s has other bytes at %d of %d", t.ID, id, index, len(body))
+			return
+		}
+	}
+	if !whole {
+		t.record.Add("target %s: body of %s is incomplete", t.ID, id)
+	}
+}
+
 func signature(id string, status int, content []byte) string {
 	hash := fnv.New64a()
 	fmt.Fprintf(hash, "%s %d %s", id, status, content)
