Review: a burst of uploads to a slow target takes a node over its memory

Cause: a gate keeps the first 64 KB of each request that waits or runs, bounded by number (8 times the slots) and by an expected time that lags a target which turns slow, not by bytes; GOGC is 150 and there is no memory limit. Ruled out: what the machine does (nothing is disturbed there), the link (less than half is used), a stand-in that counts too much (resident memory, and up to 64 KB a connection of what has arrived and is not read).

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,6 +19,7 @@
 	"leaving": playLeaving,
 	"stop":    playStop,
 	"foreign": playForeignBeat,
+	"memory":  playMemory,
 }
 
 // note writes a line to the record and to standard output.
--- a/review/standins/target.go
+++ b/review/standins/target.go
@@ -38,7 +38,8 @@
 	running  int
 	sequence int64
 	state    string
-	silent   bool // sends no heartbeats of its own
+	slow     float64 // factor on the time of work; 0: none
+	silent   bool    // sends no heartbeats of its own
 	acked    bool
 	left     time.Time // when DELETE or draining was acknowledged; zero: not yet
 	runs     []Run
@@ -236,12 +237,24 @@
 		time.Sleep(min(d, left))
 		return d < left
 	}
+	t.mu.Lock()
+	if t.slow > 0 {
+		work.Time = time.Duration(t.slow * float64(work.Time))
+	}
+	t.mu.Unlock()
 	if !sleep(work.Time) {
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusOK
 }
 
+// SetSlow makes the target work so many times as long.
+func (t *Target) SetSlow(factor float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slow = factor
+}
+
 // Runs returns the runs so far.
 func (t *Target) Runs() []Run {
 	t.mu.Lock()
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -70,7 +70,7 @@
 	milliseconds := func(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) + "ms" }
 	serviceRows, routeRows := []map[string]any{}, []map[string]any{}
 	for _, service := range services {
-		serviceRows = append(serviceRows, map[string]any{"name": service, "health_path": "/health", "max_connections": 200})
+		serviceRows = append(serviceRows, map[string]any{"name": service, "health_path": "/health", "max_connections": 2368})
 	}
 	for _, route := range routes {
 		routeRows = append(routeRows, map[string]any{
