Bound the memory of request bodies by bytes

Cause: a node reads the first 64 KB of each request before the request waits at the gate. What waits is bounded by number, 8 times the slots, and by an expected wait that lags a target which turns slow. On top of that 64 KB a connection arrive and are not read, and growing buffers leave garbage that is collected late (GOGC 150).

Change: memory for a body is reserved before it is read, by its length, at most 128 KB: a quarter of `limits.memory_mb` for requests of other nodes, an eighth for those that begin at the node. Without room a request is refused: 503 no_memory, not run, with a Retry-After; from another node "not run", which counts as no capacity. The part that is buffered of a long body is allocated at once. The Go runtime keeps to 0.65 of the limit. The setting is filled by the platform, default 184.

--- a/cmd/landingmastd/sidecar.go
+++ b/cmd/landingmastd/sidecar.go
@@ -25,6 +25,10 @@
 // a lower value spends much of its CPU time on garbage collection.
 const sidecarGCPercent = 150
 
+// heapShare is the share of the memory limit that the Go runtime keeps to as long as it can. The rest is for
+// unread data of connections, which the system holds.
+const heapShare = 0.65
+
 // settingsPollInterval is how often the settings file is checked for changes that
 // no SIGHUP announces.
 const settingsPollInterval = time.Second
@@ -66,6 +70,7 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
+	debug.SetMemoryLimit(int64(heapShare * float64(loaded.Limits.Bytes())))
 	source, err := clock.NewSystem()
 	if err != nil {
 		return err
--- a/internal/core/outcome/target.go
+++ b/internal/core/outcome/target.go
@@ -34,7 +34,7 @@
 // NoCapacity reports whether the gate had no capacity in time.
 func (r Reason) NoCapacity() bool {
 	switch r {
-	case ReasonSuspectWaits, Reason(slots.ReasonTooLong), Reason(slots.ReasonFull), Reason(slots.ReasonExpired), ReasonRateLimited:
+	case ReasonSuspectWaits, Reason(slots.ReasonTooLong), Reason(slots.ReasonFull), Reason(slots.ReasonExpired), ReasonRateLimited, ReasonNoMemory:
 		return true
 	}
 	return false
--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -65,6 +65,13 @@
 		i.write(w, reply.NotRun(outcome.ReasonBadMessage), "")
 		return
 	}
+	held, reserved := i.options.Bodies.Reserve(r.ContentLength)
+	if !reserved {
+		w.DrainBody()
+		i.write(w, reply.NotRun(outcome.ReasonNoMemory), "")
+		return
+	}
+	defer i.options.Bodies.Release(held)
 	remaining := time.Duration(call.Remaining) * time.Microsecond
 	ctx, cancel := context.WithTimeout(r.Context(), remaining)
 	defer cancel()
--- a/internal/sidecar/arrival/options.go
+++ b/internal/sidecar/arrival/options.go
@@ -23,6 +23,7 @@
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
 	"github.com/landingmast/landingmast/internal/sidecar/metrics"
 	"github.com/landingmast/landingmast/internal/sidecar/quarantine"
+	"github.com/landingmast/landingmast/internal/sidecar/reply"
 	"github.com/landingmast/landingmast/internal/sidecar/target"
 )
 
@@ -68,6 +69,7 @@
 	Target       Target
 	States       StateReader
 	Quarantine   Quarantine
+	Bodies       *reply.Budget // of the bodies of other nodes' requests
 	Metrics      *metrics.Metrics
 	Events       *eventlog.Log
 	// Begin counts a request of another node as in flight until end is called. draining reports
--- a/internal/sidecar/entry/options.go
+++ b/internal/sidecar/entry/options.go
@@ -90,6 +90,7 @@
 	SyncWith      func(address string)            // synchronizes with a node that has no configuration
 	PolicyOn      func(m settings.Mechanism) bool // whether a mechanism is enabled
 	MaxWaitShare  func() float64                  // setting admission.max_wait_share
+	Bodies        *reply.Budget                   // of the bodies of requests that begin here
 	Metrics       *metrics.Metrics
 	Events        *eventlog.Log
 	// Begin counts a request as in flight until end is called. closing reports that the node is
--- a/internal/sidecar/entry/returning_test.go
+++ b/internal/sidecar/entry/returning_test.go
@@ -95,7 +95,7 @@
 func noGauges() metrics.Gauges {
 	zero := func() float64 { return 0 }
 	return metrics.Gauges{
-		Version: zero, Peers: zero, Slots: zero, Running: zero, Waiting: zero, StartWaiting: zero, StartOldestWait: zero, InFlight: zero, HeldBack: zero, RateLimit: zero, RateLimitAge: zero, Pace: zero,
+		Version: zero, Peers: zero, Slots: zero, Running: zero, Waiting: zero, StartWaiting: zero, StartOldestWait: zero, InFlight: zero, BodyBytes: zero, HeldBack: zero, RateLimit: zero, RateLimitAge: zero, Pace: zero,
 		StoreAge: zero, PipelinedRequests: zero, PipelinesAtLimit: zero, EachPrice: func(func(string, float64, float64)) {},
 	}
 }
--- a/internal/sidecar/entry/steps.go
+++ b/internal/sidecar/entry/steps.go
@@ -29,7 +29,8 @@
 //	identifyTenant  an unknown key, a key that cannot be       401 unknown_key, 503
 //	                verified, a call whose parent is gone      stale_configuration, parent_gone
 //	checkSize       a head or body over the configured limits  413 body_too_large, 431 head_too_large
-//	readBody        a body that does not arrive in time        408 cancelled, 413 body_too_large
+//	readBody        a body that does not arrive in time, or    408 cancelled, 413 body_too_large,
+//	                for which there is no memory               503 no_memory
 //	checkCrashes    content that crashed several targets       503 ends_targets
 //	checkQuota      a request over its tenant's limit          429 over_quota, 503 no_allowance
 //	admit           a share of new requests during overload    503 overload
@@ -121,6 +122,12 @@
 // readBody starts the request's timeout and reads its body, buffering all of it unless it is long.
 func (r *request) readBody() bool {
 	r.startTimeout()
+	held, reserved := r.options.Bodies.Reserve(r.incoming.ContentLength)
+	if !reserved {
+		r.reject(http.StatusServiceUnavailable, outcome.ReasonNoMemory, retryafter.Shed(r.clientTimeout()))
+		return false
+	}
+	r.onFinish(func() { r.options.Bodies.Release(held) })
 	if r.incoming.ContentLength != 0 {
 		_ = http.NewResponseController(r.writer).SetReadDeadline(time.Now().Add(r.timeout + bodyReadGrace))
 	}
--- a/internal/sidecar/metrics/bench_test.go
+++ b/internal/sidecar/metrics/bench_test.go
@@ -5,7 +5,7 @@
 func newBenchmarkMetrics() *Metrics {
 	zero := func() float64 { return 0 }
 	return New(Gauges{
-		Version: zero, Peers: zero, Slots: zero, Running: zero, Waiting: zero, InFlight: zero, HeldBack: zero, RateLimit: zero, RateLimitAge: zero,
+		Version: zero, Peers: zero, Slots: zero, Running: zero, Waiting: zero, InFlight: zero, BodyBytes: zero, HeldBack: zero, RateLimit: zero, RateLimitAge: zero,
 		StoreAge: zero, EachPrice: func(func(service string, price, offered float64)) {},
 	})
 }
--- a/internal/sidecar/metrics/metrics.go
+++ b/internal/sidecar/metrics/metrics.go
@@ -57,6 +57,8 @@
 // Gauges holds callbacks that are evaluated on each scrape.
 type Gauges struct {
 	Version, Peers, Slots, Running, Waiting, InFlight, HeldBack func() float64
+	// BodyBytes is the memory that is reserved for the bodies of requests.
+	BodyBytes func() float64
 	// RateLimit is the rate that the target states, in requests per second; -1: none. RateLimitAge is
 	// the time since its last response in seconds, while it states one; -1: it states none.
 	RateLimit, RateLimitAge func() float64
@@ -131,6 +133,7 @@
 		{"waiting", "Requests that wait for a slot.", gauges.Waiting},
 		{"start_waiting", "Requests that wait at the start of their call chains for admission by price.", gauges.StartWaiting},
 		{"start_oldest_wait_seconds", "Wait of the oldest of these requests; 0: none waits.", gauges.StartOldestWait},
+		{"body_bytes", "Memory reserved for the bodies of requests in progress.", gauges.BodyBytes},
 		{"in_flight", "Requests that the node is serving.", gauges.InFlight},
 		{"store_age_seconds", "Time since the store last answered.", gauges.StoreAge},
 		{"pipelines_at_limit", "Connections of clients whose requests ahead, or their answers, wait because of a limit.", gauges.PipelinesAtLimit},
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -34,6 +34,7 @@
 	"github.com/landingmast/landingmast/internal/sidecar/quarantine"
 	"github.com/landingmast/landingmast/internal/sidecar/quotas"
 	"github.com/landingmast/landingmast/internal/sidecar/registration"
+	"github.com/landingmast/landingmast/internal/sidecar/reply"
 	"github.com/landingmast/landingmast/internal/sidecar/revalidation"
 	"github.com/landingmast/landingmast/internal/sidecar/services"
 	"github.com/landingmast/landingmast/internal/sidecar/settings"
@@ -99,8 +100,10 @@
 	shutdown        shutdownState
 	requests        context.Context // of all requests; ends when the node ends those that are left at a shutdown
 	endRequests     context.CancelCauseFunc
-	inFlight        atomic.Int64 // requests of clients, the target and other nodes
-	clients         atomic.Int64 // requests of clients, included in inFlight
+	inFlight        atomic.Int64  // requests of clients, the target and other nodes
+	clients         atomic.Int64  // requests of clients, included in inFlight
+	ownBodies       *reply.Budget // for the bodies of requests that begin here
+	peerBodies      *reply.Budget // for those of other nodes
 	storeHealth     *storehealth.Health
 	servers         []*servers.Server
 	listeners       []net.Listener
@@ -122,6 +125,7 @@
 	}
 	n.requests, n.endRequests = context.WithCancelCause(context.Background())
 	n.currentSettings.Store(settings)
+	n.ownBodies, n.peerBodies = reply.NewBudget(settings.Limits.Bytes()/ownBodiesDivisor), reply.NewBudget(settings.Limits.Bytes()/peerBodiesDivisor)
 	n.events = eventlog.New(settings.Node, options.Output)
 	n.configuration = configuration.New(options.ParseIntent, n.events)
 	n.metrics = metrics.New(n.gauges())
@@ -156,6 +160,16 @@
 	return n, n.listen()
 }
 
+// Shares of the memory limit for the bodies of requests. Those of other nodes wait at the gate of the
+// target, which may be one of few for them.
+const (
+	ownBodiesDivisor  = 8
+	peerBodiesDivisor = 4
+)
+
+// BodyBytes returns the memory that is reserved for the bodies of requests.
+func (n *Node) BodyBytes() int64 { return n.ownBodies.Held() + n.peerBodies.Held() }
+
 // settings returns the settings in force.
 func (n *Node) settings() *settings.Settings { return n.currentSettings.Load() }
 
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -25,6 +25,7 @@
 		RateLimitAge: func() float64 { _, age := n.targetRateLimit(); return age },
 		Pace:         n.targetPace,
 		HeldBack:     func() float64 { return float64(n.heldBack.Count()) },
+		BodyBytes:    func() float64 { return float64(n.BodyBytes()) },
 		InFlight:     func() float64 { return float64(n.inFlight.Load()) },
 		StoreAge:     func() float64 { return n.storeHealth.Age().Seconds() },
 		PipelinedRequests: func() float64 {
--- a/internal/sidecar/options.go
+++ b/internal/sidecar/options.go
@@ -176,7 +176,7 @@
 func (n *Node) arrivalOptions() arrival.Options {
 	return arrival.Options{
 		Node: n.settings().Node, Incarnation: n.incarnation, Now: n.now, Headers: n.options.Headers, Version: n.configuration.Version,
-		Target: n.target, TenantWeight: n.tenantWeight, States: n.states, Quarantine: n.heldBack, Metrics: n.metrics, Events: n.events,
+		Target: n.target, TenantWeight: n.tenantWeight, States: n.states, Quarantine: n.heldBack, Bodies: n.peerBodies, Metrics: n.metrics, Events: n.events,
 		Begin: func(w http.ResponseWriter, r *http.Request) (*duplex.Writer, *http.Request, func(), bool) {
 			return n.beginRequest(w, r, n.shutdown.leaving.Load, &n.shutdown.rejectAll)
 		},
@@ -200,7 +200,7 @@
 	return entry.Options{
 		Node: n.settings().Node, Now: n.now, Headers: n.options.Headers, Caller: n.localService, Configuration: n.configuration, ConfigFresh: n.freshness.Fresh,
 		Ingress: n.ingress, Quarantine: n.heldBack, Quotas: n.quotas, Services: n.services, Admission: n.admission, Liveness: n.liveness,
-		PeerClient: n.peers, Members: n.membership, States: n.states, SyncWith: n.exchanger.SyncInBackground, PolicyOn: n.policyOn, MaxWaitShare: func() float64 { return n.settings().Admission.WaitShare() }, Metrics: n.metrics, Events: n.events,
+		PeerClient: n.peers, Members: n.membership, States: n.states, SyncWith: n.exchanger.SyncInBackground, PolicyOn: n.policyOn, Bodies: n.ownBodies, MaxWaitShare: func() float64 { return n.settings().Admission.WaitShare() }, Metrics: n.metrics, Events: n.events,
 		Begin: func(w http.ResponseWriter, r *http.Request) (*duplex.Writer, *http.Request, func(), bool) {
 			return n.beginRequest(w, r, func() bool { return n.shutdown.stopping.Load() && pipeline.MayClose(r.Context()) }, &n.shutdown.rejectClients)
 		},
--- a/internal/sidecar/reply/reply.go
+++ b/internal/sidecar/reply/reply.go
@@ -135,13 +135,26 @@
 		_, err = io.Copy(io.Discard, source)
 		return data, nil, err
 	}
-	data, err = io.ReadAll(io.LimitReader(source, MaxBuffered+1))
-	if err != nil || len(data) <= MaxBuffered {
+	if data, err = readPrefix(source, length); err != nil || len(data) <= MaxBuffered {
 		return data, nil, err
 	}
 	return data, io.MultiReader(bytes.NewReader(data), source), nil
 }
 
+// readPrefix reads MaxBuffered+1 bytes, or all if there are fewer.
+func readPrefix(source io.Reader, length int64) ([]byte, error) {
+	if length <= MaxBuffered {
+		return io.ReadAll(io.LimitReader(source, MaxBuffered+1))
+	}
+	// A single allocation of the exact size.
+	data := make([]byte, MaxBuffered+1)
+	n, err := io.ReadFull(source, data)
+	if n == 0 && err == io.EOF {
+		return nil, nil // a response to HEAD
+	}
+	return data[:n], err
+}
+
 // Result encodes the head of the reply.
 func (r *Reply) Result() *wire.SidecarResult {
 	length := int64(len(r.Body))
--- a/internal/sidecar/settings/settings.go
+++ b/internal/sidecar/settings/settings.go
@@ -28,6 +28,8 @@
 	Listen Listen `yaml:"listen"`
 	// Store is the key-value service for durable state.
 	Store Store `yaml:"store"`
+	// Limits holds the resources of the process.
+	Limits Limits `yaml:"limits"`
 	// Bounds holds the operators' drain and shutdown times.
 	Bounds Bounds `yaml:"bounds"`
 	// Retries limits retried requests.
@@ -74,6 +76,22 @@
 	ReadsPerSecond float64 `yaml:"reads_per_second"`
 }
 
+// Limits holds the resources of the process.
+type Limits struct {
+	// MemoryMB is the memory that the process may use, in megabytes (10^6 bytes); 32 to 1048576, default
+	// 184. Requests with bodies are refused when those in progress take three eighths of it.
+	MemoryMB int `yaml:"memory_mb"`
+}
+
+// Bytes returns the memory that the process may use.
+func (l Limits) Bytes() int64 { return int64(l.MemoryMB) * 1_000_000 }
+
+// Range of Limits.MemoryMB.
+const (
+	minMemoryMB = 32
+	maxMemoryMB = 1 << 20
+)
+
 // Bounds holds drain and shutdown times.
 type Bounds struct {
 	// Drain is how long a leaving target may still receive new requests after the acknowledgement;
@@ -150,6 +168,7 @@
 
 // Default values.
 const (
+	DefaultMemoryMB            = 184
 	DefaultLease               = 30 * time.Second
 	DefaultDrain               = 2 * time.Second
 	DefaultGrace               = 6 * time.Second
@@ -202,6 +221,9 @@
 	setDefaultDuration(&s.Retries.Window, DefaultRetryWindow)
 	setDefaultDuration(&s.Keys.Revoke, DefaultMaxConfigurationAge)
 	setDefaultDuration(&s.Quotas.Window, DefaultQuotaWindow)
+	if s.Limits.MemoryMB == 0 {
+		s.Limits.MemoryMB = DefaultMemoryMB
+	}
 	if s.Quotas.Overshoot == 0 {
 		s.Quotas.Overshoot = DefaultQuotaOvershoot
 	}
@@ -268,6 +290,9 @@
 			return invalidSetting(d.key, "use 100ms to 10m", "%s is out of range", value)
 		}
 	}
+	if s.Limits.MemoryMB < minMemoryMB || s.Limits.MemoryMB > maxMemoryMB {
+		return invalidSetting("limits.memory_mb", "use 32 to 1048576", "%d is out of range", s.Limits.MemoryMB)
+	}
 	if s.Retries.Ratio < 0 || s.Retries.Ratio > 1 {
 		return invalidSetting("retries.ratio", "use 0 to 1", "%g is out of range", s.Retries.Ratio)
 	}
--- a/internal/testbed/machine.go
+++ b/internal/testbed/machine.go
@@ -87,6 +87,13 @@
 	return m.node.Peers()
 }
 
+// BodyBytes returns the memory that the node has reserved for bodies. In-process nodes only.
+func (m *Machine) BodyBytes() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.BodyBytes()
+}
+
 // Ready reports whether the readiness endpoint of the node returns 200.
 func (m *Machine) Ready() bool {
 	prober := &http.Client{Transport: &http.Transport{DialContext: m.mesh.env.Network.Dialer(m.IP), DisableKeepAlives: true}, Timeout: time.Second}
