Read the routes of a mesh under its lock in faults

Only the testbed is concerned. Change: Mesh.Route reads a route under the lock that Configure holds.

--- a/internal/testbed/mesh.go
+++ b/internal/testbed/mesh.go
@@ -143,6 +143,13 @@
 	m.Clients.Load(m.ctx, routes, span)
 }
 
+// Route returns a route of the last published configuration, by its index.
+func (m *Mesh) Route(index int) deployment.Route {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Plan.Routes[index]
+}
+
 // Attempt sends a client request without an API key once.
 func (m *Mesh) Attempt(machine *Machine, route deployment.Route, uri string, deadline time.Time) {
 	m.Clients.Attempt(m.ctx, machine.origin(), route, uri, "", "", deadline)
--- a/internal/testbed/soak/troubles.go
+++ b/internal/testbed/soak/troubles.go
@@ -305,7 +305,7 @@
 	{"targets slow", meshFault(trouble.InjectTargetFaults(target.Faults{Slow: 5}, 0.2, 3*time.Second))},
 	{"targets decline", meshFault(trouble.InjectTargetFaults(target.Faults{RejectRequest: 0.4, DuplicateResponse: 0.2}, 0.2, 3*time.Second))},
 	{"harmful request", func(s *soak, random *rand.Rand) {
-		route := s.mesh.Plan.Routes[[]int{0, 1, 3}[random.IntN(3)]]
+		route := s.mesh.Route([]int{0, 1, 3}[random.IntN(3)])
 		path := fmt.Sprintf("%sharmful-%d", route.Prefix, random.IntN(1000))
 		s.mesh.AddCrashing(route, path)
 		for range 4 {
--- a/internal/testbed/trouble/scenario.go
+++ b/internal/testbed/trouble/scenario.go
@@ -99,11 +99,11 @@
 
 // sendHarmful repeatedly sends a harmful request for the given time.
 func sendHarmful(m *testbed.Mesh, number int, req harmfulRequest, span time.Duration) {
-	route := m.Plan.Routes[req.route]
+	route := m.Route(req.route)
 	path := fmt.Sprintf("%sharmful-%d", route.Prefix, number)
 	harmful, sent := path, path
 	if deepest := len(m.Plan.Services) - 1; req.viaCall && deepest > 0 {
-		route = m.Plan.Routes[0]
+		route = m.Route(0)
 		harmful, sent = fmt.Sprintf("/s%d/harmful-call", deepest), "/s0/chain"
 	}
 	m.AddCrashing(route, harmful)
