Refuse heartbeats that describe no target of this machine

Without a configuration all services are accepted, as before. A heartbeat of another writer that names another service of the configuration is still believed.

--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -33,3 +33,14 @@
 		wait.Sleep(ctx, configurationRetryInterval+time.Duration(rand.Int64N(int64(configurationRetryJitter))))
 	}
 }
+
+// knowsService reports whether a target here may belong to a service: the configuration in force names it,
+// or the settings do. Without a configuration any is possible.
+func (n *Node) knowsService(service string) bool {
+	current := n.configuration.Load()
+	if current == nil || service == n.settings().Target.Service {
+		return true
+	}
+	_, named := current.Services[service]
+	return named
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -152,7 +152,7 @@
 	n.target = target.New(target.Options{
 		Now: n.now, OnChange: n.targetChanged, OnIgnored: n.heartbeatIgnored, NewLink: n.newLink, Identify: n.identify, SkipDeadlineCheck: !n.policyOn(inTime),
 		Restarted:  !settings.FirstStart && n.policyOn(targetState),
-		Departures: n.departures,
+		Departures: n.departures, KnownService: n.knowsService,
 		OnReplaced: func(gate *target.Gate) { n.ingress.InstanceReplaced(gate) },
 	})
 	n.ingress = arrival.New(n.arrivalOptions())
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -82,7 +82,7 @@
 	n.membership.AnnounceLocalRecord()
 }
 
-// heartbeatIgnored logs a heartbeat that was acknowledged without effect.
+// heartbeatIgnored logs a heartbeat that has no effect.
 func (n *Node) heartbeatIgnored(report roster.Report, reason target.IgnoredReason) {
 	change := "heartbeat ignored"
 	if report.Draining {
--- a/internal/sidecar/target/target.go
+++ b/internal/sidecar/target/target.go
@@ -26,12 +26,14 @@
 	Identify func(ctx context.Context) (roster.Report, bool)
 	// OnChange is called when the target is replaced, leaves or changes.
 	OnChange func(Change)
-	// OnIgnored is called with a heartbeat that is acknowledged without effect; may be nil.
+	// OnIgnored is called with a heartbeat that has no effect; may be nil.
 	OnIgnored func(report roster.Report, reason IgnoredReason)
 	// OnReplaced is called with the gate of an instance that another one has replaced; may be nil.
 	OnReplaced func(gate *Gate)
 	// Departures keeps the instances that have announced that they leave; may be nil.
 	Departures Departures
+	// KnownService reports whether a target may belong to a service; nil: to any.
+	KnownService func(service string) bool
 	// SkipDeadlineCheck admits requests even if they cannot finish before their deadline.
 	SkipDeadlineCheck bool
 	// Restarted means that an earlier process of the node may have known what the target states.
@@ -67,13 +69,15 @@
 	SourceStore          Source = "store" // announced to an earlier process of the node
 )
 
-// IgnoredReason is why a heartbeat was acknowledged without effect.
+// IgnoredReason is why a heartbeat had no effect. It was acknowledged unless the reason says otherwise.
 type IgnoredReason string
 
 // Reasons for ignoring a heartbeat.
 const (
 	IgnoredStale    IgnoredReason = "stale"    // its instance has left, or a newer heartbeat has arrived
 	IgnoredConflict IgnoredReason = "conflict" // another instance holds the address
+	// IgnoredUnknownService: no configuration names its service. It is not acknowledged.
+	IgnoredUnknownService IgnoredReason = "unknown_service"
 )
 
 // Local is the local target of a node: its identity, gate and connections. It is safe for
@@ -126,6 +130,10 @@
 // Heartbeat processes a heartbeat. If it returns an error, the heartbeat must not be
 // acknowledged.
 func (l *Local) Heartbeat(report roster.Report) error {
+	if known := l.options.KnownService; known != nil && !known(report.Service) {
+		l.ignored(report, IgnoredUnknownService)
+		return failure.New(failure.Unavailable, "send the heartbeat again when a configuration names the service", "unknown service %q", report.Service)
+	}
 	l.awaitDepartures()
 	if err := l.applyHeartbeat(report); err != nil {
 		return err
--- a/internal/sidecar/target/target_test.go
+++ b/internal/sidecar/target/target_test.go
@@ -172,3 +172,27 @@
 		})
 	}
 }
+
+// Guards against believing a heartbeat of another writer: with the id of the target and a service that no
+// configuration names, it would make the node's calls carry that service.
+func TestHeartbeatWithUnknownServiceChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	var ignored []IgnoredReason
+	target := New(Options{
+		Now: func() time.Duration { return time.Second }, OnChange: func(Change) {},
+		NewLink:      func() *targetlink.Link { return targetlink.New(targetlink.Options{}) },
+		OnIgnored:    func(_ roster.Report, reason IgnoredReason) { ignored = append(ignored, reason) },
+		KnownService: func(service string) bool { return service == "s" },
+	})
+	own := roster.Report{Instance: "i", Service: "s", Slots: 10, Sequence: 1}
+	g.Expect(target.Heartbeat(own)).To(Succeed())
+	foreign := own
+	foreign.Service, foreign.Sequence = "foreign", 2
+	g.Expect(target.Heartbeat(foreign)).NotTo(Succeed())
+	report, _ := target.Report()
+	g.Expect(report).To(Equal(own))
+	g.Expect(target.Current().Service).To(Equal("s"))
+	g.Expect(ignored).To(Equal([]IgnoredReason{IgnoredUnknownService}))
+	own.Sequence = 2
+	g.Expect(target.Heartbeat(own)).To(Succeed())
+}
