Settings keep their memory limit until the next start; words

Cause: a reload took over `limits`, which act at the start only, and the pages did not say so. Measured: tests of internal/sidecar pass.

--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -146,7 +146,7 @@
 	Slots     int     `json:"slots" doc:"number of slots"`
 	Sequence  int64   `json:"sequence" doc:"sequence number of the heartbeat that reported it"`
 	RateLimit float64 `json:"rate_limit,omitempty" doc:"requests per second, if the change is limited"`
-	Source    string  `json:"source,omitempty" doc:"evidence of the change: heartbeat, identification (response to a health check), deregistration, replacement (another instance answered), response (header of a response to a request) store (announced to an earlier process of this node) or sender (a node that knew the rate limit when this one was restarted); for an ignored heartbeat why: stale (its instance has left, or a newer one has arrived) conflict (another instance holds the address) or unknown_service (no configuration names its service; not acknowledged)"`
+	Source    string  `json:"source,omitempty" doc:"evidence of the change: heartbeat, identification (response to a health check), deregistration, replacement (another instance answered), response (header of a response to a request) store (announced to an earlier process of this node) or sender (a node that knew the rate limit when this one was restarted); for an ignored heartbeat why: stale (its instance has left, or a newer one has arrived), conflict (another instance holds the address) or unknown_service (no configuration names its service; not acknowledged)"`
 	Error     string  `json:"error,omitempty" doc:"what is wrong with the state in its responses"`
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -98,7 +98,7 @@
 	states          *targetstate.Reader
 	liveness        *peer.Liveness
 	shutdown        shutdownState
-	requests        context.Context // of all requests; ends when the node ends those that are left at a shutdown
+	requests        context.Context // base of the contexts of all requests; ends with reply.ErrStopping
 	endRequests     context.CancelCauseFunc
 	inFlight        atomic.Int64  // requests of clients, the target and other nodes
 	clients         atomic.Int64  // requests of clients, included in inFlight
@@ -191,12 +191,13 @@
 	return s == nil || s.Policy.Enabled(m)
 }
 
-// Reload applies changed settings. Node name, zone, listen addresses, store, first start and policy
+// Reload applies changed settings. Node name, zone, listen addresses, store, limits, first start and policy
 // take effect only at the next start.
 func (n *Node) Reload(changed *settings.Settings) {
 	previous := n.settings()
 	merged := *changed
 	merged.Node, merged.Zone, merged.Listen, merged.Store, merged.FirstStart, merged.Policy = previous.Node, previous.Zone, previous.Listen, previous.Store, previous.FirstStart, previous.Policy
+	merged.Limits = previous.Limits
 	n.currentSettings.Store(&merged)
 	n.services.SetBudget(budget(&merged))
 	n.events.Add(eventlog.Node{Change: "reloaded", Incarnation: n.incarnation}, eventlog.State)
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -19,10 +19,10 @@
 type shutdownState struct {
 	stopping      atomic.Bool // not ready, but all requests are served
 	rejectClients atomic.Bool // client requests are rejected; calls made by running requests are served
-	closeClients  atomic.Bool // client requests are not sent any more
+	closeClients  atomic.Bool // client requests are not sent to targets any more
 	leaving       atomic.Bool // other nodes are told to stop sending requests
 	rejectAll     atomic.Bool // requests of other nodes are rejected too
-	closeCalls    atomic.Bool // calls made by running requests are not sent any more
+	closeCalls    atomic.Bool // calls made by running requests are not sent to targets any more
 }
 
 // closedTo reports whether client requests, or calls made by running requests, are not sent any more.
@@ -42,7 +42,7 @@
 	answerReserve     = 700 * time.Millisecond  // for the responses to requests that still run
 	exitReserve       = 500 * time.Millisecond  // for process exit
 	drainPollInterval = 10 * time.Millisecond
-	withdrawInterval  = 200 * time.Millisecond // between withdrawals, which other nodes answer in time
+	withdrawInterval  = 200 * time.Millisecond // between withdrawals; also their timeout
 )
 
 // beginRequest counts a request as in flight until end is called, and returns the response writer
