Limit the interim responses of a target

Callers waited until their deadline, and the node read all the while, when a target sent interim responses (1xx) without end.

Cause: the limit of a response's head started anew with each interim response.

Evidence: the link read 100 and 103 responses for the 2 s that its caller gave it.

Change: one limit of 64 KiB holds for the final response and the interim ones before it. Interim responses that come slowly, as for progress, still may come until the deadline.

Measured: TestEndlessResponsesAreRejected failed before in the two cases of interim responses (2.0 s, bound 1 s), and passes; the other cases were handled before and stay as tests.

--- a/internal/sidecar/targetlink/link.go
+++ b/internal/sidecar/targetlink/link.go
@@ -89,7 +89,7 @@
 	bufferSize             = 4 << 10
 	maxStaleResponses      = 4        // stale responses discarded per request
 	maxStaleBodyBytes      = 64 << 10 // body bytes read of each stale response
-	maxResponseHeaderBytes = 64 << 10
+	maxResponseHeaderBytes = 64 << 10 // of a response and the interim responses before it
 )
 
 // New returns a Link.
@@ -405,7 +405,7 @@
 	}
 	for stale := 0; stale <= maxStaleResponses; {
 		conn.headerLimit.remaining = maxResponseHeaderBytes
-		response, err := http.ReadResponse(conn.reader, httpRequest)
+		response, err := readFinal(conn.reader, httpRequest)
 		conn.headerLimit.remaining = unlimited
 		if err != nil {
 			if isDisconnect(err) {
@@ -413,9 +413,6 @@
 			}
 			return nil, false, errors.WithType(err, ErrInvalidResponse)
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
-			continue
-		}
 		if response.Header.Get(l.options.EchoHeader) == request.ID {
 			return response, stale > 0, nil
 		}
@@ -433,6 +430,16 @@
 	return nil, false, ErrInvalidResponse
 }
 
+// readFinal reads the head of the next response that is not an interim one.
+func readFinal(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(reader, request)
+		if err != nil || response.StatusCode < 100 || response.StatusCode >= 200 {
+			return response, err
+		}
+	}
+}
+
 // isDisconnect reports whether err is a connection failure rather than a malformed response.
 func isDisconnect(err error) bool {
 	var network net.Error
--- a/internal/sidecar/targetlink/link_test.go
+++ b/internal/sidecar/targetlink/link_test.go
@@ -421,3 +421,39 @@
 	g.Expect(string(body)).To(Equal("whole"))
 	g.Expect(time.Since(started)).To(BeNumerically("<", 500*time.Millisecond))
 }
+
+// Guards against reading bytes that never become a response until the request times out.
+func TestEndlessResponsesAreRejected(t *testing.T) {
+	for _, tc := range []struct{ name, begin, repeated string }{
+		{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"interim responses with fields", "", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+		{"status line", "HTTP/1.1 200 ", "OK "},
+		{"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		{"folded field", "HTTP/1.1 200 OK\r\nA: b\r\n", " c\r\n"},
+		{"no lines", "", "\x00\x01"},
+		{"fields of HTTP/1.0", "HTTP/1.0 200 OK\r\n", "A: b\r\n"},
+		{"late responses", "", "HTTP/1.1 200 OK\r\n" + echo + ": other\r\nContent-Length: 2\r\n\r\nno"},
+		{"late responses with long bodies", "", "HTTP/1.1 200 OK\r\n" + echo + ": other\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("a", 100000)},
+		{"chunk extension", "HTTP/1.1 200 OK\r\n" + echo + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n4;", "a=b;"},
+		{"chunk size", "HTTP/1.1 200 OK\r\n" + echo + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		{"trailer", "HTTP/1.1 200 OK\r\n" + echo + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", "A: b\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			link, _ := startTarget(t, func(conn net.Conn, reader *bufio.Reader) {
+				readRequestID(reader)
+				_, _ = io.WriteString(conn, tc.begin)
+				for data := strings.Repeat(tc.repeated, 1+4096/len(tc.repeated)); ; {
+					if _, err := io.WriteString(conn, data); err != nil {
+						return
+					}
+				}
+			})
+			started := time.Now()
+			_, err := get(link, "1")
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(time.Since(started)).To(BeNumerically("<", time.Second))
+		})
+	}
+}
