Do not read a response from the body of a late one

Callers could get a response that another one quotes: a late response to an earlier request is skipped before the own one is read, and of a body over 64 KiB only that part was.

Cause: the limit of the copy ended without an error, and the rest of the body was parsed as the next response.

Evidence: with a body of 64 KiB and a response that quotes the id of the request, by length and as one chunk, the caller got the quoted response as its own.

Change: if the body is longer than what is skipped, the connection is closed and the request ends as after any invalid response: it may have run.

Measured: TestBodyOfALateResponseIsNotAResponse failed before in both cases ("quoted", no error) and passes.

--- a/internal/sidecar/targetlink/link.go
+++ b/internal/sidecar/targetlink/link.go
@@ -88,7 +88,7 @@
 	keepAliveFraction      = 0.75            // fraction of the target's keep-alive timeout
 	bufferSize             = 4 << 10
 	maxStaleResponses      = 4        // stale responses discarded per request
-	maxStaleBodyBytes      = 64 << 10 // body bytes read of each stale response
+	maxStaleBodyBytes      = 64 << 10 // longest body of a stale response that is discarded
 	maxResponseHeaderBytes = 64 << 10 // of a response and the interim responses before it
 )
 
@@ -423,7 +423,8 @@
 		if !isDelimited(response) {
 			break
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBodyBytes)); err != nil {
+		// What follows a part of the body is not a response.
+		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBodyBytes+1)); err != nil || n > maxStaleBodyBytes {
 			break
 		}
 	}
--- a/internal/sidecar/targetlink/link_test.go
+++ b/internal/sidecar/targetlink/link_test.go
@@ -457,3 +457,34 @@
 		})
 	}
 }
+
+// Guards against taking a part of a late response's body for a response: if it is too long to be skipped,
+// nothing that follows on its connection can be told apart.
+func TestBodyOfALateResponseIsNotAResponse(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		frame func(body string) string
+	}{
+		{"length", func(body string) string {
+			return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+		}},
+		{"one chunk", func(body string) string {
+			return "Transfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n0\r\n\r\n"
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			link, opened := startTarget(t, func(conn net.Conn, reader *bufio.Reader) {
+				for id := readRequestID(reader); id != ""; id = readRequestID(reader) {
+					body := strings.Repeat("a", maxStaleBodyBytes) + responseText(id, "quoted")
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+echo+": other\r\n"+tc.frame(body)+responseText(id, "own"))
+				}
+			})
+			body, err := get(link, "1")
+			g.Expect(errors.Is(err, ErrInvalidResponse)).To(BeTrue(), "%q, %v", body, err)
+			_, err = get(link, "2")
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(opened.Load()).To(Equal(int32(2)))
+		})
+	}
+}
