Reject responses whose status line is invalid

Callers saw their connection closed without an answer, and no log line about the request, when a target answered with status 000 (or 099, or +20); statuses from 600 to 999, other major versions and control bytes in the reason phrase were passed on as answers. With status 000, a target's "not executed" was believed and the caller got a 503, which promises that the request has not run; "leaving" was believed, too, and took the target out of use.

Cause: http.ReadResponse takes any three characters that are a number for a status, and any version. The statuses under 100 ended in a panic of net/http's WriteHeader, which its server recovers. A 101, which nothing asked for, was skipped as an interim response.

Ruled out: to answer for a status over 599 with the target's own body as if it were a 500; RFC 9110 leaves that to clients, and nothing says that such a message is the target's.

Change: package responses reads responses: a version 1.x, a status from 100 to 599, and a reason phrase without control bytes (RFC 9110, section 15; RFC 9112, section 4). Anything else is an invalid response of the target: the request may have run, none of its fields is used, and the log has its reason (spoiled).

--- /dev/null
+++ b/internal/responses/responses.go
@@ -0,0 +1,72 @@
+// Package responses reads HTTP/1.1 responses as RFC 9110 and RFC 9112 define them.
+//
+// net/http is more lenient: it takes any status code of three characters and any version. Such a message is no
+// response: nothing that it states may be used, and none of it may be passed on.
+package responses
+
+import (
+	"bufio"
+	"net/http"
+
+	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrInvalid means that a message is not a response by RFC 9110 or RFC 9112; compare with errors.Is.
+const ErrInvalid = errors.ConstError("invalid HTTP response (remedy: look at the server that sent it)")
+
+// Read reads the head of the final response to a request of the given method, and skips interim responses.
+// The body must be read from the result. The caller limits the bytes that are read from r until Read returns.
+//
+// The error is ErrInvalid, one of net/http for a message that it cannot parse, or one of r.
+func Read(r *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(r, request)
+		if err != nil {
+			return nil, err
+		}
+		if !isInterim(response.StatusCode) {
+			return response, Validate(response)
+		}
+		if err := validateHead(response); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// isInterim reports whether another response follows. A server switches protocols only if the request asks for
+// it, which none does here.
+func isInterim(status int) bool {
+	return status >= minStatus && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// Validate checks what net/http does not check of a final response that it has parsed.
+func Validate(response *http.Response) error {
+	if err := validateHead(response); err != nil {
+		return err
+	}
+	if response.StatusCode < http.StatusOK {
+		return invalid("status %d, which no request asks for", response.StatusCode)
+	}
+	return nil
+}
+
+func validateHead(response *http.Response) error {
+	switch {
+	case response.ProtoMajor != 1:
+		return invalid("version %.20q", response.Proto)
+	case response.StatusCode < minStatus || response.StatusCode > maxStatus, !httpguts.ValidHeaderFieldValue(response.Status):
+		return invalid("status %.40q", response.Status)
+	}
+	return nil
+}
+
+// Range of status codes (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+func invalid(format string, arguments ...any) error {
+	return errors.Annotatef(ErrInvalid, format, arguments...)
+}
--- /dev/null
+++ b/internal/responses/responses_test.go
@@ -0,0 +1,44 @@
+package responses
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+	. "github.com/onsi/gomega"
+)
+
+var get = &http.Request{Method: http.MethodGet}
+
+func TestReadRejectsInvalidResponses(t *testing.T) {
+	for _, tc := range []struct{ name, head string }{
+		{"status below 100", "HTTP/1.1 000 OK\r\n"},
+		{"status above 599", "HTTP/1.1 600 OK\r\n"},
+		{"status with a sign", "HTTP/1.1 +20 OK\r\n"},
+		{"switched protocol", "HTTP/1.1 101 Switching Protocols\r\n"},
+		{"control byte in the reason phrase", "HTTP/1.1 200 O\x01K\r\n"},
+		{"later major version", "HTTP/2.0 200 OK\r\n"},
+		{"earlier major version", "HTTP/0.9 200 OK\r\n"},
+		{"interim response with a later major version", "HTTP/2.0 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := Read(bufio.NewReader(strings.NewReader(tc.head+"Content-Length: 4\r\n\r\nbody")), get)
+			g.Expect(errors.Is(err, ErrInvalid)).To(BeTrue(), "%v", err)
+		})
+	}
+}
+
+func TestReadSkipsInterimResponses(t *testing.T) {
+	g := NewWithT(t)
+	reader := bufio.NewReader(strings.NewReader("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Odd\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbodynext"))
+	response, err := Read(reader, get)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.StatusCode).To(Equal(http.StatusOK))
+	body, err := io.ReadAll(response.Body)
+	g.Expect(string(body), err).To(Equal("body"))
+	g.Expect(reader.Peek(4)).To(Equal([]byte("next")))
+}
--- a/internal/sidecar/targetlink/link.go
+++ b/internal/sidecar/targetlink/link.go
@@ -22,6 +22,7 @@
 
 	"github.com/juju/errors"
 	"github.com/landingmast/landingmast/internal/connreset"
+	"github.com/landingmast/landingmast/internal/responses"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
 )
 
@@ -405,7 +406,7 @@
 	}
 	for stale := 0; stale <= maxStaleResponses; {
 		conn.headerLimit.remaining = maxResponseHeaderBytes
-		response, err := readFinal(conn.reader, httpRequest)
+		response, err := responses.Read(conn.reader, httpRequest)
 		conn.headerLimit.remaining = unlimited
 		if err != nil {
 			if isDisconnect(err) {
@@ -431,16 +432,6 @@
 	return nil, false, ErrInvalidResponse
 }
 
-// readFinal reads the head of the next response that is not an interim one.
-func readFinal(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(reader, request)
-		if err != nil || response.StatusCode < 100 || response.StatusCode >= 200 {
-			return response, err
-		}
-	}
-}
-
 // isDisconnect reports whether err is a connection failure rather than a malformed response.
 func isDisconnect(err error) bool {
 	var network net.Error
