Reject responses with invalid field names

Callers got responses in whose head the name of a field held a blank as answers: where it was the name of a field that frames the body ("Content-Length : 2", "Transfer-Encoding : chunked"), with a body that was not the target's. A 503 with such a line and "not executed" became a 503 of the node, which promises that the request has not run.

Cause: net/http accepts blanks in the names of fields, within and before the colon, and does not recognize such a field. RFC 9112, section 5.1, has no valid message with such a line.

Other control bytes in names, and any in values, were rejected before by net/http.

Change: package responses checks the names of fields, also of interim responses.

--- a/internal/responses/responses.go
+++ b/internal/responses/responses.go
@@ -1,7 +1,8 @@
 // Package responses reads HTTP/1.1 responses as RFC 9110 and RFC 9112 define them.
 //
-// net/http is more lenient: it takes any status code of three characters and any version. Such a message is no
-// response: nothing that it states may be used, and none of it may be passed on.
+// net/http is more lenient: it takes any status code of three characters, any version, and names of fields
+// that hold blanks. Such a message is no response: nothing that it states may be used, and none of it may be
+// passed on.
 package responses
 
 import (
@@ -58,7 +59,7 @@
 	case response.StatusCode < minStatus || response.StatusCode > maxStatus, !httpguts.ValidHeaderFieldValue(response.Status):
 		return invalid("status %.40q", response.Status)
 	}
-	return nil
+	return validateNames(response.Header)
 }
 
 // Range of status codes (RFC 9110, section 15).
@@ -70,3 +71,13 @@
 func invalid(format string, arguments ...any) error {
 	return errors.Annotatef(ErrInvalid, format, arguments...)
 }
+
+// validateNames checks the names of fields. net/http has checked their values.
+func validateNames(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return invalid("field name %.40q", name)
+		}
+	}
+	return nil
+}
--- a/internal/responses/responses_test.go
+++ b/internal/responses/responses_test.go
@@ -22,6 +22,9 @@
 		{"control byte in the reason phrase", "HTTP/1.1 200 O\x01K\r\n"},
 		{"later major version", "HTTP/2.0 200 OK\r\n"},
 		{"earlier major version", "HTTP/0.9 200 OK\r\n"},
+		{"blank within a field name", "HTTP/1.1 200 OK\r\nA B: c\r\n"},
+		{"blank before the colon", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n"},
+		{"blank in a field name of an interim response", "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\nHTTP/1.1 200 OK\r\n"},
 		{"interim response with a later major version", "HTTP/2.0 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
