Reject a transfer coding in HTTP/1.0 responses

Callers got the framing of the chunks as a part of the body, as a complete 200 with the target's signature, when a target answered in HTTP/1.0 with Transfer-Encoding: chunked.

Cause: net/http drops the field in HTTP/1.0 and takes the body to the end of the connection, or of its Content-Length. By RFC 9112, section 6.1, the framing of such a message is faulty.

Change: the head of a response of HTTP/1.0 is copied and searched for the field before net/http parses it. Such a connection is not used again, also with keep-alive; targets of HTTP/1.1 are read as before.

--- a/internal/responses/responses.go
+++ b/internal/responses/responses.go
@@ -1,13 +1,16 @@
 // Package responses reads HTTP/1.1 responses as RFC 9110 and RFC 9112 define them.
 //
 // net/http is more lenient: it takes any status code of three characters, any version, and names of fields
-// that hold blanks. Such a message is no response: nothing that it states may be used, and none of it may be
-// passed on.
+// that hold blanks. In HTTP/1.0 it takes a chunked body as it stands, with the framing of its chunks. Such a
+// message is no response: nothing that it states may be used, and none of it may be passed on.
 package responses
 
 import (
 	"bufio"
+	"bytes"
+	"io"
 	"net/http"
+	"net/textproto"
 
 	"github.com/juju/errors"
 	"golang.org/x/net/http/httpguts"
@@ -22,7 +25,7 @@
 // The error is ErrInvalid, one of net/http for a message that it cannot parse, or one of r.
 func Read(r *bufio.Reader, request *http.Request) (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(r, request)
+		response, err := read(r, request)
 		if err != nil {
 			return nil, err
 		}
@@ -81,3 +84,56 @@
 	}
 	return nil
 }
+
+const http10 = "HTTP/1.0 "
+
+func read(r *bufio.Reader, request *http.Request) (*http.Response, error) {
+	if version, err := r.Peek(len(http10)); err == nil && string(version) == http10 {
+		return readHTTP10(r, request)
+	}
+	return http.ReadResponse(r, request)
+}
+
+// readHTTP10 reads the head of a response of HTTP/1.0, which has no transfer codings. net/http drops a field
+// that states one and takes the framing of the chunks for the body. The connection cannot be reused.
+func readHTTP10(r *bufio.Reader, request *http.Request) (*http.Response, error) {
+	head, err := copyHead(r)
+	if err != nil {
+		return nil, err
+	}
+	fields := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
+	if _, err := fields.ReadLine(); err != nil {
+		return nil, err
+	}
+	header, err := fields.ReadMIMEHeader()
+	if err != nil {
+		return nil, err
+	}
+	if _, coded := header["Transfer-Encoding"]; coded {
+		return nil, invalid("Transfer-Encoding in HTTP/1.0")
+	}
+	response, err := http.ReadResponse(bufio.NewReader(io.MultiReader(bytes.NewReader(head), r)), request)
+	if err != nil {
+		return nil, err
+	}
+	response.Close = true
+	return response, nil
+}
+
+// copyHead reads the lines up to the empty one that ends a head.
+func copyHead(r *bufio.Reader) ([]byte, error) {
+	var head []byte
+	for {
+		line, err := r.ReadBytes('\n')
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		head = append(head, line...)
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return head, nil
+		}
+	}
+}
