Reject bodies whose trailer fields are invalid

Callers got a chunked body as complete although the trailer behind it held a line that is no field (a blank in its name).

Cause: net/http reads trailers as leniently as heads; the node drops them, so that nothing looked at them.

Evidence: the new row of TestInvalidResponsesAreNotPassedOn failed before at both nodes on both kinds of routes, and two rows of TestTrailerFields. Control bytes in trailers were rejected before.

Change: the end of a chunked body is an error unless the names of its trailer fields are valid. A body that is streamed to the client is then aborted before its last chunk. The reason of the request is "spoiled", and the run is no evidence that the target has crashed.

The test now checks the reason in the log: spoiled, or lost for the three rows in which net/http notices while it reads the body.

--- a/internal/responses/responses.go
+++ b/internal/responses/responses.go
@@ -44,7 +44,8 @@
 	return status >= minStatus && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// Validate checks what net/http does not check of a final response that it has parsed.
+// Validate checks what net/http does not check of a final response that it has parsed. It replaces the body by
+// one whose Read returns ErrInvalid instead of io.EOF if a trailer field is invalid.
 func Validate(response *http.Response) error {
 	if err := validateHead(response); err != nil {
 		return err
@@ -52,6 +53,9 @@
 	if response.StatusCode < http.StatusOK {
 		return invalid("status %d, which no request asks for", response.StatusCode)
 	}
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &chunkedBody{response.Body, response}
+	}
 	return nil
 }
 
@@ -85,6 +89,23 @@
 	return nil
 }
 
+// chunkedBody checks the trailer fields, which net/http reads at the end of the body.
+type chunkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if invalid := validateNames(b.response.Trailer); invalid != nil {
+			err = invalid
+		}
+	}
+	return n, err
+}
+
 const http10 = "HTTP/1.0 "
 
 func read(r *bufio.Reader, request *http.Request) (*http.Response, error) {
--- a/internal/responses/responses_test.go
+++ b/internal/responses/responses_test.go
@@ -61,6 +61,27 @@
 	}
 }
 
+// A body whose trailer is invalid must not look complete.
+func TestTrailerFields(t *testing.T) {
+	for _, tc := range []struct {
+		name, trailer string
+		valid         bool
+	}{
+		{"none", "", true},
+		{"valid", "A: b\r\n", true},
+		{"blank within a name", "A B: c\r\n", false},
+		{"blank before the colon", "A : b\r\n", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			response, err := Read(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+tc.trailer+"\r\n")), get)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadAll(response.Body)
+			g.Expect(errors.Is(err, ErrInvalid)).To(Equal(!tc.valid), "%v", err)
+		})
+	}
+}
+
 // Errors of the connection are not errors of the message.
 func TestReadOfATruncatedHead(t *testing.T) {
 	for _, head := range []string{"", "HTTP/1.0 200 OK\r\nA:", "HTTP/1.0 200 OK\r\nA: b\r\n", "HTTP/1.1 200 OK\r\n"} {
--- a/internal/sidecar/arrival/send.go
+++ b/internal/sidecar/arrival/send.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/core/slots"
+	"github.com/landingmast/landingmast/internal/responses"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
 	"github.com/landingmast/landingmast/internal/sidecar/reply"
 	"github.com/landingmast/landingmast/internal/sidecar/target"
@@ -80,8 +81,11 @@
 	data, rest, err := reply.ReadBuffered(answer.Body, answer.Length)
 	if err != nil {
 		_ = answer.Body.Close()
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return reply.Unknown(reply.CancelReason(ctx))
+		case errors.Is(err, responses.ErrInvalid):
+			return reply.Unknown(outcome.ReasonInvalidResponse)
 		}
 		return reply.Unknown(i.recordLost(ctx, gate, req))
 	}
--- a/internal/sidecar/invalidresponse_test.go
+++ b/internal/sidecar/invalidresponse_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -131,10 +132,12 @@
 		{"coding in HTTP/1.0, behind a long field", "HTTP/1.0 200 OK\r\n" + fields + "X-Long: " + strings.Repeat("a", 10<<10) + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"},
 		{"chunk without a size", validHead + "Transfer-Encoding: chunked\r\n\r\nx\r\nno\r\n0\r\n\r\n"},
 		{"chunks without their end", validHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n"},
+		{"blank in the name of a trailer field", validHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX Odd: 1\r\n\r\n"},
 		{"control byte in a trailer field", validHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\nX-Odd: a\x01\r\n\r\n"},
 		{"declined with status 000", "HTTP/1.1 000 Full\r\n" + fields + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
 		{"states that it leaves, with status 000", "HTTP/1.1 000 Odd\r\n" + fields + "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"},
 	}
+	cutBodies := []string{"chunk without a size", "chunks without their end", "control byte in a trailer field"}
 	script := &scriptedTarget{}
 	for _, tc := range tests {
 		script.responses = append(script.responses, tc.response)
@@ -162,6 +165,11 @@
 						lines := func() []string { return logs.linesWith(`"msg":"request"`, `"`+id(from.name, number)+`"`) }
 						g.Eventually(lines, 3*time.Second).Should(HaveLen(1), tc.name)
 						g.Expect(lines()[0]).To(ContainSubstring(`"status":502`), tc.name)
+						reason := `"reason":"spoiled"`
+						if slices.Contains(cutBodies, tc.name) {
+							reason = `"reason":"lost"`
+						}
+						g.Expect(lines()[0]).To(ContainSubstring(reason), tc.name)
 					}
 				})
 				response, _, err := exchange(from.address, http.MethodGet, "/"+kind+"/", "last")
