Check the responses of other nodes

Callers could see what their node's own target link now rejects, if another node passed it on: one of an earlier release states a target's status of 000 or 600 as that of an answer, and the first ends in a panic at the entry.

Cause: replies of nodes were read as leniently as those of targets were: the status that they state was not checked, and neither the messages themselves, by three readers (calls with short bodies, and by net/http's Transport long calls, queries for an outcome, pings and control messages).

Evidence: TestInvalidRepliesAreNotAnswers, raw replies to a call, a long call and a query for an outcome: 9 of its 15 rows failed before (stated status 0, 99, 100, 600, -1; status 000, 101, blanks in names of fields and trailers). Cut and missing bodies were handled.

Change: all readers of package peer use package responses; an answered call with a status that no final response has counts as an invalid response of the target, and may have run.

Measured: the rows pass. Messages of nodes of earlier releases are valid and read as before.

--- a/internal/responses/responses.go
+++ b/internal/responses/responses.go
@@ -50,7 +50,7 @@
 	if err := validateHead(response); err != nil {
 		return err
 	}
-	if response.StatusCode < http.StatusOK {
+	if !IsFinal(response.StatusCode) {
 		return invalid("status %d, which no request asks for", response.StatusCode)
 	}
 	if len(response.TransferEncoding) > 0 {
@@ -59,6 +59,9 @@
 	return nil
 }
 
+// IsFinal reports whether a status code is one of a final response.
+func IsFinal(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 func validateHead(response *http.Response) error {
 	switch {
 	case response.ProtoMajor != 1:
--- a/internal/sidecar/peer/client.go
+++ b/internal/sidecar/peer/client.go
@@ -22,6 +22,7 @@
 
 	"github.com/landingmast/landingmast/internal/core/outcome"
 	"github.com/landingmast/landingmast/internal/failure"
+	"github.com/landingmast/landingmast/internal/responses"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
 	"github.com/landingmast/landingmast/internal/sidecar/reply"
 	"github.com/landingmast/landingmast/internal/wire"
@@ -148,10 +149,23 @@
 	}
 	var gotConn atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
-	response, err = c.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	response, err = c.roundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	return response, gotConn.Load(), err
 }
 
+// roundTrip sends a request by net/http and returns the response unless it is invalid.
+func (c *Client) roundTrip(request *http.Request) (*http.Response, error) {
+	response, err := c.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := responses.Validate(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
 // Post sends a control message to the node at an address and returns the body of the response.
 func (c *Client) Post(ctx context.Context, address, path string, data []byte) ([]byte, error) {
 	request := &http.Request{
@@ -161,7 +175,7 @@
 	if len(data) > 0 {
 		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(data)), int64(len(data))
 	}
-	response, err := c.Transport.RoundTrip(request.WithContext(ctx))
+	response, err := c.roundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Unavailable, "none; another node is tried", "POST %s to %s", path, address)
 	}
@@ -192,7 +206,7 @@
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: SettlePath}, Host: address,
 		Header: http.Header{"User-Agent": {""}, wire.HeaderSidecarCall: {head}},
 	}
-	response, err := c.Transport.RoundTrip(request.WithContext(ctx))
+	response, err := c.roundTrip(request.WithContext(ctx))
 	if err != nil {
 		if ctx.Err() != nil {
 			return reply.Unknown(reply.CancelReason(ctx))
@@ -237,6 +251,10 @@
 		return reply.Unknown(outcome.ReasonBadMessage)
 	}
 	answer := reply.FromResult(result)
+	if answer.Outcome == outcome.Answered && !responses.IsFinal(answer.Status) {
+		_ = response.Body.Close()
+		return reply.Unknown(outcome.ReasonInvalidResponse)
+	}
 	answer.SetWaits(response.Header.Get(wire.HeaderSidecarWaits))
 	answer.SetUsage(response.Header.Get(wire.HeaderSidecarUsage))
 	answer.SetPace(response.Header.Get(wire.HeaderSidecarPace))
--- a/internal/sidecar/peer/connections.go
+++ b/internal/sidecar/peer/connections.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 	"github.com/landingmast/landingmast/internal/failure"
+	"github.com/landingmast/landingmast/internal/responses"
 	"github.com/landingmast/landingmast/internal/sidecar/headers"
 	"github.com/landingmast/landingmast/internal/sidecar/targetlink"
 )
@@ -251,12 +252,7 @@
 func (c *connection) readResponse() (*http.Response, error) {
 	c.head = maxResponseHead
 	defer func() { c.head = unlimited }()
-	for {
-		response, err := http.ReadResponse(c.reader, bodyMethod)
-		if err != nil || response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, err
-		}
-	}
+	return responses.Read(c.reader, bodyMethod)
 }
 
 func isDelimited(response *http.Response) bool {
--- a/internal/sidecar/peer/connections_test.go
+++ b/internal/sidecar/peer/connections_test.go
@@ -1,12 +1,14 @@
 package peer
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -221,3 +223,91 @@
 		g.Expect(p.calls.Load()).To(Equal(int64(3)))
 	}
 }
+
+// startRawPeer starts a node that answers every call with a response, in which RESULT stands for the field of
+// an answered call with the given status.
+func startRawPeer(t *testing.T, status int, response string) (*Client, string) {
+	result, err := wire.SidecarResultCodec.EncodeHeader(&wire.SidecarResult{Outcome: string(outcome.Answered), Arrived: true, Status: status, Incarnation: "i"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	response = strings.ReplaceAll(response, "RESULT", wire.HeaderSidecarResult+": "+result)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(conn, response)
+				}
+			}()
+		}
+	}()
+	client := NewClient((&net.Dialer{}).DialContext, headers.Names{RequestID: "X-Id", Deadline: "X-Deadline"})
+	t.Cleanup(client.CloseIdle)
+	return client, listener.Addr().String()
+}
+
+// Guards against answers that are taken from a message that no node sends, or that a node of an earlier
+// release has taken from its target.
+func TestInvalidRepliesAreNotAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		status   int // of the target, as the node states it
+		response string
+		answered bool
+	}{
+		{"valid", 200, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 4\r\n\r\nbody", true},
+		{"valid, chunked", 200, "HTTP/1.1 200 OK\r\nRESULT\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true},
+		{"valid, without a body", 204, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 0\r\n\r\n", true},
+		{"highest status", 599, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 4\r\n\r\nbody", true},
+		{"target's status 0", 0, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 4\r\n\r\nbody", false},
+		{"target's status 99", 99, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 4\r\n\r\nbody", false},
+		{"target's status 100", 100, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 4\r\n\r\nbody", false},
+		{"target's status 600", 600, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 4\r\n\r\nbody", false},
+		{"target's status is negative", -1, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 4\r\n\r\nbody", false},
+		{"status 000", 200, "HTTP/1.1 000 OK\r\nRESULT\r\nContent-Length: 4\r\n\r\nbody", false},
+		{"switched protocol", 200, "HTTP/1.1 101 Switching Protocols\r\nRESULT\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", false},
+		{"blank in a field name", 200, "HTTP/1.1 200 OK\r\nRESULT\r\nA B: c\r\nContent-Length: 4\r\n\r\nbody", false},
+		{"blank in a trailer field", 200, "HTTP/1.1 200 OK\r\nRESULT\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA B: c\r\n\r\n", false},
+		{"cut body", 200, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 5\r\n\r\nbody", false},
+		{"no body", 200, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 5\r\n\r\n", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			client, address := startRawPeer(t, tc.status, tc.response)
+			call := &wire.SidecarCall{RequestID: "a"}
+			for _, send := range []struct {
+				name string
+				do   func() *reply.Reply
+			}{
+				{"call", func() *reply.Reply {
+					return client.Call(t.Context(), address, call, http.Header{}, &reply.Payload{}, nil)
+				}},
+				{"long call", func() *reply.Reply {
+					return client.Call(t.Context(), address, call, http.Header{}, &reply.Payload{Data: make([]byte, maxDirectBody+1)}, nil)
+				}},
+				{"query for the outcome", func() *reply.Reply { return client.Settle(t.Context(), address, call) }},
+			} {
+				t.Run(send.name, func(t *testing.T) {
+					g := NewWithT(t)
+					answer := send.do()
+					defer answer.Close()
+					want := outcome.Unknown
+					if tc.answered {
+						want = outcome.Answered
+					}
+					g.Expect(answer.Outcome).To(Equal(want), "reason %s, status %d, body %q", answer.Reason, answer.Status, answer.Body)
+				})
+			}
+		})
+	}
+}
--- a/internal/sidecar/peer/liveness.go
+++ b/internal/sidecar/peer/liveness.go
@@ -247,5 +247,5 @@
 
 func (c *Client) ping(ctx context.Context, address string) (*http.Response, error) {
 	request := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: PingPath}, Host: address, Header: http.Header{}}
-	return c.Transport.RoundTrip(request.WithContext(ctx))
+	return c.roundTrip(request.WithContext(ctx))
 }
