Reject replies of nodes that end with their connection

Callers could get a part of a response as a complete one if the reply of another node had neither a length nor chunks, since the end of its connection counted as the end of the body.

Cause: the readers of replies took every body that HTTP allows. Nodes state a length or send chunks, so that a reply without them is not one of a node, or was changed on the way.

Evidence: two rows of TestInvalidRepliesAreNotAnswers (HTTP/1.1 and 1.0) failed before for a call, a long call and a query for an outcome: answered with the body "part".

Change: such a reply is an invalid message (bad_message), and the request may have run. The test closes idle connections between its calls: its node closes each one, which failed once as a lost reply of a valid row.

--- a/internal/sidecar/peer/client.go
+++ b/internal/sidecar/peer/client.go
@@ -243,8 +243,13 @@
 	}
 }
 
-// readReply reads the head of a reply and its body, buffering all of it unless it is long.
+// readReply reads the head of a reply and its body, buffering all of it unless it is long. Nodes always tell
+// where the body ends: the end of the connection may be that of a part.
 func readReply(ctx context.Context, response *http.Response) *reply.Reply {
+	if !isDelimited(response) {
+		_ = response.Body.Close()
+		return reply.Unknown(outcome.ReasonBadMessage)
+	}
 	result, err := wire.SidecarResultCodec.DecodeHeader(response.Header.Get(wire.HeaderSidecarResult))
 	if err != nil {
 		_ = response.Body.Close()
--- a/internal/sidecar/peer/connections_test.go
+++ b/internal/sidecar/peer/connections_test.go
@@ -275,6 +275,8 @@
 		{"target's status 100", 100, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 4\r\n\r\nbody", false},
 		{"target's status 600", 600, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 4\r\n\r\nbody", false},
 		{"target's status is negative", -1, "HTTP/1.1 200 OK\r\nRESULT\r\nContent-Length: 4\r\n\r\nbody", false},
+		{"ended by its connection", 200, "HTTP/1.1 200 OK\r\nRESULT\r\n\r\npart", false},
+		{"HTTP/1.0, ended by its connection", 200, "HTTP/1.0 200 OK\r\nRESULT\r\n\r\npart", false},
 		{"status 000", 200, "HTTP/1.1 000 OK\r\nRESULT\r\nContent-Length: 4\r\n\r\nbody", false},
 		{"switched protocol", 200, "HTTP/1.1 101 Switching Protocols\r\nRESULT\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", false},
 		{"blank in a field name", 200, "HTTP/1.1 200 OK\r\nRESULT\r\nA B: c\r\nContent-Length: 4\r\n\r\nbody", false},
@@ -299,6 +301,7 @@
 			} {
 				t.Run(send.name, func(t *testing.T) {
 					g := NewWithT(t)
+					client.CloseIdle() // the node closes each connection
 					answer := send.do()
 					defer answer.Close()
 					want := outcome.Unknown
