Log requests that end in a panic

Cause: net/http recovers the panic of a handler. The node logged the panic, without the request.

Evidence: TestPanicsAreLoggedWithTheirRequest failed before: no line has the id.

Change: the handler records such a request as failed, with the reason internal_error, and panics on, so that the connection closes and the stack is logged as before.

Measured: the test passes; a handler that aborts a response, which it has logged, writes no second line.

--- a/internal/core/outcome/outcome.go
+++ b/internal/core/outcome/outcome.go
@@ -53,6 +53,7 @@
 	ReasonOverQuota          Reason = "over_quota"          // the tenant's quota over all nodes is exhausted
 	ReasonRateLimited               = Reason(slots.ReasonRateLimited)
 	ReasonWithdrawn                 = Reason(slots.ReasonWithdrawn)
-	ReasonNoMemory           Reason = "no_memory"    // the node has no memory for the body
-	ReasonNoAllowance        Reason = "no_allowance" // no keeper of the quota is reachable
+	ReasonNoMemory           Reason = "no_memory"      // the node has no memory for the body
+	ReasonNoAllowance        Reason = "no_allowance"   // no keeper of the quota is reachable
+	ReasonInternalError      Reason = "internal_error" // the node failed while it handled the request
 )
--- a/internal/sidecar/entry/entry.go
+++ b/internal/sidecar/entry/entry.go
@@ -90,6 +90,7 @@
 	}
 	req := &request{options: &e.options, splitter: e.splitter, returns: e.returns, writer: w, incoming: r, id: id, started: e.options.Now(), draining: closing && !isCall}
 	defer req.finish()
+	defer req.recordPanic()
 	for _, step := range pipeline {
 		if !step(req) {
 			return
--- a/internal/sidecar/entry/log.go
+++ b/internal/sidecar/entry/log.go
@@ -50,8 +50,23 @@
 	r.options.Events.Add(event, weight)
 }
 
+// recordPanic records a request whose handler panics. net/http recovers the panic, logs it without the request
+// and closes the connection; a handler that panics with http.ErrAbortHandler has recorded its request.
+func (r *request) recordPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		r.recordCompletion(0, outcome.ReasonInternalError, 0)
+	}
+	panic(cause)
+}
+
 func outcomeLabel(status int, reason outcome.Reason) string {
 	switch {
+	case reason == outcome.ReasonInternalError:
+		return "failed"
 	case status == 0:
 		return "left"
 	case reason != outcome.ReasonNone && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
