Log what is wrong with an invalid response

Engineers found the reason spoiled in the log, and not what the target had sent.

Cause: the error of the link was dropped.

--- a/internal/sidecar/arrival/ingress.go
+++ b/internal/sidecar/arrival/ingress.go
@@ -188,6 +188,7 @@
 	waited    time.Duration // for a slot
 	connected time.Duration // wait for a connection to the target
 	exclusive bool          // whether the request is the only suspected one at the target
+	invalid   string        // what is wrong with an invalid response
 }
 
 // remaining returns the time left until the request times out. It checks the node's clock as well
@@ -376,6 +377,6 @@
 		Request: req.Call.RequestID, From: req.Call.From, Service: req.Call.Service, Instance: req.instance, Outcome: string(response.Outcome),
 		Reason: string(response.Reason), Status: response.Status, Importance: req.Call.Importance, WaitMS: eventlog.Milliseconds(waited), TookMS: eventlog.Milliseconds(elapsed),
 		RemainingMS: float64(req.Call.Remaining) / 1000, Running: response.Load.Running, Waiting: response.Load.Waiting, Slots: response.Load.Slots, Retry: req.Call.IsRetry,
-		ConnectMS: connectMS(req.connected), Pace: response.RunPace,
+		ConnectMS: connectMS(req.connected), Pace: response.RunPace, Invalid: req.invalid,
 	}, weight)
 }
--- a/internal/sidecar/arrival/send.go
+++ b/internal/sidecar/arrival/send.go
@@ -58,12 +58,22 @@
 		i.recordCancelled(gate, req)
 		return reply.Unknown(reply.CancelReason(ctx))
 	case errors.Is(err, targetlink.ErrInvalidResponse):
-		return reply.Unknown(outcome.ReasonInvalidResponse)
+		return req.invalidResponse(err)
 	default:
 		return reply.Unknown(i.recordLost(ctx, gate, req))
 	}
 }
 
+// maxLoggedError is the longest text of an error in a log line, in bytes: it quotes what the target has sent.
+const maxLoggedError = 200
+
+// invalidResponse returns the reply to a request whose response is invalid, and keeps the error for the log.
+func (r *request) invalidResponse(err error) *reply.Reply {
+	r.invalid = err.Error()
+	r.invalid = r.invalid[:min(len(r.invalid), maxLoggedError)]
+	return reply.Unknown(outcome.ReasonInvalidResponse)
+}
+
 // readAnswer classifies the target's response and reads its body if it is a valid one.
 func (i *Ingress) readAnswer(ctx context.Context, gate *target.Gate, req *request, answer *targetlink.Response) *reply.Reply {
 	names := i.options.Headers
@@ -85,7 +95,7 @@
 		case ctx.Err() != nil:
 			return reply.Unknown(reply.CancelReason(ctx))
 		case errors.Is(err, responses.ErrInvalid):
-			return reply.Unknown(outcome.ReasonInvalidResponse)
+			return req.invalidResponse(err)
 		}
 		return reply.Unknown(i.recordLost(ctx, gate, req))
 	}
--- a/internal/sidecar/eventlog/events.go
+++ b/internal/sidecar/eventlog/events.go
@@ -72,6 +72,7 @@
 	ConnectMS   float64 `json:"connect_ms,omitempty" doc:"time spent waiting for a connection to the target; missing: below a millisecond, or none was needed"`
 	Pace        float64 `json:"pace,omitempty" doc:"time that work took at the target while the request ran, as the target states it, relative to the usual; missing: not stated"`
 	Retry       bool    `json:"repeat,omitempty" doc:"whether it, or a request upstream in the call chain, is a retry"`
+	Invalid     string  `json:"invalid,omitempty" doc:"what is wrong with a response that is not one of HTTP/1.1; missing for reason spoiled: no signature, or an encoded body"`
 }
 
 // Room reports who holds the slots of a target while it is offered more than 0.95 of what it provides,
--- a/internal/sidecar/invalidresponse_test.go
+++ b/internal/sidecar/invalidresponse_test.go
@@ -165,11 +165,13 @@
 						lines := func() []string { return logs.linesWith(`"msg":"request"`, `"`+id(from.name, number)+`"`) }
 						g.Eventually(lines, 3*time.Second).Should(HaveLen(1), tc.name)
 						g.Expect(lines()[0]).To(ContainSubstring(`"status":502`), tc.name)
-						reason := `"reason":"spoiled"`
 						if slices.Contains(cutBodies, tc.name) {
-							reason = `"reason":"lost"`
+							g.Expect(lines()[0]).To(ContainSubstring(`"reason":"lost"`), tc.name)
+							continue
 						}
-						g.Expect(lines()[0]).To(ContainSubstring(reason), tc.name)
+						g.Expect(lines()[0]).To(ContainSubstring(`"reason":"spoiled"`), tc.name)
+						runs := func() []string { return logs.linesWith(`"msg":"run"`, `"`+id(from.name, number)+`"`, `"invalid":"`) }
+						g.Eventually(runs, 3*time.Second).ShouldNot(BeEmpty(), tc.name)
 					}
 				})
 				response, _, err := exchange(from.address, http.MethodGet, "/"+kind+"/", "last")
