Mode with signed bundles: detect resets during uploads

Callers of this mode, too, saw a part of a response as a complete one after a reset during an upload.

Cause: the same as at the sidecar: net/http's Transport writes the upload in another goroutine than the one that reads the response, and the write takes the error of the reset. The node of the target then signs the part as complete in its trailer, so that no other node can notice.

Change: the connections to the target are wrapped by package connreset.

--- a/internal/mesh/dataplane/plane.go
+++ b/internal/mesh/dataplane/plane.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/connreset"
 	"github.com/landingmast/landingmast/internal/duplex"
 	"github.com/landingmast/landingmast/internal/mesh/core/bundle"
 	"github.com/landingmast/landingmast/internal/mesh/core/claim"
@@ -108,8 +109,15 @@
 
 func localTransport(connections int) *http.Transport {
 	dialer := &net.Dialer{Timeout: time.Second}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return connreset.Detect(conn), nil
+	}
 	return &http.Transport{
-		DialContext: dialer.DialContext, MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
+		DialContext: dial, MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections,
 		IdleConnTimeout: time.Minute, DisableCompression: true, ReadBufferSize: 8 << 10, WriteBufferSize: 8 << 10,
 	}
 }
--- a/internal/mesh/node/mesh_test.go
+++ b/internal/mesh/node/mesh_test.go
@@ -240,3 +240,14 @@
 	request.Header.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	return http.DefaultClient.Do(request)
 }
+
+// writeRaw writes bytes to the connection of a request, and closes it soon afterwards.
+func writeRaw(w http.ResponseWriter, data string) net.Conn {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil
+	}
+	_, _ = io.WriteString(conn, data)
+	time.AfterFunc(200*time.Millisecond, func() { _ = conn.Close() })
+	return conn
+}
--- a/internal/mesh/node/node_test.go
+++ b/internal/mesh/node/node_test.go
@@ -6,6 +6,8 @@
 	"crypto/tls"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -126,6 +128,40 @@
 		Expect(len(body)).To(BeNumerically("<", 100000))
 	}, Entry("with Content-Length", true), Entry("with chunked encoding", false))
 
+	It("does not take a response that was reset during an upload for a complete one", func() {
+		m.front = func(w http.ResponseWriter, _ *http.Request) {
+			conn := writeRaw(w, "HTTP/1.1 200 OK\r\n\r\npart")
+			time.Sleep(time.Duration(rand.IntN(50)) * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+		var group sync.WaitGroup
+		var complete atomic.Int64
+		for range 10 {
+			group.Go(func() {
+				for range 20 {
+					upload, sender := io.Pipe()
+					go func() {
+						for range 100 {
+							if _, err := sender.Write(make([]byte, 8<<10)); err != nil {
+								break
+							}
+							time.Sleep(time.Millisecond)
+						}
+						_ = sender.Close()
+					}()
+					response, _, err := m.send("entry-1", "POST", "/x", upload, nil)
+					_ = upload.Close()
+					if err == nil && response.StatusCode < http.StatusBadRequest {
+						complete.Add(1)
+					}
+				}
+			})
+		}
+		group.Wait()
+		Expect(complete.Load()).To(BeZero())
+	})
+
 	It("does not resend an at-most-once request when a reused connection breaks", func() {
 		var received atomic.Int64
 		m.front = func(w http.ResponseWriter, r *http.Request) {
