Mode with signed bundles: reject invalid responses

Callers of this mode got responses as answers whose status was over 599, of another major version, or with blanks in the names of fields, also with a body that was not the target's; a status of 000 closed their connection. A target's shed signal in such a message was believed: "not run" for a call that may have run.

Cause: the plane takes what net/http's Transport returns, of the target and of other nodes.

Change: package responses validates what the Transport returns, with the reason invalid_response: the outcome is unknown, a repeatable call goes to another target. A node that states an answered call with a status that no final response has is not believed either.

--- a/internal/mesh/core/outcome/outcome.go
+++ b/internal/mesh/core/outcome/outcome.go
@@ -34,6 +34,7 @@
 	ReasonTimeout           Reason = "timeout"           // deadline passed after the call was sent
 	ReasonTargetShed        Reason = "target_shed"       // target declined the call without running it
 	ReasonTruncated         Reason = "truncated"         // incomplete response
+	ReasonInvalidResponse   Reason = "invalid_response"  // the message is not a response by RFC 9110 and RFC 9112
 	ReasonPreempted         Reason = "preempted"         // cancelled in favor of a more important call
 	ReasonCancelled         Reason = "cancelled"         // caller disconnected
 	ReasonInProgress        Reason = "in_progress"       // a call with the same key is running
@@ -63,7 +64,7 @@
 // opposed to a deliberate refusal or an action of the caller.
 func (r Reason) IsTargetFault() bool {
 	switch r {
-	case ReasonUnreachable, ReasonReset, ReasonTimeout, ReasonTruncated, ReasonVersionMismatch:
+	case ReasonUnreachable, ReasonReset, ReasonTimeout, ReasonTruncated, ReasonInvalidResponse, ReasonVersionMismatch:
 		return true
 	}
 	return false
@@ -72,7 +73,7 @@
 // IsTargetSpecific reports whether the call may succeed at another target.
 func (r Reason) IsTargetSpecific() bool {
 	switch r {
-	case ReasonUnreachable, ReasonReset, ReasonTruncated, ReasonDraining, ReasonTargetShed, ReasonNoBundle:
+	case ReasonUnreachable, ReasonReset, ReasonTruncated, ReasonInvalidResponse, ReasonDraining, ReasonTargetShed, ReasonNoBundle:
 		return true
 	}
 	return false
--- a/internal/mesh/dataplane/attempt.go
+++ b/internal/mesh/dataplane/attempt.go
@@ -17,6 +17,7 @@
 	"github.com/landingmast/landingmast/internal/mesh/core/routing"
 	"github.com/landingmast/landingmast/internal/mesh/explain"
 	"github.com/landingmast/landingmast/internal/mesh/wire"
+	"github.com/landingmast/landingmast/internal/responses"
 )
 
 // attempt sends a call to one node and records the result.
@@ -51,12 +52,22 @@
 		return
 	}
 	a.response = response
+	if err := responses.Validate(response); err != nil {
+		_ = response.Body.Close()
+		a.fail(outcome.Unknown, outcome.ReasonInvalidResponse)
+		return
+	}
 	head, err := wire.ResultCodec.DecodeHeader(response.Header.Get(wire.HeaderResult))
 	if err != nil {
 		_ = response.Body.Close()
 		a.fail(outcome.Unknown, outcome.ReasonVersionMismatch)
 		return
 	}
+	if head.Outcome == string(outcome.Answered) && !responses.IsFinal(head.Status) {
+		_ = response.Body.Close()
+		a.fail(outcome.Unknown, outcome.ReasonInvalidResponse)
+		return
+	}
 	a.head = head
 	a.outcome = outcome.Outcome(head.Outcome)
 	a.reason = outcome.Reason(head.Reason)
--- a/internal/mesh/dataplane/ingress.go
+++ b/internal/mesh/dataplane/ingress.go
@@ -18,6 +18,7 @@
 	"github.com/landingmast/landingmast/internal/mesh/core/outcome"
 	"github.com/landingmast/landingmast/internal/mesh/explain"
 	"github.com/landingmast/landingmast/internal/mesh/wire"
+	"github.com/landingmast/landingmast/internal/responses"
 )
 
 // ingressCall is a call from another node to the local target.
@@ -196,9 +197,12 @@
 		if !connected.Load() {
 			return c.notStarted(cancelReason(ctx, outcome.ReasonUnreachable))
 		}
-		return c.noResponse(ctx, started)
+		return c.noResponse(started, cancelReason(ctx, outcome.ReasonReset))
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := responses.Validate(response); err != nil {
+		return c.noResponse(started, outcome.ReasonInvalidResponse)
 	}
-	defer response.Body.Close()
 	if c.isShed(response) {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, relayBufferSize))
 		end := c.notStarted(outcome.ReasonTargetShed)
@@ -233,12 +237,11 @@
 	return runResult{final: &final}
 }
 
-// noResponse handles a call that was sent to the target but got no response.
-func (c *ingressCall) noResponse(ctx context.Context, started time.Duration) runResult {
+// noResponse handles a call that was sent to the target but got no valid response.
+func (c *ingressCall) noResponse(started time.Duration, reason outcome.Reason) runResult {
 	if c.wire.AtMostOnce {
 		c.plane.claims.MarkUnknown(c.wire.Key)
 	}
-	reason := cancelReason(ctx, outcome.ReasonReset)
 	final := newRefusal(outcome.Unknown, reason)
 	return runResult{final: &final, own: c.context.ownTime(c.plane.now(), started), healthy: reason == outcome.ReasonTimeout}
 }
--- a/internal/mesh/dataplane/plane_test.go
+++ b/internal/mesh/dataplane/plane_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/landingmast/landingmast/internal/responses"
 	. "github.com/onsi/gomega"
 )
 
@@ -52,3 +53,28 @@
 		})
 	}
 }
+
+// Guards against passing on the framing of chunks as a part of the body. net/http drops the field that states
+// a transfer coding in HTTP/1.0, so that its result does not show it.
+func TestTransferCodingInHTTP10IsInvalid(t *testing.T) {
+	g := NewWithT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+	}))
+	defer server.Close()
+	request, err := http.NewRequest(http.MethodGet, server.URL, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	transport := localTransport(1)
+	defer transport.CloseIdleConnections()
+	response, err := transport.RoundTrip(request)
+	if err == nil {
+		defer response.Body.Close()
+		err = responses.Validate(response)
+	}
+	g.Expect(err).To(HaveOccurred())
+}
--- a/internal/mesh/node/node_test.go
+++ b/internal/mesh/node/node_test.go
@@ -128,6 +128,42 @@
 		Expect(len(body)).To(BeNumerically("<", 100000))
 	}, Entry("with Content-Length", true), Entry("with chunked encoding", false))
 
+	DescribeTable("does not take an invalid response of a target for its answer", func(response, reason string) {
+		response = strings.Replace(response, "\r\n", "\r\nConnection: close\r\n", 1) // a later call must not meet the end of a reused connection
+		m.front = func(w http.ResponseWriter, _ *http.Request) { writeRaw(w, response) }
+		for _, send := range []struct {
+			method, path string
+			header       http.Header
+		}{
+			{method: "GET", path: "/x"},
+			{method: "POST", path: "/once", header: http.Header{"Idempotency-Key": {"k"}}},
+		} {
+			m.waitVoters()
+			answer, body, err := m.send("entry-1", send.method, send.path, nil, send.header)
+			if reason == "" { // the head was passed on before
+				Expect(err).To(HaveOccurred(), "%s %q", send.path, body)
+				continue
+			}
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.Header.Get("Landingmast-Outcome")).To(Equal("unknown"), "status %d, body %q", answer.StatusCode, body)
+			Expect(answer.StatusCode).To(Equal(http.StatusBadGateway))
+			if send.header != nil { // the other call is sent to further targets
+				Expect(answer.Header.Get("Landingmast-Reason")).To(Equal(reason))
+			}
+		}
+	},
+		Entry("status 000", "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody", "invalid_response"),
+		Entry("status 600", "HTTP/1.1 600 High\r\nContent-Length: 4\r\n\r\nbody", "invalid_response"),
+		Entry("declined with status 000", "HTTP/1.1 000 Full\r\nX-Shed: 1\r\nContent-Length: 4\r\n\r\nbody", "invalid_response"),
+		Entry("switched protocol", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nbody", "invalid_response"),
+		Entry("major version 2", "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", "invalid_response"),
+		Entry("blank in a field name", "HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 4\r\n\r\nbody", "invalid_response"),
+		Entry("blank in the name of the length", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more", "invalid_response"),
+		Entry("declined with a blank in a field name", "HTTP/1.1 503 Full\r\nX-Shed: 1\r\nA B: c\r\nContent-Length: 4\r\n\r\nbody", "invalid_response"),
+		Entry("control byte in a field name", "HTTP/1.1 200 OK\r\nA\x01B: c\r\nContent-Length: 4\r\n\r\nbody", "reset"),
+		Entry("blank in a trailer field", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA B: c\r\n\r\n", ""),
+	)
+
 	It("does not take a response that was reset during an upload for a complete one", func() {
 		m.front = func(w http.ResponseWriter, _ *http.Request) {
 			conn := writeRaw(w, "HTTP/1.1 200 OK\r\n\r\npart")
