Reset responses that break off towards clients of HTTP/1.0

Clients of HTTP/1.0 saw a part of a long response as complete when it broke off behind the head.

Cause: a response of unknown length ends with its connection in HTTP/1.0, and net/http closes the connection of a handler that panics with http.ErrAbortHandler in an orderly way. In HTTP/1.1 the missing last chunk tells.

Change: duplex.Writer.Abort resets the connection of such a response, and panics as before for all others. Both modes use it where a body breaks off.

--- a/internal/duplex/duplex.go
+++ b/internal/duplex/duplex.go
@@ -24,6 +24,7 @@
 	http.ResponseWriter
 	body        *body
 	closeAfter  func() bool
+	noChunks    bool // the client knows no chunked coding (HTTP/1.0)
 	wroteHeader bool
 	closes      bool // the header carries "Connection: close"
 }
@@ -34,7 +35,7 @@
 // after this response for another reason, such as a shutdown. It may be nil.
 func Begin(w http.ResponseWriter, r *http.Request, closeAfter func() bool) (*Writer, *http.Request) {
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	writer := &Writer{ResponseWriter: w, closeAfter: closeAfter}
+	writer := &Writer{ResponseWriter: w, closeAfter: closeAfter, noChunks: !r.ProtoAtLeast(1, 1)}
 	if r.Body == nil || r.Body == http.NoBody {
 		return writer, r
 	}
@@ -91,6 +92,21 @@
 
 func (w *Writer) closeRequested() bool { return w.closeAfter != nil && w.closeAfter() }
 
+// Abort ends a response whose body cannot be completed, so that the client sees that it is incomplete. It does
+// not return, but panics with http.ErrAbortHandler. The body of a response without a length ends with the
+// connection in HTTP/1.0: net/http would close the connection, Abort resets it.
+func (w *Writer) Abort() {
+	if w.noChunks && w.Header().Get("Content-Length") == "" {
+		if conn, _, err := http.NewResponseController(w.ResponseWriter).Hijack(); err == nil {
+			if socket, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+				_ = socket.SetLinger(0)
+			}
+			_ = conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // DrainBody discards the unread part of a short request body, so that the connection can be reused
 // after the request is rejected. It must be called before the header is written. A body that is
 // long, of unknown length or not received within drainTimeout is left unread, and the connection
--- a/internal/mesh/dataplane/outbound.go
+++ b/internal/mesh/dataplane/outbound.go
@@ -307,7 +307,7 @@
 		sent.reportResult()
 		c.count(sent.outcome, sent.reason)
 		c.plane.record(c.context, explain.Answer, string(sent.reason), c.service, sent.choice.Target.Node, number("bytes", float64(sum.length)))
-		panic(http.ErrAbortHandler)
+		c.writer.Abort()
 	}
 	sent.reportResult()
 	c.count(outcome.Answered, outcome.Reason(sent.head.Reason))
--- a/internal/mesh/node/node_test.go
+++ b/internal/mesh/node/node_test.go
@@ -128,6 +128,20 @@
 		Expect(len(body)).To(BeNumerically("<", 100000))
 	}, Entry("with Content-Length", true), Entry("with chunked encoding", false))
 
+	It("propagates a truncated response without a length to a caller of HTTP/1.0 as an error", func() {
+		m.front = func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, 60000))
+			panic(http.ErrAbortHandler)
+		}
+		conn, err := net.Dial("tcp", m.settings["entry-1"].Listen.Callers)
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = io.WriteString(conn, "GET /x HTTP/1.0\r\nHost: front\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadAll(conn)
+		Expect(err).To(HaveOccurred())
+	})
+
 	DescribeTable("does not take an invalid response of a target for its answer", func(response, reason string) {
 		response = strings.Replace(response, "\r\n", "\r\nConnection: close\r\n", 1) // a later call must not meet the end of a reused connection
 		m.front = func(w http.ResponseWriter, _ *http.Request) { writeRaw(w, response) }
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -463,6 +463,14 @@
 	return nil
 }
 
+// SetLinger sets what Close does with data that is not sent; 0 resets the connection.
+func (c *conn) SetLinger(seconds int) error {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return socket.SetLinger(seconds)
+	}
+	return nil
+}
+
 // mayClose implements lineMember for the current request.
 func (c *conn) mayClose() bool {
 	c.mu.Lock()
--- a/internal/sidecar/entry/response.go
+++ b/internal/sidecar/entry/response.go
@@ -36,7 +36,7 @@
 	r.writer.WriteHeader(response.Status)
 	if _, err := io.Copy(r.writer, response.Stream); err != nil {
 		r.recordCompletion(0, outcome.ReasonLost, 0)
-		panic(http.ErrAbortHandler)
+		r.writer.Abort()
 	}
 	r.recordCompletion(response.Status, outcome.ReasonNone, 0)
 }
