--- a/internal/mesh/dataplane/ingress.go
+++ b/internal/mesh/dataplane/ingress.go
@@ -199,7 +199,7 @@
 		}
 		return c.noResponse(started, cancelReason(ctx, outcome.ReasonReset))
 	}
-	defer func() { _ = response.Body.Close() }()
+	defer response.Body.Close()
 	if err := responses.Validate(response); err != nil {
 		return c.noResponse(started, outcome.ReasonInvalidResponse)
 	}
--- a/internal/responses/responses.go
+++ b/internal/responses/responses.go
@@ -19,8 +19,9 @@
 // ErrInvalid means that a message is not a response by RFC 9110 or RFC 9112; compare with errors.Is.
 const ErrInvalid = errors.ConstError("invalid HTTP response (remedy: look at the server that sent it)")
 
-// Read reads the head of the final response to a request of the given method, and skips interim responses.
-// The body must be read from the result. The caller limits the bytes that are read from r until Read returns.
+// Read reads the head of the final response to a request, of which only the method matters, and skips interim
+// responses. The body must be read from the result. The caller limits the bytes that are read from r until Read
+// returns.
 //
 // The error is ErrInvalid, one of net/http for a message that it cannot parse, or one of r.
 func Read(r *bufio.Reader, request *http.Request) (*http.Response, error) {
