Stand-in targets: malformed responses only with a body

Cause: read as a newcomer, two of the stand-in's malformed messages are valid where the body that they carry is empty, as with a status of 500 or 504: the end of a chunked body came first. Change: they take the place of responses with a body. Two comments of tests name what they describe.

--- a/internal/sidecar/invalidresponse_test.go
+++ b/internal/sidecar/invalidresponse_test.go
@@ -45,7 +45,7 @@
 	return lines
 }
 
-// scriptedTarget answers the request whose path ends with a number with the response of that number.
+// scriptedTarget answers a request whose path ends with the name of a response (see scriptName) with it.
 // ID in a response is replaced by the id of the request. Other requests get a short valid response.
 type scriptedTarget struct{ responses []string }
 
@@ -87,7 +87,7 @@
 	return "", false
 }
 
-// scriptName returns the end of the path, and of the id, of the request that gets a scripted response.
+// scriptName returns the name of a scripted response, with which the path of its request ends.
 func scriptName(number int) string {
 	return "script" + string(rune('a'+number/26)) + string(rune('a'+number%26))
 }
--- a/internal/testbed/target/serve.go
+++ b/internal/testbed/target/serve.go
@@ -115,7 +115,7 @@
 		status, content = max(status, http.StatusInternalServerError), nil
 	}
 	signature := judge.Signature(id, status, content)
-	if rand.Float64() < faults.MalformedResponse {
+	if rand.Float64() < faults.MalformedResponse && len(content) > 0 { // without a body, some would be valid
 		// The judge knows no answer of this run, so that no part of the message may reach a client.
 		_, _ = io.WriteString(conn, malformedResponse("X-Request-Id: "+id+"\r\nX-Response-Signature: "+signature+"\r\n"+t.loadHeader(instance, running), content))
 		return false
